--- /dev/null
+++ b/include/buckthornrail/core/clock.hpp
@@ -0,0 +1,14 @@
+/// @file
+/// @brief Time as the cores see it: a point on the steady clock that the caller passes in.
+#pragma once
+
+#include <chrono>
+
+namespace buckthornrail {
+
+/// Point in time on the monotonic clock. State keeps deadlines of this type, never durations.
+using steady_time = std::chrono::steady_clock::time_point;
+
+using std::chrono::milliseconds;
+
+} // namespace buckthornrail
--- /dev/null
+++ b/include/buckthornrail/core/event_code.hpp
@@ -0,0 +1,62 @@
+/// @file
+/// @brief Numbered log events. Catalogue: docs/EVENTS.md.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace buckthornrail {
+
+/// Every event has one number for good; numbers are never used again.
+enum class event_code : std::uint16_t {
+    ProcessStarted = 100,
+    ProcessStopping = 101,
+    ProcessStopped = 102,
+    SettingsRejected = 103,
+    RouteChosen = 200,
+    RouteRefused = 201,
+    AttemptRefused = 202,
+    AttemptLost = 203,
+    RequestFinished = 204,
+    ChainBuilt = 205,
+    GenerationFenced = 206,
+    ClaimHeld = 207,
+    FrameDropped = 208,
+    WorkStarted = 300,
+    WorkFinished = 301,
+    WorkCancelled = 302,
+    OfferRefused = 303,
+    TargetStateChanged = 304,
+    TargetDraining = 305,
+    LeaderElected = 400,
+    LeaderLost = 401,
+    MemberChanged = 402,
+    SnapshotSaved = 403,
+    StorageFault = 404,
+    ConfigurationAccepted = 500,
+    ConfigurationRejected = 501,
+    ConfigurationApplied = 502,
+    LeaseExpired = 503,
+    InstanceJoined = 600,
+    InstanceLost = 601,
+    InstanceDraining = 602,
+    LinkOpened = 700,
+    LinkClosed = 701,
+    MessageRejected = 702,
+};
+
+/// One row of the catalogue.
+struct event_info {
+    event_code code;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// @brief The whole catalogue, in order of number.
+std::span<const event_info> eventTable();
+
+/// @brief Row of an event.
+const event_info& describe(event_code code);
+
+} // namespace buckthornrail
--- /dev/null
+++ b/include/buckthornrail/http/error_answer.hpp
@@ -0,0 +1,15 @@
+/// @file
+/// @brief The one form of error answers: JSON with numbered code, name, sentence, reason and `ran`.
+#pragma once
+
+#include "buckthornrail/http/http_server.hpp"
+
+namespace buckthornrail::http {
+
+/// @brief {"error":{"code":..,"name":..,"message":..,"reason":..,"ran":..}}
+std::string errorBody(const failure& why, ran_state ran);
+
+/// @brief Status, Content-Type, and Retry-After where coming back helps.
+void respondError(http_exchange& exchange, const failure& why, ran_state ran);
+
+} // namespace buckthornrail::http
--- /dev/null
+++ b/include/buckthornrail/http/http_server.hpp
@@ -0,0 +1,79 @@
+/// @file
+/// @brief HTTP server by CivetWeb, behind plain types.
+#pragma once
+
+#include "buckthornrail/dispatch/messages.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace buckthornrail::http {
+
+using dispatch::header_field;
+
+struct server_options {
+    std::string address; ///< "IP:port"
+    std::uint32_t threads = 16;
+    std::uint32_t bodyTimeoutMs = 10000;
+    std::size_t maxBodyBytes = 4U << 20U;
+};
+
+struct http_request {
+    std::string method;
+    std::string path; ///< without the query
+    std::string query;
+    std::vector<header_field> headers;
+    std::string body;
+    bool fromLoopback = false;
+
+    /// @return a header's value; names are compared without case.
+    [[nodiscard]] std::optional<std::string> header(std::string_view name) const;
+};
+
+/// One answer, written by the handler.
+class http_exchange {
+public:
+    http_exchange() = default;
+    http_exchange(const http_exchange&) = delete;
+    http_exchange& operator=(const http_exchange&) = delete;
+    virtual ~http_exchange() = default;
+    /// @brief Sends a whole answer.
+    virtual void respond(int status, const std::vector<header_field>& headers, const std::string& body) = 0;
+    /// @brief Begins an answer in chunks.
+    virtual void beginStream(int status, const std::vector<header_field>& headers) = 0;
+    /// @return false when the caller has gone.
+    virtual bool writeChunk(const std::string& bytes) = 0;
+    virtual void endStream() = 0;
+};
+
+/// Runs on one of the server's threads; may block.
+using http_handler = std::function<void(const http_request&, http_exchange&)>;
+
+struct http_route {
+    std::string pathPrefix;
+    http_handler handler;
+};
+
+/// @ingroup http
+class http_server {
+public:
+    /// @brief Starts to serve. The longest matching prefix gets the request.
+    /// @return the reason when the address can't be used.
+    static tl::expected<std::unique_ptr<http_server>, std::string> start(
+        const server_options& options, std::vector<http_route> routes);
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    ~http_server();
+
+private:
+    struct implementation;
+    explicit http_server(std::unique_ptr<implementation> state);
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace buckthornrail::http
--- /dev/null
+++ b/include/buckthornrail/link/link_hub.hpp
@@ -0,0 +1,57 @@
+/// @file
+/// @brief Links between processes: binary messages over WebSockets. Plain C++17, see event_loop.hpp.
+#pragma once
+
+#include "buckthornrail/link/event_loop.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace buckthornrail::link {
+
+/// Number of a link within this process; never used again. 0 is no link.
+using channel_number = std::uint64_t;
+
+/// Called on the loop thread.
+struct hub_handlers {
+    std::function<void(channel_number, bool inbound)> opened;
+    std::function<void(channel_number)> closed; ///< once for every channel that was opened or dialled
+    std::function<void(channel_number, std::string)> received;
+};
+
+struct hub_options {
+    std::size_t maxMessageBytes = 32U << 20U;
+    std::size_t maxBufferedBytes = 64U << 20U; ///< a link whose other end reads too slowly is closed
+    milliseconds keepAlivePeriod { 2000 }; ///< ping; a link silent for three of them is closed
+};
+
+/// @brief Accepts and dials links. All functions are called on the loop thread, or before it runs.
+/// @ingroup link
+class link_hub {
+public:
+    link_hub(event_loop& loop, hub_handlers handlers, hub_options options = {});
+    link_hub(const link_hub&) = delete;
+    link_hub& operator=(const link_hub&) = delete;
+    ~link_hub();
+
+    /// @brief Accepts links at "IP:port"; port 0 takes a free one.
+    /// @return the port, or 0 when the address can't be used.
+    std::uint16_t listen(const std::string& address);
+    /// @brief Begins to open a link; `opened` or `closed` follows.
+    channel_number dial(const std::string& address);
+    /// @return false when the link isn't open; the message was not sent.
+    bool send(channel_number channel, const std::string& message);
+    void close(channel_number channel);
+    /// @brief Accepts no more, and closes all links.
+    void stop();
+    [[nodiscard]] std::size_t openLinks() const;
+    /// @brief Bytes of messages sent and received so far, for metrics.
+    [[nodiscard]] std::uint64_t bytesSent() const;
+    [[nodiscard]] std::uint64_t bytesReceived() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace buckthornrail::link
--- /dev/null
+++ b/include/buckthornrail/link/message.hpp
@@ -0,0 +1,148 @@
+/// @file
+/// @brief Every message between the system's processes, and the codec.
+#pragma once
+
+#include "buckthornrail/agreement/types.hpp"
+#include "buckthornrail/configuration/configuration_store.hpp"
+#include "buckthornrail/dispatch/claim_table.hpp"
+#include "buckthornrail/dispatch/messages.hpp"
+#include "buckthornrail/execution/stage_guard.hpp"
+#include "buckthornrail/membership/membership_table.hpp"
+
+#include <tl/expected.hpp>
+#include <variant>
+
+namespace buckthornrail::link {
+
+/// Version of the messages below; a process refuses others.
+inline constexpr std::uint32_t protocolVersion = 1;
+
+/// First message of a link to a sidecar. A higher epoch ends the earlier links of the same peer.
+struct link_hello {
+    instance_id instance;
+    incarnation_number incarnation = 0;
+    std::uint64_t epoch = 0;
+};
+
+/// The sidecar's answer.
+struct link_welcome {
+    instance_id instance;
+    incarnation_number incarnation = 0;
+};
+
+/// Daemon to controller: who I am and what I hold. Sent when the session begins and at each change.
+struct session_announce {
+    membership::instance_record record;
+    configuration_version configuration = 0;
+    std::uint64_t membershipRevision = 0;
+    bool wantsMembership = false; ///< entries do, sidecars don't
+};
+
+/// Daemon to controller, each heartbeat period.
+struct session_heartbeat {
+    std::uint64_t sequence = 0;
+};
+
+/// Controller to daemon, after a quorum has confirmed that this controller is current. Everything that was committed
+/// before the heartbeat was received has been sent on the same link before this message.
+struct session_ack {
+    std::uint64_t sequence = 0;
+    configuration_version configuration = 0;
+    bool drain = false; ///< an operator wants this instance to drain
+    bool known = true; ///< false: announce yourself again
+};
+
+/// One page of a configuration update.
+struct configuration_page {
+    configuration_version from = 0;
+    configuration_version to = 0;
+    std::uint32_t page = 0;
+    std::uint32_t pages = 1;
+    std::string bytes;
+};
+
+/// Entry to controller.
+struct claim_request {
+    std::string commandId;
+    dispatch::claim_command command;
+};
+
+/// Controller to entry.
+struct claim_reply {
+    std::string commandId;
+    bool available = false; ///< false: not known to be committed
+    dispatch::claim_result result;
+};
+
+/// Controller to leader: append this command if it isn't in the log yet.
+struct forward_command {
+    std::string bytes;
+};
+
+/// Controller to leader: these instances' heartbeats were heard since the last report.
+struct lease_report {
+    std::vector<instance_id> instances;
+};
+
+/// Controller to controllers: my disk is new; take me in.
+struct join_request {
+    agreement::member_id member = 0;
+    std::string address;
+};
+
+/// First message of a link between controllers.
+struct controller_hello {
+    agreement::member_id member = 0;
+    std::string address;
+    bool initialized = false;
+};
+
+/// Entry to sidecars of an old chain: refuse all generations below this one.
+struct stage_fence {
+    std::string request;
+    std::uint32_t generation = 0;
+};
+
+struct stage_fenced {
+    std::string request;
+    std::uint32_t generation = 0;
+};
+
+/// Entry to sidecars: the request is over.
+struct stage_close {
+    std::string request;
+};
+
+/// Last stage to entry: a token, or the end.
+struct stage_token {
+    std::string request;
+    std::uint32_t generation = 0;
+    std::uint32_t token = 0;
+    std::string text;
+    bool last = false;
+    std::string finishReason;
+};
+
+/// Any stage to entry: this generation can't go on.
+struct stage_failed {
+    std::string request;
+    std::uint32_t generation = 0;
+    std::uint32_t stage = 0; ///< which one is at fault
+    result_code code = result_code::Ok;
+    std::string reason;
+};
+
+using message = std::variant<link_hello, link_welcome, session_announce, session_heartbeat, session_ack,
+    configuration_page, membership::membership_delta, claim_request, claim_reply, forward_command, lease_report,
+    join_request, controller_hello, agreement::peer_message, dispatch::attempt_offer, dispatch::attempt_accepted,
+    dispatch::attempt_refused, dispatch::attempt_started, dispatch::answer_frame, dispatch::answer_end,
+    dispatch::attempt_revoke, dispatch::revoke_reply, dispatch::answer_attach, dispatch::attach_reply,
+    dispatch::load_report, execution::stage_step, stage_fence, stage_fenced, stage_close, stage_token, stage_failed>;
+
+/// @brief A message as CBOR, with the protocol version and its type.
+std::string encode(const message& value);
+
+/// @return the message; MalformedMessage or UnsupportedProtocol when it isn't one.
+tl::expected<message, failure> decode(const std::string& bytes);
+
+} // namespace buckthornrail::link
--- /dev/null
+++ b/include/buckthornrail/link/state_json.hpp
@@ -0,0 +1,72 @@
+/// @file
+/// @brief JSON/CBOR form of types that both links and snapshots carry.
+#pragma once
+
+#include "buckthornrail/configuration/configuration_store.hpp"
+#include "buckthornrail/dispatch/claim_table.hpp"
+#include "buckthornrail/dispatch/messages.hpp"
+#include "buckthornrail/link/checked_enum.hpp"
+#include "buckthornrail/membership/membership_table.hpp"
+
+namespace nlohmann {
+
+template <> struct adl_serializer<buckthornrail::result_code> {
+    static void to_json(json& out, buckthornrail::result_code value) { out = static_cast<std::uint16_t>(value); }
+    static void from_json(const json& in, buckthornrail::result_code& value)
+    {
+        const auto known = buckthornrail::resultFromNumber(in.get<std::uint16_t>());
+        if (!known)
+            throw std::out_of_range("result code is not known");
+        value = *known;
+    }
+};
+template <>
+struct adl_serializer<buckthornrail::request_priority>
+    : buckthornrail::link::checked_enum<buckthornrail::request_priority, buckthornrail::request_priority::High> {
+};
+template <>
+struct adl_serializer<buckthornrail::membership::instance_role>
+    : buckthornrail::link::checked_enum<buckthornrail::membership::instance_role,
+          buckthornrail::membership::instance_role::Sidecar> {
+};
+template <>
+struct adl_serializer<buckthornrail::membership::instance_state>
+    : buckthornrail::link::checked_enum<buckthornrail::membership::instance_state,
+          buckthornrail::membership::instance_state::Lost> {
+};
+template <>
+struct adl_serializer<buckthornrail::membership::target_kind>
+    : buckthornrail::link::checked_enum<buckthornrail::membership::target_kind,
+          buckthornrail::membership::target_kind::PlainService> {
+};
+
+} // namespace nlohmann
+
+namespace buckthornrail {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_id, request, number)
+
+namespace membership {
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
+    target_description, kind, model, version, service, pool, accelerator, firstLayer, endLayer, slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(instance_record, id, role, incarnation, failureDomain, linkAddress, httpAddress,
+    state, target, drainRequested, revision)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(membership_delta, from, to, full, records)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(transition, record, lossOnly)
+} // namespace membership
+
+namespace dispatch {
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_key, workspace, key)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_holder, attempt, instance, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_command, key, requestDigest, holder, replaces, wallSeconds, retainSeconds)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_record, key, requestDigest, holder, retainUntil)
+} // namespace dispatch
+
+namespace configuration {
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_command, changeId, base, author, wallSeconds, patch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_result, changeId, code, reason, version)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_record, version, changeId, author, wallSeconds, patch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(store_state, version, text, history, results)
+} // namespace configuration
+
+} // namespace buckthornrail
--- /dev/null
+++ b/include/buckthornrail/telemetry/metrics.hpp
@@ -0,0 +1,31 @@
+/// @file
+/// @brief Counters, gauges and histograms of one process, served as Prometheus text.
+#pragma once
+
+#include <memory>
+#include <string>
+
+namespace buckthornrail::telemetry {
+
+/// @ingroup telemetry
+class metrics {
+public:
+    metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+    ~metrics();
+
+    /// @brief Adds to a counter; callable from any thread. @param label value of its one label "kind"; may be empty
+    void count(const std::string& name, const std::string& label = {}, double amount = 1);
+    void gauge(const std::string& name, double value);
+    /// @brief Adds a sample in milliseconds to a histogram.
+    void observeMs(const std::string& name, double milliseconds);
+    /// @brief All of them as text.
+    [[nodiscard]] std::string text() const;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace buckthornrail::telemetry
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Installs, builds, and runs every test. Property tests draw from the seed printed here.
+set -eu
+cd "$(dirname "$0")/.."
+scripts/install.sh
+scripts/build.sh
+export RC_PARAMS="seed=${RC_SEED:-20261202}"
+echo "property tests: RC_PARAMS=$RC_PARAMS"
+ctest --test-dir "${BUILD_DIR:-build}" --output-on-failure --no-tests=error "$@"
--- /dev/null
+++ b/src/app/answer_queue.hpp
@@ -0,0 +1,59 @@
+/// @file
+/// @brief Hands one request's answer from the loop to the HTTP thread that waits for it.
+#pragma once
+
+#include "buckthornrail/core/clock.hpp"
+#include "buckthornrail/dispatch/messages.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <variant>
+
+namespace buckthornrail::app {
+
+/// The last event of an answer.
+struct answer_finished {
+    failure result;
+    ran_state ran = ran_state::No;
+    std::string finishReason;
+};
+
+using answer_event = std::variant<dispatch::answer_frame, answer_finished>;
+
+/// @brief Bounded; the loop never waits on it.
+class answer_queue {
+public:
+    /// @return false when the caller reads too slowly and the queue is full.
+    bool push(answer_event event)
+    {
+        const std::scoped_lock lock(m_mutex);
+        const bool isLast = std::holds_alternative<answer_finished>(event);
+        if (m_events.size() >= maxEvents && !isLast)
+            return false;
+        m_events.push_back(std::move(event));
+        m_changed.notify_one();
+        return true;
+    }
+
+    /// @return the next event, or nothing when none came before the deadline.
+    std::optional<answer_event> pop(steady_time deadline)
+    {
+        std::unique_lock lock(m_mutex);
+        if (!m_changed.wait_until(lock, deadline, [this] { return !m_events.empty(); }))
+            return std::nullopt;
+        answer_event event = std::move(m_events.front());
+        m_events.pop_front();
+        return event;
+    }
+
+private:
+    static constexpr std::size_t maxEvents = 65536;
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<answer_event> m_events;
+};
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/control_shell.cpp
@@ -0,0 +1,336 @@
+/// @file
+/// @brief Commands of the operators' shell, as a table.
+#include "app/control_shell.hpp"
+
+#include "app/operator_access.hpp"
+#include "app/process.hpp"
+#include "buckthornrail/http/http_client.hpp"
+
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <tclap/CmdLine.h>
+
+namespace buckthornrail::app {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds callPatience { 10000 };
+constexpr int firstErrorStatus = 400;
+
+struct shell_options {
+    std::vector<std::string> controllers;
+    std::string token;
+    bool asJson = false;
+    std::string author;
+    std::string changeId;
+    std::uint64_t base = 0;
+    bool hasBase = false;
+    std::vector<std::string> words;
+};
+
+/// An answer, or what went wrong.
+struct shell_answer {
+    int status = 0; ///< 0: no controller could be reached
+    json body;
+};
+
+shell_answer callOne(const shell_options& options, const std::string& address, const std::string& method,
+    const std::string& path, const std::string& body)
+{
+    http::client_request request;
+    request.address = address;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    request.contentType = body.empty() ? "" : "application/json";
+    request.deadline = steadyNow() + callPatience;
+    if (!options.token.empty())
+        request.headers.push_back({ "Authorization", "Bearer " + options.token });
+    const auto response = http::call(request);
+    if (response.outcome != http::client_outcome::Ok)
+        return {};
+    return { response.status, json::parse(response.body, nullptr, false) };
+}
+
+/// Asks the controllers in turn until one gives an answer other than "no quorum".
+shell_answer callAny(
+    const shell_options& options, const std::string& method, const std::string& path, const std::string& body = {})
+{
+    shell_answer last;
+    for (const auto& address : options.controllers) {
+        auto answer = callOne(options, address, method, path, body);
+        if (answer.status == 0)
+            continue;
+        last = std::move(answer);
+        const bool unavailable = last.status == describe(result_code::NoQuorum).httpStatus;
+        if (!unavailable)
+            return last;
+    }
+    return last;
+}
+
+int report(const shell_options& options, const shell_answer& answer, const std::string& sentence)
+{
+    if (answer.status == 0) {
+        std::cerr << "buckthornrail ctl: no controller answered at";
+        for (const auto& address : options.controllers)
+            std::cerr << " " << address;
+        std::cerr << "\n";
+        return exitFailure;
+    }
+    if (options.asJson) {
+        std::cout << answer.body.dump() << "\n";
+        return answer.status < firstErrorStatus ? exitOk : exitFailure;
+    }
+    if (answer.status < firstErrorStatus) {
+        std::cout << sentence << "\n";
+        return exitOk;
+    }
+    const json error = answer.body.is_object() ? answer.body.value("error", json::object()) : json::object();
+    std::cerr << "buckthornrail ctl: " << error.value("code", answer.status) << " " << error.value("name", "error")
+              << ": " << error.value("message", "");
+    if (error.contains("reason"))
+        std::cerr << " (" << error.value("reason", "") << ")";
+    std::cerr << "\n";
+    return exitFailure;
+}
+
+std::optional<std::string> readFile(const std::string& name)
+{
+    std::ifstream stream(name);
+    if (!stream) {
+        std::cerr << "buckthornrail ctl: can't open " << name << "\n";
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+int configGet(const shell_options& options)
+{
+    const auto answer = callAny(options, "GET", "/v1/config");
+    return report(options, answer, answer.body.dump(2));
+}
+
+int configHistory(const shell_options& options)
+{
+    const auto answer = callAny(options, "GET", "/v1/config/history");
+    std::string lines;
+    if (answer.body.is_object()) {
+        for (const auto& change : answer.body.value("changes", json::array())) {
+            lines += std::to_string(change.value("version", 0)) + "  " + change.value("author", "") + "  "
+                + change.value("change_id", "") + "\n";
+        }
+    }
+    return report(options, answer, lines);
+}
+
+int configCheck(const shell_options& options)
+{
+    const auto text = readFile(options.words[2]);
+    if (!text)
+        return exitFailure;
+    return report(options, callAny(options, "POST", "/v1/config/check", *text), "valid");
+}
+
+int configPut(const shell_options& options)
+{
+    const auto text = readFile(options.words[2]);
+    if (!text)
+        return exitFailure;
+    const json document = json::parse(*text, nullptr, false);
+    if (document.is_discarded()) {
+        std::cerr << "buckthornrail ctl: " << options.words[2] << " is not JSON\n";
+        return exitFailure;
+    }
+    std::uint64_t base = options.base;
+    if (!options.hasBase) {
+        const auto current = callAny(options, "GET", "/v1/config");
+        if (current.status == 0 || current.status >= firstErrorStatus)
+            return report(options, current, "");
+        base = current.body.value("version", std::uint64_t { 0 });
+    }
+    // The same id goes to each controller that is tried: a change whose answer was lost is not made twice.
+    const std::string changeId = options.changeId.empty() ? randomName() : options.changeId;
+    const json change
+        = { { "base", base }, { "change_id", changeId }, { "author", options.author }, { "document", document } };
+    const auto answer = callAny(options, "PUT", "/v1/config", change.dump());
+    const auto version = answer.body.is_object() ? answer.body.value("version", 0) : 0;
+    return report(options, answer, "version " + std::to_string(version) + " (change " + changeId + ")");
+}
+
+int status(const shell_options& options)
+{
+    const auto answer = callAny(options, "GET", "/v1/status");
+    std::ostringstream out;
+    if (answer.status > 0 && answer.status < firstErrorStatus) {
+        out << "configuration version " << answer.body.value("version", 0) << ", term " << answer.body.value("term", 0)
+            << ", commit " << answer.body.value("commit", 0) << "\n";
+        for (const auto& member : answer.body.value("controllers", json::array())) {
+            out << "controller " << member.value("address", "") << (member.value("leader", false) ? "  leader" : "")
+                << (member.value("voter", false) ? "" : "  learner") << "\n";
+        }
+        for (const auto& instance : answer.body.value("instances", json::array())) {
+            out << instance.value("role", "") << " " << instance.value("id", "") << "  " << instance.value("state", "")
+                << "  " << instance.value("failure_domain", "");
+            if (instance.contains("target")) {
+                const auto& target = instance["target"];
+                out << "  " << target.value("kind", "") << " " << target.value("model", "")
+                    << target.value("service", "") << " " << target.value("version", "");
+            }
+            out << (instance.value("drain_requested", false) ? "  drain requested" : "") << "\n";
+        }
+    }
+    std::string text = out.str();
+    if (!text.empty())
+        text.pop_back();
+    return report(options, answer, text);
+}
+
+int drain(const shell_options& options)
+{
+    const std::string& action = options.words[0];
+    const auto answer = callAny(options, "POST", "/v1/instances/" + options.words[1] + "/" + action);
+    return report(options, answer, action + " requested for " + options.words[1]);
+}
+
+int initialize(const shell_options& options)
+{
+    // Only the first controller is asked: a second one must not form a log of its own.
+    const auto answer = callOne(options, options.controllers.front(), "POST", "/v1/cluster/init", "{}");
+    return report(options, answer, "initialized; the other controllers join by themselves");
+}
+
+int explain(const shell_options& options)
+{
+    const auto known = callAny(options, "GET", "/v1/status");
+    if (known.status == 0 || known.status >= firstErrorStatus)
+        return report(options, known, "");
+    for (const auto& instance : known.body.value("instances", json::array())) {
+        if (instance.value("role", "") != "entry")
+            continue;
+        const auto answer = callOne(options, instance.value("http", ""), "GET", "/v1/explain/" + options.words[1], "");
+        if (answer.status == 0 || answer.status >= firstErrorStatus)
+            continue;
+        std::string text = "entry " + instance.value("id", "");
+        for (const auto& decision : answer.body.value("decisions", json::array()))
+            text += "\n  " + decision.get<std::string>();
+        return report(options, answer, text);
+    }
+    std::cerr << "buckthornrail ctl: no entry remembers request " << options.words[1] << "\n";
+    return exitFailure;
+}
+
+/// One command: its words, of which those in capitals stand for a value.
+struct shell_command {
+    std::vector<std::string> words;
+    int (*run)(const shell_options&);
+};
+
+const std::vector<shell_command>& commands()
+{
+    static const std::vector<shell_command> table {
+        { { "config", "get" }, configGet },
+        { { "config", "put", "FILE" }, configPut },
+        { { "config", "check", "FILE" }, configCheck },
+        { { "config", "history" }, configHistory },
+        { { "status" }, status },
+        { { "drain", "INSTANCE" }, drain },
+        { { "undrain", "INSTANCE" }, drain },
+        { { "cluster", "init" }, initialize },
+        { { "explain", "REQUEST" }, explain },
+    };
+    return table;
+}
+
+bool isValue(const std::string& word)
+{
+    return !word.empty() && std::isupper(static_cast<unsigned char>(word.front())) != 0;
+}
+
+bool fits(const shell_command& command, const std::vector<std::string>& words)
+{
+    if (command.words.size() != words.size())
+        return false;
+    for (std::size_t at = 0; at < words.size(); ++at) {
+        if (!isValue(command.words[at]) && command.words[at] != words[at])
+            return false;
+    }
+    return true;
+}
+
+std::string usage()
+{
+    std::string text = "Commands:";
+    for (const auto& command : commands()) {
+        text += "\n  ";
+        for (const auto& word : command.words)
+            text += word + " ";
+    }
+    return text;
+}
+
+std::vector<std::string> splitAddresses(const std::string& list)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(list);
+    for (std::string part; std::getline(stream, part, ',');)
+        parts.push_back(part);
+    return parts;
+}
+
+} // namespace
+
+int runControlShell(const std::vector<std::string>& arguments)
+{
+    shell_options options;
+    try {
+        TCLAP::CmdLine line("The operators' shell. " + usage(), ' ', "0.1.0");
+        TCLAP::ValueArg<std::string> controllers("c", "controllers", "HTTP addresses of controllers, parted by commas",
+            false, "127.0.0.1:8001", "IP:port,...", line);
+        TCLAP::ValueArg<std::string> tokenFile(
+            "t", "token-file", "File with the operators' token", false, "", "file", line);
+        TCLAP::SwitchArg asJson("j", "json", "Print answers as JSON", line);
+        TCLAP::ValueArg<std::string> author("a", "author", "Name for the history", false, "ctl", "name", line);
+        TCLAP::ValueArg<std::string> changeId(
+            "i", "change-id", "Id of the change; give the same one to resend it", false, "", "id", line);
+        TCLAP::ValueArg<std::uint64_t> base(
+            "b", "base", "Version that the change is based on; without it the current one", false, 0, "version", line);
+        TCLAP::UnlabeledMultiArg<std::string> words("command", "Command and its values", true, "words", line);
+        std::vector<std::string> copy = arguments;
+        line.parse(copy);
+        options.controllers = splitAddresses(controllers.getValue());
+        options.token = tokenFile.isSet() ? readToken(tokenFile.getValue()) : "";
+        options.asJson = asJson.getValue();
+        options.author = author.getValue();
+        options.changeId = changeId.getValue();
+        options.base = base.getValue();
+        options.hasBase = base.isSet();
+        options.words = words.getValue();
+        if (tokenFile.isSet() && options.token.empty()) {
+            std::cerr << "buckthornrail ctl: no token in " << tokenFile.getValue() << "\n";
+            return exitBadSettings;
+        }
+    } catch (const TCLAP::ArgException& fault) {
+        std::cerr << "buckthornrail ctl: " << fault.error() << " " << fault.argId() << "\n";
+        return exitBadSettings;
+    }
+    for (const auto& address : options.controllers) {
+        if (auto valid = settings::checkAddress(address); !valid) {
+            std::cerr << "buckthornrail ctl: " << valid.error() << "\n";
+            return exitBadSettings;
+        }
+    }
+    for (const auto& command : commands()) {
+        if (fits(command, options.words))
+            return command.run(options);
+    }
+    std::cerr << "buckthornrail ctl: no such command\n" << usage() << "\n";
+    return exitBadSettings;
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/controller_api.cpp
@@ -0,0 +1,292 @@
+/// @file
+/// @brief Operators' requests.
+#include "app/controller_api.hpp"
+
+#include "app/operator_access.hpp"
+#include "buckthornrail/http/error_answer.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace buckthornrail::app {
+namespace {
+
+using http::http_exchange;
+using http::http_request;
+using nlohmann::json;
+
+constexpr milliseconds confirmPatience { 2000 };
+constexpr milliseconds commitPatience { 5000 };
+constexpr milliseconds loopPatience { 6000 };
+constexpr std::string_view instancePrefix = "/v1/instances/";
+
+void respondJson(http_exchange& exchange, const json& body)
+{
+    const auto text = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    exchange.respond(200, { { "Content-Type", "application/json" } }, text + "\n");
+}
+
+void refuse(http_exchange& exchange, const failure& why)
+{
+    http::respondError(exchange, why, why.code == result_code::NoQuorum ? ran_state::Unknown : ran_state::No);
+}
+
+json instanceToJson(const membership::instance_record& record)
+{
+    json row = { { "id", record.id }, { "role", nameIn(membership::roleNames, record.role) },
+        { "state", nameIn(membership::stateNames, record.state) }, { "failure_domain", record.failureDomain },
+        { "http", record.httpAddress }, { "link", record.linkAddress }, { "drain_requested", record.drainRequested } };
+    if (record.role != membership::instance_role::Sidecar)
+        return row;
+    const auto& target = record.target;
+    row["target"] = { { "kind", nameIn(membership::targetKindNames, target.kind) }, { "model", target.model },
+        { "version", target.version }, { "service", target.service }, { "pool", target.pool },
+        { "accelerator", target.accelerator }, { "first_layer", target.firstLayer }, { "end_layer", target.endLayer },
+        { "slots", target.slots } };
+    return row;
+}
+
+json statusToJson(const controller_status& status)
+{
+    json members = json::array();
+    for (const auto& member : status.members)
+        members.push_back({ { "id", std::to_string(member.id) }, { "address", member.address },
+            { "voter", member.voter }, { "leader", member.id == status.leader } });
+    json instances = json::array();
+    for (const auto& record : status.instances)
+        instances.push_back(instanceToJson(record));
+    return { { "self", std::to_string(status.self) }, { "role", nameOf(status.role) }, { "term", status.term },
+        { "commit", status.commit }, { "controllers", members }, { "reachable", status.reachable.size() },
+        { "version", status.version }, { "claims", status.claims }, { "sessions", status.sessions },
+        { "instances", instances } };
+}
+
+/// Operators' requests, run on the HTTP server's threads.
+class operator_api {
+public:
+    operator_api(link::event_loop& loop, controller& role)
+        : m_loop(loop)
+        , m_role(role)
+    {
+    }
+
+    void configuration(const http_request& request, http_exchange& exchange)
+    {
+        if (request.method == "GET")
+            getConfiguration(exchange, false);
+        else if (request.method == "PUT")
+            putConfiguration(request, exchange);
+        else
+            refuse(exchange, { result_code::MalformedRequest, "use GET or PUT" });
+    }
+
+    void history(const http_request& /*request*/, http_exchange& exchange) { getConfiguration(exchange, true); }
+
+    void check(const http_request& request, http_exchange& exchange)
+    {
+        const auto parsed = configuration::parseDocument(request.body);
+        if (!parsed) {
+            refuse(exchange, parsed.error());
+            return;
+        }
+        respondJson(
+            exchange, { { "valid", true }, { "document", json::parse(configuration::formatDocument(*parsed)) } });
+    }
+
+    void status(const http_request& /*request*/, http_exchange& exchange)
+    {
+        const auto status
+            = askLoop<controller_status>(m_loop, loopPatience, [this](const auto& reply) { reply(m_role.status()); });
+        if (!status) {
+            refuse(exchange, { result_code::NoQuorum, "the controller is busy" });
+            return;
+        }
+        respondJson(exchange, statusToJson(*status));
+    }
+
+    void initialize(const http_request& /*request*/, http_exchange& exchange)
+    {
+        using outcome = tl::expected<void, failure>;
+        const auto done
+            = askLoop<outcome>(m_loop, loopPatience, [this](const auto& reply) { reply(m_role.initialize()); });
+        if (!done || !*done) {
+            refuse(exchange, done ? done->error() : failure { result_code::NoQuorum, "the controller is busy" });
+            return;
+        }
+        respondJson(exchange, { { "initialized", true } });
+    }
+
+    void instance(const http_request& request, http_exchange& exchange)
+    {
+        const std::string rest = request.path.substr(instancePrefix.size());
+        const auto slash = rest.rfind('/');
+        const std::string action = slash == std::string::npos ? "" : rest.substr(slash + 1);
+        if (request.method != "POST" || (action != "drain" && action != "undrain")) {
+            refuse(exchange, { result_code::NotFound, "use POST .../drain or .../undrain" });
+            return;
+        }
+        const auto result = commit(drain_command { rest.substr(0, slash), action == "drain" });
+        if (!result || result->outcome.code != result_code::Ok) {
+            refuse(exchange, result ? result->outcome : result.error());
+            return;
+        }
+        respondJson(exchange, { { "instance", rest.substr(0, slash) }, { "drain", action == "drain" } });
+    }
+
+private:
+    using result_or_failure = tl::expected<command_result, failure>;
+
+    result_or_failure commit(command_body body)
+    {
+        const auto result = askLoop<result_or_failure>(m_loop, loopPatience,
+            [this, body = std::move(body)](const auto& reply) { m_role.submit(body, reply, commitPatience); });
+        return result.value_or(tl::make_unexpected(failure { result_code::NoQuorum, "the controller is busy" }));
+    }
+
+    std::optional<configuration_reading> readConfirmed()
+    {
+        using reading = std::optional<configuration_reading>;
+        const auto answer = askLoop<reading>(m_loop, loopPatience, [this](const auto& reply) {
+            m_role.confirm(
+                [this, reply](bool current) {
+                    if (!current) {
+                        reply(std::nullopt);
+                        return;
+                    }
+                    const auto& store = m_role.state().configuration();
+                    reply(configuration_reading { store.version(), store.text(), store.history() });
+                },
+                confirmPatience);
+        });
+        return answer.value_or(std::nullopt);
+    }
+
+    void getConfiguration(http_exchange& exchange, bool withHistory)
+    {
+        const auto reading = readConfirmed();
+        if (!reading) {
+            refuse(exchange, { result_code::NoQuorum, "" });
+            return;
+        }
+        json answer = { { "version", reading->version } };
+        if (!withHistory) {
+            answer["document"] = json::parse(reading->text);
+            respondJson(exchange, answer);
+            return;
+        }
+        answer["changes"] = json::array();
+        for (const auto& change : reading->history) {
+            answer["changes"].push_back({ { "version", change.version }, { "change_id", change.changeId },
+                { "author", change.author }, { "time", change.wallSeconds }, { "patch", json::parse(change.patch) } });
+        }
+        respondJson(exchange, answer);
+    }
+
+    /// Reads {"base", "change_id", "author", "document"}.
+    static tl::expected<std::pair<configuration::change_command, std::string>, failure> readChange(
+        const std::string& body)
+    {
+        const auto malformed = [](const std::string& reason) {
+            return tl::make_unexpected(failure { result_code::MalformedRequest, reason });
+        };
+        try {
+            const json value = json::parse(body);
+            for (const auto& item : value.items()) {
+                const auto& name = item.key();
+                if (name != "base" && name != "change_id" && name != "author" && name != "document")
+                    return malformed("'" + name + "' is not a known field");
+            }
+            configuration::change_command change;
+            if (!value.at("base").is_number_unsigned())
+                return malformed("'base' must be a whole number");
+            change.base = value.at("base").get<configuration_version>();
+            change.changeId = value.at("change_id").get<std::string>();
+            change.author = value.value("author", "");
+            change.wallSeconds = wallSeconds();
+            if (change.changeId.empty())
+                return malformed("'change_id' is empty");
+            return std::pair { change, value.at("document").dump() };
+        } catch (const json::exception& fault) {
+            return malformed(fault.what());
+        }
+    }
+
+    void putConfiguration(const http_request& request, http_exchange& exchange)
+    {
+        auto change = readChange(request.body);
+        if (!change) {
+            refuse(exchange, change.error());
+            return;
+        }
+        const auto parsed = configuration::parseDocument(change->second);
+        const auto reading = readConfirmed();
+        if (!reading) {
+            refuse(exchange, { result_code::NoQuorum, "" });
+            return;
+        }
+        if (!parsed) {
+            logRejection(change->first.changeId, parsed.error());
+            refuse(exchange, parsed.error());
+            return;
+        }
+        if (change->first.base > reading->version) {
+            refuse(exchange,
+                { result_code::VersionConflict, "version " + std::to_string(reading->version) + " is current" });
+            return;
+        }
+        // When the base is an older one the patch won't be used: the log answers "conflict", or the first answer again.
+        change->first.patch = configuration::makePatch(reading->text, configuration::formatDocument(*parsed));
+        const auto result = commit(change->first);
+        if (!result) {
+            refuse(exchange, result.error());
+            return;
+        }
+        const auto& outcome = result->change;
+        if (outcome.code != result_code::Ok) {
+            logRejection(outcome.changeId, result->outcome);
+            refuse(exchange, result->outcome);
+            return;
+        }
+        respondJson(exchange, { { "version", outcome.version }, { "change_id", outcome.changeId } });
+    }
+
+    static void logRejection(const std::string& changeId, const failure& why)
+    {
+        telemetry::logEvent(event_code::ConfigurationRejected,
+            { { "change", changeId }, { "code", std::to_string(static_cast<int>(why.code)) },
+                { "reason", why.reason } });
+    }
+
+    link::event_loop& m_loop;
+    controller& m_role;
+};
+
+} // namespace
+
+std::vector<http::http_route> controllerRoutes(
+    link::event_loop& loop, controller& role, const settings::settings& settings)
+{
+    const auto api = std::make_shared<operator_api>(loop, role);
+    const operator_access access(settings);
+    const auto route = [&](const std::string& prefix,
+                           void (operator_api::*member)(const http_request&, http_exchange&)) {
+        return http::http_route { prefix,
+            access.guard([api, member](const auto& request, auto& exchange) { ((*api).*member)(request, exchange); }) };
+    };
+    return {
+        route("/v1/config", &operator_api::configuration),
+        route("/v1/config/check", &operator_api::check),
+        route("/v1/config/history", &operator_api::history),
+        route("/v1/status", &operator_api::status),
+        route("/v1/cluster/init", &operator_api::initialize),
+        route(std::string(instancePrefix), &operator_api::instance),
+        { "/",
+            [](const http_request& request, http_exchange& exchange) {
+                if (request.path == "/")
+                    exchange.respond(200, { { "Content-Type", "text/html; charset=utf-8" } }, consolePage());
+                else
+                    refuse(exchange, { result_code::NotFound, request.path });
+            } },
+    };
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/controller_api.hpp
@@ -0,0 +1,16 @@
+/// @file
+/// @brief The controllers' HTTP interface for operators. Reference: docs/API.md.
+#pragma once
+
+#include "app/controller.hpp"
+
+namespace buckthornrail::app {
+
+/// @brief Routes of the interface and of the console.
+std::vector<http::http_route> controllerRoutes(
+    link::event_loop& loop, controller& role, const settings::settings& settings);
+
+/// @brief The console's page.
+const std::string& consolePage();
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/controller_state.cpp
@@ -0,0 +1,122 @@
+/// @file
+/// @brief Applying commands, and the snapshot of the state.
+#include "app/controller_state.hpp"
+
+#include "buckthornrail/link/state_json.hpp"
+
+namespace buckthornrail::app {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(transition_batch, transitions)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(drain_command, instance, drain)
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t maxRecentIds = 4096;
+
+template <std::size_t At = 0> command_body bodyFromJson(std::size_t type, const json& body)
+{
+    if constexpr (At < std::variant_size_v<command_body>) {
+        if (type == At)
+            return command_body(std::in_place_index<At>, body.get<std::variant_alternative_t<At, command_body>>());
+        return bodyFromJson<At + 1>(type, body);
+    } else {
+        throw std::out_of_range("command type " + std::to_string(type) + " is not known");
+    }
+}
+
+} // namespace
+
+std::string encodeCommand(const command& value)
+{
+    const json body = std::visit([](const auto& one) { return json(one); }, value.body);
+    std::string bytes;
+    json::to_cbor(json { { "id", value.id }, { "t", value.body.index() }, { "b", body } }, bytes);
+    return bytes;
+}
+
+tl::expected<command, failure> decodeCommand(const std::string& bytes)
+{
+    try {
+        const json envelope = json::from_cbor(bytes);
+        return command { envelope.at("id").get<std::string>(),
+            bodyFromJson(envelope.at("t").get<std::size_t>(), envelope.at("b")) };
+    } catch (const json::exception& fault) {
+        return tl::make_unexpected(failure { result_code::MalformedMessage, fault.what() });
+    } catch (const std::out_of_range& fault) {
+        return tl::make_unexpected(failure { result_code::MalformedMessage, fault.what() });
+    }
+}
+
+command_result controller_state::apply(const command& value)
+{
+    command_result result;
+    if (const auto* change = std::get_if<configuration::change_command>(&value.body)) {
+        result.change = m_configuration.apply(*change);
+        result.outcome = { result.change.code, result.change.reason };
+        return result;
+    }
+    if (const auto* claim = std::get_if<dispatch::claim_command>(&value.body)) {
+        result.claim = m_claims.apply(*claim);
+        return result;
+    }
+    if (isRepeated(value.id))
+        return result;
+    if (const auto* batch = std::get_if<transition_batch>(&value.body)) {
+        for (const auto& transition : batch->transitions)
+            m_membership.apply(transition);
+        return result;
+    }
+    const auto& drain = std::get<drain_command>(value.body);
+    if (auto done = m_membership.requestDrain(drain.instance, drain.drain); !done)
+        result.outcome = done.error();
+    return result;
+}
+
+std::string controller_state::save() const
+{
+    std::vector<membership::instance_record> records;
+    for (const auto& [id, record] : m_membership.records())
+        records.push_back(record);
+    const json whole = { { "configuration", m_configuration.state() }, { "instances", records },
+        { "revision", m_membership.revision() }, { "pruned", m_membership.prunedRevision() },
+        { "claims", m_claims.records() }, { "clock", m_claims.clock() }, { "recent", m_recentIds } };
+    std::string bytes;
+    json::to_cbor(whole, bytes);
+    return bytes;
+}
+
+tl::expected<void, failure> controller_state::restore(const std::string& bytes)
+{
+    try {
+        const json whole = json::from_cbor(bytes);
+        if (auto read = m_configuration.restore(whole.at("configuration").get<configuration::store_state>()); !read)
+            return read;
+        m_membership.restore(whole.at("instances").get<std::vector<membership::instance_record>>(),
+            whole.at("revision").get<std::uint64_t>(), whole.at("pruned").get<std::uint64_t>());
+        m_claims.restore(
+            whole.at("claims").get<std::vector<dispatch::claim_record>>(), whole.at("clock").get<std::uint64_t>());
+        m_recentIds = whole.at("recent").get<std::deque<std::string>>();
+        m_recentSet = std::set<std::string>(m_recentIds.begin(), m_recentIds.end());
+    } catch (const json::exception& fault) {
+        return tl::make_unexpected(failure { result_code::StorageCorrupt, fault.what() });
+    } catch (const std::out_of_range& fault) {
+        return tl::make_unexpected(failure { result_code::StorageCorrupt, fault.what() });
+    }
+    return {};
+}
+
+bool controller_state::isRepeated(const std::string& id)
+{
+    if (!m_recentSet.insert(id).second)
+        return true;
+    m_recentIds.push_back(id);
+    if (m_recentIds.size() > maxRecentIds) {
+        m_recentSet.erase(m_recentIds.front());
+        m_recentIds.pop_front();
+    }
+    return false;
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/entry.cpp
@@ -0,0 +1,767 @@
+/// @file
+/// @brief Wiring of runs, routes, claims and links.
+#include "app/entry.hpp"
+
+#include "app/entry_api.hpp"
+
+namespace buckthornrail::app {
+namespace {
+
+constexpr milliseconds tickPeriod { 20 };
+constexpr milliseconds readinessGrace { 1000 }; ///< the balancer sees readiness fail before requests are refused
+constexpr milliseconds leavePatience { 1500 };
+constexpr milliseconds stageStartPatience { 800 };
+constexpr std::size_t maxRecentRequests = 2000;
+
+routing::route_options routeOptions(const settings::settings& settings)
+{
+    routing::route_options options;
+    options.strategy = valueIn(routing::strategyNames, settings.strategy).value_or(options.strategy);
+    options.failureDomain = settings.failureDomain;
+    return options;
+}
+
+membership::instance_record makeRecord(const settings::settings& settings, incarnation_number incarnation)
+{
+    membership::instance_record record;
+    record.id = settings.id;
+    record.role = membership::instance_role::Entry;
+    record.incarnation = incarnation;
+    record.failureDomain = settings.failureDomain;
+    record.httpAddress = settings.httpAddress;
+    record.state = membership::instance_state::Ready;
+    return record;
+}
+
+std::uint32_t millisecondsUntil(steady_time deadline, steady_time now)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(deadline - now).count();
+    return left <= 0 ? 0 : static_cast<std::uint32_t>(left);
+}
+
+double elapsedMs(steady_time from, steady_time to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+bool mayUse(const std::vector<std::string>& workspaces, const std::string& workspace)
+{
+    return workspaces.empty() || std::find(workspaces.begin(), workspaces.end(), workspace) != workspaces.end();
+}
+
+bool isFailureOfTarget(result_code code)
+{
+    return code == result_code::TargetFailed || code == result_code::TargetStalled
+        || code == result_code::AnswerIncomplete;
+}
+
+} // namespace
+
+entry::entry(link::event_loop& loop, const settings::settings& settings, telemetry::metrics& metrics)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_metrics(metrics)
+    , m_incarnation(randomNumber())
+    , m_random(randomNumber())
+    , m_routes(routeOptions(settings), randomNumber())
+{
+}
+
+entry::~entry() = default;
+
+tl::expected<void, failure> entry::start()
+{
+    m_hub = std::make_unique<link::link_hub>(m_loop,
+        link::hub_handlers {
+            [this](link::channel_number channel, bool) {
+                if (!m_session->onOpened(channel))
+                    m_links->onOpened(channel);
+            },
+            [this](link::channel_number channel) {
+                if (!m_session->onClosed(channel))
+                    m_links->onClosed(channel);
+            },
+            [this](link::channel_number channel, const std::string& bytes) { onMessage(channel, bytes); },
+        });
+    m_links = std::make_unique<sidecar_links>(*m_hub, m_settings.id, m_incarnation,
+        sidecar_link_callbacks {
+            [this](const attempt_id& attempt) { onUnsentOffer(attempt); },
+            [this](const instance_id& instance) { onLinkLost(instance); },
+        });
+    session_callbacks callbacks;
+    callbacks.leaseRenewed = [](configuration_version, steady_time) {};
+    callbacks.configurationApplied = [this](const configuration::document&, configuration_version) {
+        std::vector<std::string> all;
+        for (const auto& [id, active] : m_runs)
+            all.push_back(id);
+        for (const auto& id : all)
+            withRun(id, [](auto& run, steady_time now) { run.retryNow(now); });
+    };
+    callbacks.membershipChanged = [this](const membership::membership_delta& delta) { onMembership(delta); };
+    callbacks.drainRequested = [this](bool drain) { m_refusing = m_refusing || drain; };
+    callbacks.claimAnswered = [this](const link::claim_reply& reply) {
+        const auto found = m_claims.find(reply.commandId);
+        if (found == m_claims.end())
+            return;
+        const std::string id = found->second;
+        m_claims.erase(found);
+        withRun(id, [&reply](auto& run, steady_time now) {
+            if (reply.available)
+                run.claimAnswered(reply.result, now);
+            else
+                run.claimFailed(now);
+        });
+    };
+    m_session = std::make_unique<session_client>(
+        m_loop, *m_hub, m_settings, makeRecord(m_settings, m_incarnation), true, std::move(callbacks));
+    m_ticker = std::make_unique<periodic_task>(m_loop, tickPeriod, [this] { tick(); });
+    return {};
+}
+
+void entry::drainAndStop(std::function<void()> done)
+{
+    m_stopping = true;
+    m_isReady = false;
+    m_session->setState(membership::instance_state::Draining);
+    m_loop.runAt(steadyNow() + readinessGrace, [this, done = std::move(done)]() mutable {
+        m_refusing = true;
+        m_whenDrained = std::move(done);
+    });
+}
+
+void entry::submit(const caller_request& request, std::shared_ptr<answer_queue> queue)
+{
+    run_context context;
+    context.request = request;
+    context.queue = std::move(queue);
+    context.begun = steadyNow();
+    if (const auto refusal = admit(request, context)) {
+        telemetry::logEvent(event_code::RouteRefused,
+            { { "request", request.id }, { "code", std::string(describe(refusal->code).name) } });
+        m_metrics.count("requests_total", std::string(describe(refusal->code).name));
+        context.queue->push(answer_finished { *refusal, ran_state::No, "" });
+        return;
+    }
+    ++m_inFlight[request.workspace];
+    m_budgets[request.workspace].requestStarted();
+    const bool nonIdempotent = isNonIdempotent(request);
+    const auto query = makeQuery(context, context.begun);
+    const bool isSplit = !request.pipeline.empty() && !m_routes.choose(query, context.begun)
+        && !m_routes.stageCandidates(query, context.begun).empty();
+    if (isSplit && nonIdempotent) {
+        finish(
+            context, { result_code::BadHeader, "a split pipeline takes no non-idempotent request" }, ran_state::No, "");
+        return;
+    }
+    if (isSplit)
+        startChain(std::move(context));
+    else
+        startRun(std::move(context), nonIdempotent);
+}
+
+void entry::abandon(const std::string& requestId)
+{
+    withRun(requestId, [](auto& run, steady_time now) { run.callerGone(now); });
+    withChain(requestId, [](auto& run, steady_time now) { run.callerGone(now); });
+}
+
+std::vector<std::string> entry::pipelinesOf(const std::string& workspace) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, pipeline] : m_session->configuration().current().pipelines) {
+        if (mayUse(pipeline.workspaces, workspace))
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<std::string> entry::explain(const std::string& requestId) const
+{
+    const auto found = m_decisions.find(requestId);
+    return found == m_decisions.end() ? std::vector<std::string> {} : found->second;
+}
+
+void entry::onMessage(link::channel_number channel, const std::string& bytes)
+{
+    const auto message = link::decode(bytes);
+    if (!message) {
+        telemetry::logEvent(
+            event_code::MessageRejected, { { "reason", message.error().reason } }, telemetry::severity::Warning);
+        m_hub->close(channel);
+        return;
+    }
+    if (!m_session->onMessage(channel, *message))
+        handle(channel, *message);
+}
+
+void entry::handle(link::channel_number channel, const link::message& message)
+{
+    if (const auto* accepted = std::get_if<dispatch::attempt_accepted>(&message)) {
+        withAttempt(accepted->attempt, [&](auto& run, steady_time now) { run.accepted(accepted->attempt, now); });
+    } else if (const auto* refused = std::get_if<dispatch::attempt_refused>(&message)) {
+        onRefused(channel, *refused);
+    } else if (const auto* started = std::get_if<dispatch::attempt_started>(&message)) {
+        withAttempt(started->attempt, [&](auto& run, steady_time now) { run.started(started->attempt, now); });
+        withChain(started->attempt.request, [&](auto& run, steady_time now) {
+            run.stageOpened(m_links->instanceOf(channel), started->attempt.number, now);
+        });
+    } else if (const auto* frame = std::get_if<dispatch::answer_frame>(&message)) {
+        withAttempt(frame->attempt, [&](auto& run, steady_time now) { run.frame(*frame, now); });
+    } else if (const auto* end = std::get_if<dispatch::answer_end>(&message)) {
+        withAttempt(end->attempt, [&](auto& run, steady_time now) { run.ended(*end, now); });
+    } else if (const auto* revoked = std::get_if<dispatch::revoke_reply>(&message)) {
+        withAttempt(revoked->attempt, [&](auto& run, steady_time now) { run.revokeAnswered(*revoked, now); });
+    } else if (const auto* attached = std::get_if<dispatch::attach_reply>(&message)) {
+        withAttempt(attached->attempt, [&](auto& run, steady_time now) { run.attachAnswered(*attached, now); });
+    } else if (const auto* load = std::get_if<dispatch::load_report>(&message)) {
+        m_routes.report(*load, steadyNow());
+    } else {
+        handleStage(channel, message);
+    }
+}
+
+void entry::handleStage(link::channel_number channel, const link::message& message)
+{
+    if (const auto* fenced = std::get_if<link::stage_fenced>(&message)) {
+        withChain(fenced->request, [&](auto& run, steady_time now) {
+            run.stageFenced(m_links->instanceOf(channel), fenced->generation, now);
+        });
+    } else if (const auto* token = std::get_if<link::stage_token>(&message)) {
+        withChain(token->request, [&](auto& run, steady_time now) {
+            run.token({ token->generation, token->token, token->text, token->last, token->finishReason }, now);
+        });
+    } else if (const auto* failed = std::get_if<link::stage_failed>(&message)) {
+        note(failed->request,
+            "stage " + std::to_string(failed->stage) + " of generation " + std::to_string(failed->generation)
+                + " failed: " + failed->reason);
+        withChain(failed->request, [&](auto& run, steady_time now) {
+            run.stageFailed(failed->generation, failed->stage, { failed->code, failed->reason }, now);
+        });
+    }
+}
+
+void entry::onRefused(link::channel_number channel, const dispatch::attempt_refused& refused)
+{
+    const std::string code(describe(refused.code).name);
+    note(refused.attempt.request, "attempt " + std::to_string(refused.attempt.number) + " refused: " + code);
+    telemetry::logEvent(event_code::AttemptRefused, { { "attempt", toString(refused.attempt) }, { "code", code } });
+    withAttempt(refused.attempt, [&](auto& run, steady_time now) { run.refused(refused, now); });
+    withChain(refused.attempt.request, [&](auto& run, steady_time now) {
+        run.stageRefused(m_links->instanceOf(channel), refused.attempt.number, { refused.code, refused.reason }, now);
+    });
+}
+
+void entry::onMembership(const membership::membership_delta& delta)
+{
+    if (delta.full) {
+        for (const auto& id : m_routes.ids()) {
+            if (m_session->membership().find(id) == nullptr)
+                m_routes.remove(id);
+        }
+    }
+    for (const auto& record : delta.records) {
+        m_routes.update(record);
+        if (record.role == membership::instance_role::Sidecar && record.state == membership::instance_state::Lost)
+            m_links->close(record.id);
+    }
+    m_metrics.gauge("known_targets", static_cast<double>(m_routes.size()));
+}
+
+void entry::onUnsentOffer(const attempt_id& attempt)
+{
+    withAttempt(attempt, [&](auto& run, steady_time now) { run.offerNotSent(attempt, now); });
+}
+
+void entry::onLinkLost(const instance_id& instance)
+{
+    std::vector<std::string> all;
+    for (const auto& [id, active] : m_runs)
+        all.push_back(id);
+    for (const auto& id : all)
+        withRun(id, [&](auto& run, steady_time now) { run.linkLost(instance, now); });
+    all.clear();
+    for (const auto& [id, active] : m_chains)
+        all.push_back(id);
+    for (const auto& id : all)
+        withChain(id, [&](auto& run, steady_time now) { run.linkLost(instance, now); });
+}
+
+std::optional<failure> entry::admit(const caller_request& request, run_context& context)
+{
+    if (m_refusing)
+        return failure { result_code::ShuttingDown, "" };
+    if (!m_session->hasLease())
+        return failure { result_code::NoConfiguration, "" };
+    const auto& document = m_session->configuration().current();
+    const auto workspace = document.workspaces.find(request.workspace);
+    if (workspace == document.workspaces.end())
+        return failure { result_code::UnknownWorkspace, "" };
+    const auto refusal = request.pipeline.empty() ? admitService(request) : admitCompletion(request, context);
+    if (refusal)
+        return refusal;
+    const auto& limits = workspace->second;
+    if (limits.maxInFlight != 0 && m_inFlight[request.workspace] >= limits.maxInFlight)
+        return failure { result_code::WorkspaceLimit, "" };
+    context.weight = limits.weight;
+    context.priority = std::min(request.priority.value_or(context.priority), limits.maxPriority);
+    if (isNonIdempotent(request) && request.idempotencyKey.empty())
+        return failure { result_code::KeyRequired, "" };
+    return std::nullopt;
+}
+
+std::optional<failure> entry::admitCompletion(const caller_request& request, run_context& context)
+{
+    const auto& document = m_session->configuration().current();
+    const auto found = document.pipelines.find(request.pipeline);
+    if (found == document.pipelines.end())
+        return failure { result_code::UnknownModel, "" };
+    const auto& pipeline = found->second;
+    if (!mayUse(pipeline.workspaces, request.workspace))
+        return failure { result_code::UnknownWorkspace, "the workspace may not use this pipeline" };
+    context.model = pipeline.model;
+    context.layerCount = document.models.at(pipeline.model).layers;
+    context.version = drawVersion(pipeline);
+    context.pools = pipeline.pools;
+    context.priority = pipeline.priority;
+    return std::nullopt;
+}
+
+std::optional<failure> entry::admitService(const caller_request& request) const
+{
+    const auto& services = m_session->configuration().current().services;
+    const auto found = services.find(request.service);
+    if (found == services.end())
+        return failure { result_code::UnknownService, "" };
+    if (!mayUse(found->second.workspaces, request.workspace))
+        return failure { result_code::UnknownWorkspace, "the workspace may not use this service" };
+    return std::nullopt;
+}
+
+bool entry::isNonIdempotent(const caller_request& request) const
+{
+    if (request.markedNonIdempotent)
+        return true;
+    const auto& services = m_session->configuration().current().services;
+    const auto found = services.find(request.service);
+    if (!request.pipeline.empty() || found == services.end())
+        return false;
+    const auto& marks = found->second.nonIdempotent;
+    return std::any_of(marks.begin(), marks.end(), [&](const configuration::route_mark& mark) {
+        return mark.method == request.call.method && request.call.path.starts_with(mark.pathPrefix);
+    });
+}
+
+std::string entry::drawVersion(const configuration::pipeline& pipeline)
+{
+    // Versions that no ready target serves lose their share to the others; a version without a share gets nothing.
+    const auto ready = m_routes.readyVersions(pipeline.model);
+    std::vector<configuration::share> usable;
+    std::uint32_t total = 0;
+    for (const auto& version : pipeline.versions) {
+        if (version.percent == 0 || !ready.contains(version.name))
+            continue;
+        usable.push_back(version);
+        total += version.percent;
+    }
+    if (total == 0)
+        return pipeline.versions.front().name;
+    return routing::drawShare(usable, std::uniform_int_distribution<std::uint32_t>(0, total - 1)(m_random))
+        .value_or(pipeline.versions.front().name);
+}
+
+routing::route_query entry::makeQuery(const run_context& context, steady_time now) const
+{
+    const auto& request = context.request;
+    routing::route_query query;
+    query.model = context.model;
+    query.version = context.version;
+    query.service = request.service;
+    query.pools = context.pools;
+    query.work = std::max<std::uint32_t>(request.maxTokens, 1);
+    query.startDeadline = std::max(request.deadline, now);
+    if (!request.prompt.empty())
+        query.prefixHash = routing::hashPrefix(request.workspace, request.prompt);
+    return query;
+}
+
+void entry::startRun(run_context context, bool nonIdempotent)
+{
+    const auto& request = context.request;
+    dispatch::run_request wanted;
+    wanted.id = request.id;
+    wanted.nonIdempotent = nonIdempotent;
+    wanted.claim = { request.workspace, request.idempotencyKey };
+    wanted.requestDigest = request.digest;
+    wanted.canResume = !request.pipeline.empty();
+    wanted.streams = request.streams;
+    wanted.deadline = request.deadline;
+    dispatch::run_options options;
+    options.progressTimeout = milliseconds(m_settings.progressTimeoutMs);
+    const std::string id = request.id;
+    m_runs.emplace(
+        id, active_run { std::move(context), dispatch::request_run(std::move(wanted), options, steadyNow()) });
+    withRun(id, [](auto& run, steady_time now) { run.start(now); });
+}
+
+void entry::startChain(run_context context)
+{
+    const auto& request = context.request;
+    execution::chain_request wanted { request.id, context.model, context.version, context.layerCount, request.prompt,
+        request.maxTokens, request.deadline };
+    execution::chain_run_options options;
+    options.progressTimeout = milliseconds(m_settings.progressTimeoutMs);
+    const std::string id = request.id;
+    m_chains.emplace(id, active_chain { std::move(context), execution::chain_run(std::move(wanted), options) });
+    withChain(id, [](auto& run, steady_time now) { run.start(now); });
+}
+
+template <typename Event> void entry::withRun(const std::string& requestId, Event event)
+{
+    const auto found = m_runs.find(requestId);
+    if (found == m_runs.end())
+        return;
+    auto& active = found->second;
+    event(active.run, steadyNow());
+    while (const auto effect = active.run.nextEffect())
+        carryOut(active, *effect);
+    if (active.run.isFinished())
+        forgetRun(requestId);
+}
+
+template <typename Event> void entry::withAttempt(const attempt_id& attempt, Event event)
+{
+    withRun(attempt.request, event);
+    const auto [first, last] = m_followers.equal_range(attempt.request);
+    std::vector<std::string> followers;
+    for (auto at = first; at != last; ++at)
+        followers.push_back(at->second);
+    for (const auto& id : followers)
+        withRun(id, event);
+}
+
+template <typename Event> void entry::withChain(const std::string& requestId, Event event)
+{
+    const auto found = m_chains.find(requestId);
+    if (found == m_chains.end())
+        return;
+    auto& active = found->second;
+    event(active.run, steadyNow());
+    while (const auto effect = active.run.nextEffect())
+        carryOut(active, *effect);
+    if (active.run.isFinished())
+        m_chains.erase(requestId);
+}
+
+void entry::forgetRun(const std::string& requestId)
+{
+    std::erase_if(m_followers, [&](const auto& item) { return item.second == requestId; });
+    m_runs.erase(requestId);
+}
+
+void entry::carryOut(active_run& active, const dispatch::run_effect& effect)
+{
+    if (const auto* wish = std::get_if<dispatch::choose_target>(&effect)) {
+        chooseTarget(active, *wish);
+    } else if (const auto* claim = std::get_if<dispatch::send_claim>(&effect)) {
+        sendClaim(active, *claim);
+    } else if (const auto* offer = std::get_if<dispatch::send_offer>(&effect)) {
+        sendOffer(active, *offer);
+    } else if (const auto* revoke = std::get_if<dispatch::send_revoke>(&effect)) {
+        sendTo(revoke->target.instance,
+            dispatch::attempt_revoke { revoke->attempt, revoke->target.incarnation, revoke->cancelStarted });
+    } else if (const auto* attach = std::get_if<dispatch::send_attach>(&effect)) {
+        telemetry::logEvent(event_code::ClaimHeld,
+            { { "request", active.context.request.id }, { "holder", toString(attach->attempt) },
+                { "instance", attach->target.instance } });
+        note(active.context.request.id,
+            "the key is held by attempt " + toString(attach->attempt) + " at " + attach->target.instance);
+        m_followers.emplace(attach->attempt.request, active.context.request.id);
+        sendTo(attach->target.instance, dispatch::answer_attach { attach->attempt, attach->target.incarnation });
+    } else if (const auto* frames = std::get_if<dispatch::deliver_frames>(&effect)) {
+        for (const auto& frame : frames->frames)
+            giveFrame(active.context, frame);
+    } else if (const auto* last = std::get_if<dispatch::finish_run>(&effect)) {
+        settleAttempt(active.context, active.run.target().instance, last->result);
+        finish(active.context, last->result, last->ran, last->finishReason);
+    }
+}
+
+void entry::chooseTarget(active_run& active, const dispatch::choose_target& wish)
+{
+    auto& context = active.context;
+    const steady_time now = steadyNow();
+    settleAttempt(context, active.run.target().instance, wish.previous);
+    if (wish.previousRan && !m_budgets[context.request.workspace].takeRetry()) {
+        note(context.request.id, "no retry: the workspace's retry budget is spent");
+        active.run.noTarget({ result_code::RetryBudgetSpent, "" }, now);
+        return;
+    }
+    auto query = makeQuery(context, now);
+    query.excluded = wish.excluded;
+    const auto choice = m_routes.choose(query, now);
+    if (!choice) {
+        telemetry::logEvent(event_code::RouteRefused,
+            { { "request", context.request.id }, { "code", std::string(describe(choice.error().code).name) },
+                { "reason", choice.error().reason } });
+        note(context.request.id, "no target: " + choice.error().reason);
+        active.run.noTarget(choice.error(), now);
+        return;
+    }
+    telemetry::logEvent(event_code::RouteChosen,
+        { { "request", context.request.id }, { "attempt", std::to_string(active.run.attempts() + 1) },
+            { "candidates", std::to_string(choice->candidates) }, { "chosen", choice->instance },
+            { "reason", std::string(choice->reason) }, { "version", context.version } });
+    note(context.request.id,
+        "attempt " + std::to_string(active.run.attempts() + 1) + " to " + choice->instance + ", one of "
+            + std::to_string(choice->candidates) + " (" + std::string(choice->reason) + ")");
+    active.run.targetChosen({ choice->instance, choice->incarnation }, now);
+}
+
+void entry::sendOffer(active_run& active, const dispatch::send_offer& offer)
+{
+    auto& context = active.context;
+    const steady_time now = steadyNow();
+    dispatch::attempt_offer message = makeOffer(context, offer.attempt, offer.target.incarnation, now);
+    message.nonIdempotent = active.run.request().nonIdempotent;
+    if (context.request.pipeline.empty()) {
+        message.work = context.request.call;
+    } else {
+        message.work.kind = dispatch::work_kind::Completion;
+        message.work.model = context.model;
+        message.work.version = context.version;
+        message.work.prompt = context.request.prompt;
+        for (const auto& token : offer.tokensGiven)
+            message.work.prompt += token;
+        message.work.maxTokens = context.request.maxTokens - static_cast<std::uint32_t>(offer.tokensGiven.size());
+    }
+    context.attemptBegun = now;
+    context.framesInAttempt = 0;
+    context.hasOutstanding = true;
+    m_routes.offered(offer.target.instance);
+    sendTo(offer.target.instance, message);
+}
+
+dispatch::attempt_offer entry::makeOffer(
+    const run_context& context, const attempt_id& attempt, incarnation_number incarnation, steady_time now) const
+{
+    dispatch::attempt_offer offer;
+    offer.attempt = attempt;
+    offer.incarnation = incarnation;
+    offer.configuration = m_session->configuration().version();
+    offer.startWithinMs = millisecondsUntil(context.request.deadline, now);
+    offer.finishWithinMs = offer.startWithinMs;
+    offer.workspace = context.request.workspace;
+    offer.weight = context.weight;
+    offer.priority = context.priority;
+    return offer;
+}
+
+void entry::sendClaim(active_run& active, const dispatch::send_claim& claim)
+{
+    const auto& request = active.context.request;
+    link::claim_request message;
+    message.commandId = randomName();
+    message.command.key = { request.workspace, request.idempotencyKey };
+    message.command.requestDigest = request.digest;
+    message.command.holder = claim.holder;
+    message.command.replaces = claim.replaces;
+    message.command.wallSeconds = wallSeconds();
+    message.command.retainSeconds = m_settings.claimRetentionSeconds;
+    m_claims[message.commandId] = request.id;
+    if (!m_session->send(message))
+        active.run.claimFailed(steadyNow());
+}
+
+void entry::settleAttempt(run_context& context, const instance_id& instance, const failure& outcome)
+{
+    if (!std::exchange(context.hasOutstanding, false))
+        return;
+    const steady_time now = steadyNow();
+    if (isFailureOfTarget(outcome.code)) {
+        m_routes.failed(instance, now);
+        return;
+    }
+    // A request cut by its deadline still tells how slow the target is.
+    const double work = context.request.pipeline.empty() ? 1 : context.framesInAttempt;
+    const bool tells = outcome.code == result_code::Ok
+        || (outcome.code == result_code::DeadlinePassed && context.framesInAttempt > 0);
+    if (tells)
+        m_routes.served(instance, elapsedMs(context.attemptBegun, now), work);
+    else
+        m_routes.released(instance);
+}
+
+void entry::finish(run_context& context, const failure& result, ran_state ran, const std::string& finishReason)
+{
+    const auto& request = context.request;
+    const std::string code(describe(result.code).name);
+    auto& inFlight = m_inFlight[request.workspace];
+    inFlight -= inFlight > 0 ? 1 : 0;
+    telemetry::logEvent(event_code::RequestFinished,
+        { { "request", request.id }, { "workspace", request.workspace }, { "code", code },
+            { "ran", std::string(nameOf(ran)) }, { "reason", result.reason } });
+    note(request.id, "finished: " + code + ", ran: " + std::string(nameOf(ran)));
+    m_metrics.count("requests_total", code);
+    m_metrics.observeMs("request_ms", elapsedMs(context.begun, steadyNow()));
+    context.queue->push(answer_finished { result, ran, finishReason });
+}
+
+void entry::giveFrame(run_context& context, dispatch::answer_frame frame)
+{
+    if (context.nextSequence++ == 0)
+        m_metrics.observeMs("first_token_ms", elapsedMs(context.begun, steadyNow()));
+    ++context.framesInAttempt;
+    if (!context.queue->push(std::move(frame)))
+        m_loop.post([this, id = context.request.id] { abandon(id); });
+}
+
+void entry::carryOut(active_chain& active, const execution::chain_effect& effect)
+{
+    auto& context = active.context;
+    const std::string& id = context.request.id;
+    if (const auto* wish = std::get_if<execution::choose_chain>(&effect)) {
+        chooseChain(active, *wish);
+    } else if (const auto* open = std::get_if<execution::open_stage>(&effect)) {
+        const auto& stage = open->plan.stages[open->stage];
+        auto offer = makeOffer(context, { id, open->plan.generation }, stage.incarnation, steadyNow());
+        offer.startWithinMs
+            = std::min<std::uint32_t>(offer.startWithinMs, static_cast<std::uint32_t>(stageStartPatience.count()));
+        offer.work.kind = dispatch::work_kind::Stage;
+        offer.work.chain = open->plan;
+        offer.work.stage = open->stage;
+        offer.work.maxTokens = open->maxTokens;
+        m_links->send(stage.instance, stage.linkAddress, offer);
+    } else if (const auto* revoke = std::get_if<execution::revoke_stage>(&effect)) {
+        m_links->send(revoke->stage.instance, revoke->stage.linkAddress,
+            dispatch::attempt_revoke { { id, revoke->generation }, revoke->stage.incarnation, true });
+    } else if (const auto* begin = std::get_if<execution::begin_steps>(&effect)) {
+        m_links->send(begin->stage.instance, begin->stage.linkAddress, begin->step);
+    } else if (const auto* fence = std::get_if<execution::fence_stage>(&effect)) {
+        telemetry::logEvent(event_code::GenerationFenced,
+            { { "request", id }, { "below", std::to_string(fence->generation) },
+                { "instance", fence->stage.instance } });
+        m_links->send(fence->stage.instance, fence->stage.linkAddress, link::stage_fence { id, fence->generation });
+    } else if (const auto* close = std::get_if<execution::close_stage>(&effect)) {
+        m_links->send(close->stage.instance, close->stage.linkAddress, link::stage_close { id });
+    } else if (const auto* token = std::get_if<execution::deliver_token>(&effect)) {
+        dispatch::answer_frame frame;
+        frame.attempt = { id, active.run.generation() };
+        frame.bytes = token->text;
+        giveFrame(context, std::move(frame));
+    } else if (const auto* last = std::get_if<execution::finish_chain>(&effect)) {
+        finish(context, last->result, last->ran, last->finishReason);
+    }
+}
+
+void entry::chooseChain(active_chain& active, const execution::choose_chain& wish)
+{
+    auto& context = active.context;
+    const steady_time now = steadyNow();
+    auto query = makeQuery(context, now);
+    query.excluded = wish.excluded;
+    const auto candidates = m_routes.stageCandidates(query, now);
+    auto chain = execution::buildChain(candidates, context.layerCount);
+    if (!chain) {
+        telemetry::logEvent(
+            event_code::RouteRefused, { { "request", context.request.id }, { "reason", chain.error().reason } });
+        note(context.request.id, "no chain: " + chain.error().reason);
+        active.run.noChain(chain.error());
+        return;
+    }
+    std::string stages;
+    for (const auto& stage : *chain) {
+        stages += (stages.empty() ? "" : ",") + stage.instance + "[" + std::to_string(stage.firstLayer) + "-"
+            + std::to_string(stage.endLayer) + ")";
+    }
+    telemetry::logEvent(event_code::ChainBuilt,
+        { { "request", context.request.id }, { "generation", std::to_string(active.run.generation() + 1) },
+            { "candidates", std::to_string(candidates.size()) }, { "stages", stages },
+            { "reason", "lowest_estimate" } });
+    note(context.request.id, "generation " + std::to_string(active.run.generation() + 1) + ": " + stages);
+    active.run.chainBuilt(std::move(*chain), now);
+}
+
+void entry::sendTo(const instance_id& instance, const link::message& message)
+{
+    const auto* record = m_session->membership().find(instance);
+    if (record != nullptr)
+        m_links->send(instance, record->linkAddress, message);
+}
+
+void entry::tick()
+{
+    const steady_time now = steadyNow();
+    std::vector<std::string> due;
+    for (const auto& [id, active] : m_runs) {
+        if (now >= active.run.nextDeadline())
+            due.push_back(id);
+    }
+    for (const auto& id : due)
+        withRun(id, [](auto& run, steady_time at) { run.tick(at); });
+    due.clear();
+    for (const auto& [id, active] : m_chains) {
+        if (now >= active.run.nextDeadline())
+            due.push_back(id);
+    }
+    for (const auto& id : due)
+        withChain(id, [](auto& run, steady_time at) { run.tick(at); });
+    m_isReady = !m_stopping && !m_refusing && m_session->hasLease();
+    m_metrics.gauge("requests_in_flight", static_cast<double>(m_runs.size() + m_chains.size()));
+    m_metrics.gauge("link_bytes_sent", static_cast<double>(m_hub->bytesSent()));
+    m_metrics.gauge("link_bytes_received", static_cast<double>(m_hub->bytesReceived()));
+    if (!m_whenDrained || !m_runs.empty() || !m_chains.empty())
+        return;
+    if (m_session->record().state != membership::instance_state::Left) {
+        m_session->setState(membership::instance_state::Left);
+        m_leaveDeadline = now + leavePatience;
+        return;
+    }
+    if (m_session->isAnnounced() || now >= m_leaveDeadline)
+        std::exchange(m_whenDrained, {})();
+}
+
+void entry::note(const std::string& requestId, const std::string& decision)
+{
+    const auto [at, isNew] = m_decisions.try_emplace(requestId);
+    at->second.push_back(decision);
+    if (!isNew)
+        return;
+    m_recent.push_back(requestId);
+    if (m_recent.size() <= maxRecentRequests)
+        return;
+    m_decisions.erase(m_recent.front());
+    m_recent.pop_front();
+}
+
+int runEntry(const settings::settings& settings)
+{
+    link::event_loop loop;
+    telemetry::metrics metrics;
+    std::unique_ptr<entry> role;
+    const signal_watch watch(loop, [&] {
+        telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
+        role->drainAndStop([&loop] { loop.stop(); });
+    });
+    role = std::make_unique<entry>(loop, settings, metrics);
+    if (auto started = role->start(); !started) {
+        telemetry::logEvent(
+            event_code::SettingsRejected, { { "reason", started.error().reason } }, telemetry::severity::Error);
+        return exitFailure;
+    }
+    auto routes = entryRoutes(loop, *role, settings);
+    for (auto& route : healthRoutes(metrics, [&role] { return role->isReady(); }))
+        routes.push_back(std::move(route));
+    auto server = startHttp(settings, std::move(routes));
+    if (!server) {
+        telemetry::logEvent(event_code::SettingsRejected, { { "reason", server.error() } }, telemetry::severity::Error);
+        return exitFailure;
+    }
+    telemetry::logEvent(event_code::ProcessStarted,
+        { { "role", "entry" }, { "instance", settings.id }, { "http", settings.httpAddress } });
+    loop.run();
+    server->reset();
+    telemetry::logEvent(event_code::ProcessStopped, { { "instance", settings.id } });
+    return exitOk;
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/entry.hpp
@@ -0,0 +1,150 @@
+/// @file
+/// @brief The entry role: admits callers' requests, routes them to sidecars and gives back whole answers.
+#pragma once
+
+#include "app/answer_queue.hpp"
+#include "app/process.hpp"
+#include "app/session_client.hpp"
+#include "app/sidecar_links.hpp"
+#include "buckthornrail/dispatch/request_run.hpp"
+#include "buckthornrail/execution/chain_run.hpp"
+#include "buckthornrail/routing/retry_budget.hpp"
+#include "buckthornrail/routing/route_table.hpp"
+
+namespace buckthornrail::app {
+
+/// A request as the HTTP thread read it.
+struct caller_request {
+    std::string id;
+    std::string workspace;
+    std::string pipeline; ///< empty: a service call
+    std::string prompt;
+    std::uint32_t maxTokens = 0;
+    bool streams = false;
+    std::string service;
+    dispatch::work_order call; ///< method, path, headers and body of a service call
+    std::string idempotencyKey;
+    bool markedNonIdempotent = false; ///< by the caller
+    std::optional<request_priority> priority;
+    std::uint64_t digest = 0;
+    steady_time deadline {};
+};
+
+/// @brief Lives on the loop thread.
+class entry {
+public:
+    entry(link::event_loop& loop, const settings::settings& settings, telemetry::metrics& metrics);
+    entry(const entry&) = delete;
+    entry& operator=(const entry&) = delete;
+    ~entry();
+
+    tl::expected<void, failure> start();
+    /// @brief Fails readiness, then takes no new request; calls `done` when all have their answers.
+    void drainAndStop(std::function<void()> done);
+
+    /// @brief Runs a request; its answer goes to the queue.
+    void submit(const caller_request& request, std::shared_ptr<answer_queue> queue);
+    /// @brief The caller has gone.
+    void abandon(const std::string& requestId);
+
+    /// @brief Names of the pipelines that a workspace may use.
+    [[nodiscard]] std::vector<std::string> pipelinesOf(const std::string& workspace) const;
+    /// @brief The decisions taken for a recent request, oldest first.
+    [[nodiscard]] std::vector<std::string> explain(const std::string& requestId) const;
+    [[nodiscard]] bool isReady() const { return m_isReady; }
+
+private:
+    /// What both kinds of run share.
+    struct run_context {
+        caller_request request;
+        std::shared_ptr<answer_queue> queue;
+        std::string model;
+        std::string version;
+        std::uint32_t layerCount = 0;
+        std::vector<configuration::share> pools;
+        std::uint32_t weight = 1;
+        request_priority priority = request_priority::Normal;
+        steady_time begun {};
+        steady_time attemptBegun {};
+        std::uint32_t framesInAttempt = 0;
+        bool hasOutstanding = false; ///< the route table counts an attempt
+        std::uint32_t nextSequence = 0; ///< of frames given to the queue
+    };
+    struct active_run {
+        run_context context;
+        dispatch::request_run run;
+    };
+    struct active_chain {
+        run_context context;
+        execution::chain_run run;
+    };
+
+    void onMessage(link::channel_number channel, const std::string& bytes);
+    void handle(link::channel_number channel, const link::message& message);
+    void handleStage(link::channel_number channel, const link::message& message);
+    void onRefused(link::channel_number channel, const dispatch::attempt_refused& refused);
+    void onMembership(const membership::membership_delta& delta);
+    void onUnsentOffer(const attempt_id& attempt);
+    void onLinkLost(const instance_id& instance);
+
+    [[nodiscard]] std::optional<failure> admit(const caller_request& request, run_context& context);
+    [[nodiscard]] std::optional<failure> admitCompletion(const caller_request& request, run_context& context);
+    [[nodiscard]] std::optional<failure> admitService(const caller_request& request) const;
+    [[nodiscard]] bool isNonIdempotent(const caller_request& request) const;
+    [[nodiscard]] std::string drawVersion(const configuration::pipeline& pipeline);
+    [[nodiscard]] routing::route_query makeQuery(const run_context& context, steady_time now) const;
+    void startRun(run_context context, bool nonIdempotent);
+    void startChain(run_context context);
+
+    void forgetRun(const std::string& requestId);
+    void carryOut(active_run& active, const dispatch::run_effect& effect);
+    void carryOut(active_chain& active, const execution::chain_effect& effect);
+    void chooseTarget(active_run& active, const dispatch::choose_target& wish);
+    void chooseChain(active_chain& active, const execution::choose_chain& wish);
+    void sendOffer(active_run& active, const dispatch::send_offer& offer);
+    [[nodiscard]] dispatch::attempt_offer makeOffer(
+        const run_context& context, const attempt_id& attempt, incarnation_number incarnation, steady_time now) const;
+    void sendTo(const instance_id& instance, const link::message& message);
+    void sendClaim(active_run& active, const dispatch::send_claim& claim);
+    void settleAttempt(run_context& context, const instance_id& instance, const failure& outcome);
+    void finish(run_context& context, const failure& result, ran_state ran, const std::string& finishReason);
+    void giveFrame(run_context& context, dispatch::answer_frame frame);
+
+    /// Calls an event function of the run that an attempt belongs to, and carries out what follows.
+    template <typename Event> void withRun(const std::string& requestId, Event event);
+    /// The same for all runs that follow the attempt: the one that made it, and those that resent its key.
+    template <typename Event> void withAttempt(const attempt_id& attempt, Event event);
+    template <typename Event> void withChain(const std::string& requestId, Event event);
+
+    void tick();
+    void note(const std::string& requestId, const std::string& decision);
+
+    link::event_loop& m_loop;
+    const settings::settings& m_settings;
+    telemetry::metrics& m_metrics;
+    incarnation_number m_incarnation;
+    std::mt19937_64 m_random;
+    routing::route_table m_routes;
+    std::map<std::string, active_run> m_runs;
+    std::map<std::string, active_chain> m_chains;
+    std::multimap<std::string, std::string> m_followers; ///< by the request whose attempt they follow
+    std::map<std::string, std::string> m_claims; ///< request of each open claim command
+    std::map<std::string, std::uint32_t> m_inFlight; ///< by workspace
+    std::map<std::string, routing::retry_budget> m_budgets; ///< by workspace
+    std::map<std::string, std::vector<std::string>> m_decisions; ///< of recent requests
+    std::deque<std::string> m_recent;
+    bool m_refusing = false; ///< shutting down: no new request
+    std::function<void()> m_whenDrained;
+    steady_time m_leaveDeadline {};
+    std::atomic<bool> m_isReady { false };
+    std::atomic<bool> m_stopping { false };
+    std::unique_ptr<link::link_hub> m_hub;
+    std::unique_ptr<session_client> m_session;
+    std::unique_ptr<sidecar_links> m_links;
+    std::unique_ptr<periodic_task> m_ticker;
+};
+
+/// @brief Runs the role until SIGTERM. @return the exit status
+int runEntry(const settings::settings& settings);
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,102 @@
+/// @file
+/// @brief The one binary: picks the role by its sub-command.
+#include "app/control_shell.hpp"
+#include "app/controller.hpp"
+#include "app/entry.hpp"
+#include "app/sidecar.hpp"
+
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+namespace {
+
+using namespace buckthornrail; // NOLINT(google-build-using-namespace)
+
+constexpr const char* version = "0.1.0";
+
+/// One sub-command that runs a daemon.
+struct daemon_command {
+    settings::process_role role;
+    int (*run)(const settings::settings&);
+};
+
+constexpr std::array daemonCommands {
+    daemon_command { settings::process_role::Entry, app::runEntry },
+    daemon_command { settings::process_role::Sidecar, app::runSidecar },
+    daemon_command { settings::process_role::Controller, app::runController },
+};
+
+void printUsage(std::ostream& out)
+{
+    out << "buckthornrail " << version << ": routes language-model pipelines over mixed accelerators\n\n"
+        << "  buckthornrail entry|sidecar|controller --settings FILE [--check]\n"
+        << "  buckthornrail ctl --help\n"
+        << "  buckthornrail --version | --help\n";
+}
+
+int runDaemon(const daemon_command& command, const std::vector<std::string>& arguments)
+{
+    const std::string name(nameIn(settings::processRoleNames, command.role));
+    std::string file;
+    bool onlyCheck = false;
+    try {
+        TCLAP::CmdLine line("Runs the role '" + name + "' until SIGTERM.", ' ', version);
+        TCLAP::ValueArg<std::string> settingsFile("s", "settings", "Settings file (INI)", true, "", "file", line);
+        TCLAP::SwitchArg check("", "check", "Check the settings file and exit", line);
+        std::vector<std::string> copy = arguments;
+        line.parse(copy);
+        file = settingsFile.getValue();
+        onlyCheck = check.getValue();
+    } catch (const TCLAP::ArgException& fault) {
+        std::cerr << "buckthornrail " << name << ": " << fault.error() << " " << fault.argId() << "\n";
+        return app::exitBadSettings;
+    }
+    const auto loaded = settings::loadSettings(file, command.role);
+    if (!loaded) {
+        for (const auto& fault : loaded.error())
+            std::cerr << settings::toString(fault) << "\n";
+        return app::exitBadSettings;
+    }
+    if (onlyCheck) {
+        std::cout << file << ": valid\n";
+        return app::exitOk;
+    }
+    telemetry::startLog("buckthornrail", loaded->logLevel);
+    return command.run(*loaded);
+}
+
+int runCommand(const std::vector<std::string>& arguments)
+{
+    const std::string command = arguments.size() > 1 ? arguments[1] : "";
+    std::vector<std::string> rest(arguments);
+    if (rest.size() > 1)
+        rest.erase(rest.begin() + 1);
+    if (command == "--version") {
+        std::cout << version << "\n";
+        return app::exitOk;
+    }
+    if (command == "--help") {
+        printUsage(std::cout);
+        return app::exitOk;
+    }
+    if (command == "ctl")
+        return app::runControlShell(rest);
+    for (const auto& daemon : daemonCommands) {
+        if (nameIn(settings::processRoleNames, daemon.role) == command)
+            return runDaemon(daemon, rest);
+    }
+    printUsage(std::cerr);
+    return app::exitBadSettings;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return runCommand({ argv, argv + argc });
+    } catch (const std::exception& fault) {
+        std::cerr << "buckthornrail: " << fault.what() << "\n";
+        return app::exitFailure;
+    }
+}
--- /dev/null
+++ b/src/app/session_client.cpp
@@ -0,0 +1,177 @@
+/// @file
+/// @brief Keeping a session and the configuration lease.
+#include "app/session_client.hpp"
+
+#include <functional>
+
+namespace buckthornrail::app {
+namespace {
+
+constexpr std::size_t maxOpenHeartbeats = 64;
+
+} // namespace
+
+session_client::session_client(link::event_loop& loop, link::link_hub& hub, const settings::settings& settings,
+    membership::instance_record record, bool wantsMembership, session_callbacks callbacks)
+    : m_hub(hub)
+    , m_settings(settings)
+    , m_record(std::move(record))
+    , m_wantsMembership(wantsMembership)
+    , m_callbacks(std::move(callbacks))
+    , m_controller(std::hash<std::string>()(m_record.id) % settings.controllers.size())
+    , m_heartbeat(loop, milliseconds(settings.heartbeatMs), [this] { beat(); })
+{
+    loop.post([this] { connect(); });
+}
+
+bool session_client::onOpened(link::channel_number channel)
+{
+    if (channel != m_channel)
+        return false;
+    m_open = true;
+    m_sentAt.clear();
+    m_silenceDeadline = steadyNow() + milliseconds(m_settings.leaseMs / 2);
+    m_pages.clear();
+    m_nextPage = 0;
+    announce();
+    beat();
+    return true;
+}
+
+bool session_client::onClosed(link::channel_number channel)
+{
+    if (channel != m_channel)
+        return false;
+    m_open = false;
+    m_channel = 0;
+    m_controller = (m_controller + 1) % m_settings.controllers.size();
+    return true;
+}
+
+bool session_client::onMessage(link::channel_number channel, const link::message& message)
+{
+    if (channel != m_channel)
+        return false;
+    if (const auto* ack = std::get_if<link::session_ack>(&message))
+        onAck(*ack);
+    else if (const auto* page = std::get_if<link::configuration_page>(&message))
+        onPage(*page);
+    else if (const auto* delta = std::get_if<membership::membership_delta>(&message))
+        onMembership(*delta);
+    else if (const auto* reply = std::get_if<link::claim_reply>(&message))
+        m_callbacks.claimAnswered(*reply);
+    return true;
+}
+
+void session_client::setState(membership::instance_state state)
+{
+    if (m_record.state == state)
+        return;
+    m_record.state = state;
+    m_announcedSequence = m_sequence + 1; // settled by the answer to the next heartbeat
+    if (!m_open)
+        return;
+    announce();
+    beat();
+}
+
+bool session_client::send(const link::message& message)
+{
+    return m_open && m_hub.send(m_channel, link::encode(message));
+}
+
+void session_client::connect()
+{
+    if (m_channel == 0)
+        m_channel = m_hub.dial(m_settings.controllers[m_controller]);
+}
+
+void session_client::announce()
+{
+    const configuration_version held = m_needsSnapshot ? 0 : m_configuration.version();
+    send(link::session_announce { m_record, held, m_membership.revision(), m_wantsMembership });
+}
+
+void session_client::beat()
+{
+    const steady_time now = steadyNow();
+    if (!hasLease() && !m_leaseExpiryLogged) {
+        m_leaseExpiryLogged = true;
+        telemetry::logEvent(event_code::LeaseExpired, { { "instance", m_record.id } }, telemetry::severity::Warning);
+    }
+    if (m_channel == 0) {
+        connect();
+        return;
+    }
+    if (!m_open)
+        return;
+    if (now >= m_silenceDeadline) {
+        m_hub.close(m_channel); // cut off, or without a quorum: try the next one
+        return;
+    }
+    ++m_sequence;
+    m_sentAt[m_sequence] = now;
+    if (m_sentAt.size() > maxOpenHeartbeats)
+        m_sentAt.erase(m_sentAt.begin());
+    send(link::session_heartbeat { m_sequence });
+}
+
+void session_client::onAck(const link::session_ack& ack)
+{
+    const auto sent = m_sentAt.find(ack.sequence);
+    if (sent == m_sentAt.end())
+        return;
+    const steady_time sentAt = sent->second;
+    m_sentAt.erase(m_sentAt.begin(), std::next(sent));
+    m_ackedSequence = std::max(m_ackedSequence, ack.sequence);
+    m_silenceDeadline = steadyNow() + milliseconds(m_settings.leaseMs / 2);
+    if (!ack.known)
+        announce();
+    // The controller was current at some time after sentAt, and has sent all that it knew by then.
+    if (ack.configuration == m_configuration.version() && ack.configuration != 0) {
+        m_leaseDeadline = std::max(m_leaseDeadline, sentAt + milliseconds(m_settings.leaseMs));
+        m_leaseExpiryLogged = false;
+        m_callbacks.leaseRenewed(ack.configuration, m_leaseDeadline);
+    }
+    m_callbacks.drainRequested(ack.drain);
+}
+
+void session_client::onPage(const link::configuration_page& page)
+{
+    if (page.page == 0) {
+        m_pages.clear();
+        m_nextPage = 0;
+    }
+    if (page.page != m_nextPage)
+        return;
+    m_pages += page.bytes;
+    ++m_nextPage;
+    if (m_nextPage < page.pages)
+        return;
+    const auto applied = m_configuration.apply({ page.from, page.to, std::move(m_pages) });
+    m_pages.clear();
+    if (!applied) {
+        telemetry::logEvent(event_code::ConfigurationRejected,
+            { { "version", std::to_string(page.to) }, { "reason", applied.error().reason } },
+            telemetry::severity::Error);
+        m_needsSnapshot = true;
+        m_hub.close(m_channel); // the next session begins with a whole document
+        return;
+    }
+    m_needsSnapshot = false;
+    if (!*applied)
+        return;
+    telemetry::logEvent(event_code::ConfigurationApplied,
+        { { "version", std::to_string(page.to) }, { "form", page.from == 0 ? "snapshot" : "delta" } });
+    m_callbacks.configurationApplied(m_configuration.current(), m_configuration.version());
+}
+
+void session_client::onMembership(const membership::membership_delta& delta)
+{
+    if (m_membership.apply(delta))
+        m_callbacks.membershipChanged(delta);
+    else
+        m_hub.close(m_channel);
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/session_table.cpp
@@ -0,0 +1,124 @@
+/// @file
+/// @brief Sessions of a controller.
+#include "app/session_table.hpp"
+
+namespace buckthornrail::app {
+namespace {
+
+constexpr std::size_t pageBytes = 64U << 10U;
+
+} // namespace
+
+std::vector<link::configuration_page> makePages(const configuration::configuration_update& update)
+{
+    const std::size_t count = std::max<std::size_t>(1, (update.text.size() + pageBytes - 1) / pageBytes);
+    std::vector<link::configuration_page> pages;
+    for (std::size_t at = 0; at < count; ++at) {
+        pages.push_back({ update.from, update.to, static_cast<std::uint32_t>(at), static_cast<std::uint32_t>(count),
+            update.text.substr(at * pageBytes, pageBytes) });
+    }
+    return pages;
+}
+
+void session_table::announced(link::channel_number channel, const link::session_announce& announce)
+{
+    auto& session = m_sessions[channel];
+    const bool isNew = session.record.id.empty();
+    session.record = announce.record;
+    session.wantsMembership = announce.wantsMembership;
+    if (isNew) {
+        session.configuration = announce.configuration;
+        session.revision = announce.membershipRevision;
+    }
+    m_heard.insert(announce.record.id);
+}
+
+void session_table::heartbeat(link::channel_number channel, const link::session_heartbeat& heartbeat)
+{
+    m_waiting[channel] = heartbeat.sequence;
+    const auto found = m_sessions.find(channel);
+    if (found != m_sessions.end())
+        m_heard.insert(found->second.record.id);
+}
+
+void session_table::closed(link::channel_number channel)
+{
+    m_sessions.erase(channel);
+    m_waiting.erase(channel);
+    for (auto& [readId, channels] : m_confirming)
+        channels.erase(channel);
+}
+
+void session_table::beginConfirmation(std::uint64_t readId) { m_confirming[readId] = std::exchange(m_waiting, {}); }
+
+void session_table::confirmed(std::uint64_t readId, const controller_state& state)
+{
+    const auto found = m_confirming.find(readId);
+    if (found == m_confirming.end())
+        return;
+    const auto channels = std::move(found->second);
+    m_confirming.erase(m_confirming.begin(), std::next(found));
+    for (const auto& [channel, sequence] : channels) {
+        const auto open = m_sessions.find(channel);
+        if (open == m_sessions.end()) {
+            m_send(channel, link::session_ack { sequence, state.configuration().version(), false, false });
+            continue;
+        }
+        auto& session = open->second;
+        session.synced = true;
+        push(channel, session, state);
+        const auto* record = state.membership().find(session.record.id);
+        const bool drain = record != nullptr && record->drainRequested;
+        m_send(channel, link::session_ack { sequence, state.configuration().version(), drain, true });
+    }
+}
+
+void session_table::pushAll(const controller_state& state)
+{
+    for (auto& [channel, session] : m_sessions) {
+        if (session.synced)
+            push(channel, session, state);
+    }
+}
+
+std::vector<membership::transition> session_table::missingTransitions(const controller_state& state) const
+{
+    std::vector<membership::transition> missing;
+    for (const auto& [channel, session] : m_sessions) {
+        const auto* known = state.membership().find(session.record.id);
+        if (known == nullptr) {
+            missing.push_back({ session.record, false });
+            continue;
+        }
+        membership::instance_record shown = *known;
+        shown.revision = session.record.revision;
+        shown.drainRequested = session.record.drainRequested;
+        const bool isOver
+            = known->incarnation == session.record.incarnation && known->state == membership::instance_state::Left;
+        if (shown != session.record && !isOver)
+            missing.push_back({ session.record, false });
+    }
+    return missing;
+}
+
+std::vector<instance_id> session_table::takeHeard()
+{
+    std::vector<instance_id> heard(m_heard.begin(), m_heard.end());
+    m_heard.clear();
+    return heard;
+}
+
+void session_table::push(link::channel_number channel, session_entry& session, const controller_state& state)
+{
+    if (const auto update = state.configuration().updateFor(session.configuration)) {
+        for (const auto& page : makePages(*update))
+            m_send(channel, page);
+        session.configuration = update->to;
+    }
+    if (session.wantsMembership && session.revision != state.membership().revision()) {
+        m_send(channel, state.membership().changesSince(session.revision));
+        session.revision = state.membership().revision();
+    }
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/session_table.hpp
@@ -0,0 +1,70 @@
+/// @file
+/// @brief A controller's sessions with daemons: what each holds, what it still has to be sent, whose lease runs.
+#pragma once
+
+#include "app/controller_state.hpp"
+#include "buckthornrail/link/link_hub.hpp"
+#include "buckthornrail/link/message.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace buckthornrail::app {
+
+/// @brief Sends a message over a channel.
+using channel_sender = std::function<void(link::channel_number, const link::message&)>;
+
+/// @brief Sessions of one controller. A session is sent nothing before a quorum has confirmed the controller once.
+class session_table {
+public:
+    explicit session_table(channel_sender sender)
+        : m_send(std::move(sender))
+    {
+    }
+
+    void announced(link::channel_number channel, const link::session_announce& announce);
+    void heartbeat(link::channel_number channel, const link::session_heartbeat& heartbeat);
+    void closed(link::channel_number channel);
+
+    /// @brief True when heartbeats wait for a confirmation.
+    [[nodiscard]] bool hasWaiting() const { return !m_waiting.empty(); }
+    /// @brief The heartbeats that came so far will be answered by this confirmation.
+    void beginConfirmation(std::uint64_t readId);
+    /// @brief This controller's state is no older than the beginning of that confirmation.
+    void confirmed(std::uint64_t readId, const controller_state& state);
+    /// @brief Confirmations that began before are given up.
+    void forgetConfirmations() { m_confirming.clear(); }
+
+    /// @brief Sends what was committed to all sessions that are up to date so far.
+    void pushAll(const controller_state& state);
+
+    /// @brief Announced records that the replicated table doesn't show yet.
+    [[nodiscard]] std::vector<membership::transition> missingTransitions(const controller_state& state) const;
+
+    /// @brief Instances heard since the last call.
+    std::vector<instance_id> takeHeard();
+    [[nodiscard]] std::size_t size() const { return m_sessions.size(); }
+
+private:
+    struct session_entry {
+        membership::instance_record record;
+        configuration_version configuration = 0;
+        std::uint64_t revision = 0;
+        bool wantsMembership = false;
+        bool synced = false;
+    };
+
+    void push(link::channel_number channel, session_entry& session, const controller_state& state);
+
+    channel_sender m_send;
+    std::map<link::channel_number, session_entry> m_sessions;
+    std::map<link::channel_number, std::uint64_t> m_waiting; ///< newest heartbeat of each channel
+    std::map<std::uint64_t, std::map<link::channel_number, std::uint64_t>> m_confirming; ///< by read id
+    std::set<instance_id> m_heard;
+};
+
+/// @brief Splits a configuration update into pages.
+std::vector<link::configuration_page> makePages(const configuration::configuration_update& update);
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/sidecar.cpp
@@ -0,0 +1,571 @@
+/// @file
+/// @brief Wiring of gate, stage guard, target and links.
+#include "app/sidecar.hpp"
+
+namespace buckthornrail::app {
+namespace {
+
+constexpr milliseconds tickPeriod { 50 };
+constexpr milliseconds leavePatience { 1500 };
+constexpr milliseconds stepPatience { 3000 }; ///< shorter than an entry's patience with a chain
+constexpr std::size_t spareThreads = 4; ///< beside one for each slot: probes, cancellations, steps
+
+dispatch::gate_options gateOptions(const settings::settings& settings, incarnation_number incarnation)
+{
+    dispatch::gate_options options;
+    options.incarnation = incarnation;
+    options.slots = settings.slots;
+    options.queueLimit = settings.queueLimit;
+    return options;
+}
+
+membership::instance_record makeRecord(const settings::settings& settings, incarnation_number incarnation)
+{
+    membership::instance_record record;
+    record.id = settings.id;
+    record.role = membership::instance_role::Sidecar;
+    record.incarnation = incarnation;
+    record.failureDomain = settings.failureDomain;
+    record.linkAddress = settings.linkAddress;
+    record.httpAddress = settings.httpAddress;
+    auto& target = record.target;
+    target.kind = valueIn(membership::targetKindNames, settings.targetKind).value_or(target.kind);
+    target.model = settings.model;
+    target.version = settings.version;
+    target.service = settings.service;
+    target.pool = settings.pool;
+    target.accelerator = settings.accelerator;
+    target.firstLayer = settings.firstLayer;
+    target.endLayer = settings.endLayer;
+    target.slots = settings.slots;
+    return record;
+}
+
+} // namespace
+
+sidecar::sidecar(link::event_loop& loop, const settings::settings& settings, telemetry::metrics& metrics)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_metrics(metrics)
+    , m_incarnation(randomNumber())
+    , m_dialect(makeDialect(settings))
+    , m_gate(gateOptions(settings, m_incarnation), steadyNow())
+    , m_answers(settings.answerKeepBytes)
+    , m_pool(settings.slots + spareThreads)
+{
+}
+
+sidecar::~sidecar()
+{
+    for (auto& [attempt, work] : m_work)
+        work.canceller->cancel();
+    m_pool.join();
+}
+
+tl::expected<void, failure> sidecar::start()
+{
+    m_hub = std::make_unique<link::link_hub>(m_loop,
+        link::hub_handlers {
+            [this](link::channel_number channel, bool inbound) {
+                if (inbound || m_session->onOpened(channel))
+                    return;
+                send(channel, link::link_hello { m_settings.id, m_incarnation, 0 });
+                for (const auto& bytes : m_unsent[channel])
+                    m_hub->send(channel, bytes);
+                m_unsent.erase(channel);
+            },
+            [this](link::channel_number channel) { onClosed(channel); },
+            [this](link::channel_number channel, const std::string& bytes) { onMessage(channel, bytes); },
+        });
+    if (m_hub->listen(m_settings.linkAddress) == 0)
+        return tl::make_unexpected(failure { result_code::BadSettings, "can't listen on " + m_settings.linkAddress });
+    session_callbacks callbacks;
+    callbacks.leaseRenewed
+        = [this](configuration_version version, steady_time deadline) { m_gate.renewConfiguration(version, deadline); };
+    callbacks.configurationApplied = [this](const configuration::document&, configuration_version version) {
+        m_gate.renewConfiguration(version, steady_time {});
+    };
+    callbacks.membershipChanged = [](const membership::membership_delta&) {};
+    callbacks.claimAnswered = [](const link::claim_reply&) {};
+    callbacks.drainRequested = [this](bool drain) {
+        if (m_draining || drain == m_gate.isDraining())
+            return;
+        m_gate.drain(drain);
+        telemetry::logEvent(event_code::TargetDraining, { { "drain", drain ? "yes" : "no" }, { "by", "operator" } });
+    };
+    m_session = std::make_unique<session_client>(
+        m_loop, *m_hub, m_settings, makeRecord(m_settings, m_incarnation), false, std::move(callbacks));
+    m_ticker = std::make_unique<periodic_task>(m_loop, tickPeriod, [this] { tick(); });
+    m_prober = std::make_unique<periodic_task>(m_loop, milliseconds(m_settings.probeMs), [this] { probe(); });
+    probe();
+    return {};
+}
+
+void sidecar::drainAndStop(std::function<void()> done)
+{
+    m_draining = true;
+    m_isReady = false;
+    m_gate.drain(true);
+    m_whenDrained = std::move(done);
+    m_session->setState(membership::instance_state::Draining);
+    telemetry::logEvent(event_code::TargetDraining, { { "drain", "yes" }, { "by", "signal" } });
+}
+
+void sidecar::onClosed(link::channel_number channel)
+{
+    if (m_session->onClosed(channel))
+        return;
+    m_peers.erase(channel);
+    m_unsent.erase(channel);
+    std::erase_if(m_nextStages, [channel](const auto& item) { return item.second == channel; });
+    for (auto& [attempt, channels] : m_followers)
+        channels.erase(channel);
+    carryOut(m_gate.channelLost(channel, steadyNow()));
+}
+
+void sidecar::onMessage(link::channel_number channel, const std::string& bytes)
+{
+    const auto message = link::decode(bytes);
+    if (!message) {
+        telemetry::logEvent(
+            event_code::MessageRejected, { { "reason", message.error().reason } }, telemetry::severity::Warning);
+        m_hub->close(channel);
+        return;
+    }
+    if (!m_session->onMessage(channel, *message))
+        handle(channel, *message);
+}
+
+void sidecar::handle(link::channel_number channel, const link::message& message)
+{
+    if (const auto* hello = std::get_if<link::link_hello>(&message))
+        onHello(channel, *hello);
+    else if (const auto* offer = std::get_if<dispatch::attempt_offer>(&message))
+        onOffer(channel, *offer);
+    else if (const auto* revoke = std::get_if<dispatch::attempt_revoke>(&message))
+        onRevoke(channel, *revoke);
+    else if (const auto* attach = std::get_if<dispatch::answer_attach>(&message))
+        onAttach(channel, *attach);
+    else if (const auto* step = std::get_if<execution::stage_step>(&message))
+        onStep(*step);
+    else if (const auto* fence = std::get_if<link::stage_fence>(&message))
+        onFence(channel, *fence);
+    else if (const auto* close = std::get_if<link::stage_close>(&message))
+        onStageClose(close->request);
+}
+
+void sidecar::onHello(link::channel_number channel, const link::link_hello& hello)
+{
+    // What an earlier link of the same peer still holds must not arrive after this.
+    std::vector<link::channel_number> superseded;
+    for (const auto& [other, known] : m_peers) {
+        if (known.instance != hello.instance || other == channel || hello.epoch == 0)
+            continue;
+        const bool isOlder = known.incarnation != hello.incarnation || known.epoch < hello.epoch;
+        superseded.push_back(isOlder ? other : channel);
+    }
+    m_peers[channel] = { hello.instance, hello.incarnation, hello.epoch };
+    send(channel, link::link_welcome { m_settings.id, m_incarnation });
+    sendLoad(channel);
+    for (const auto other : superseded)
+        m_hub->close(other);
+}
+
+void sidecar::onOffer(link::channel_number channel, const dispatch::attempt_offer& offer)
+{
+    const steady_time now = steadyNow();
+    if (!m_peers.contains(channel)) {
+        send(channel, dispatch::attempt_refused { offer.attempt, result_code::StaleLink, "" });
+        return;
+    }
+    open_work work;
+    work.offer = offer;
+    work.deadline = now + milliseconds(offer.finishWithinMs);
+    const auto effects = m_gate.offer(offer, channel, now);
+    if (m_gate.stateOf(offer.attempt) == dispatch::gate_state::Queued
+        || m_gate.stateOf(offer.attempt) == dispatch::gate_state::Started)
+        m_work.try_emplace(offer.attempt, std::move(work));
+    carryOut(effects);
+}
+
+void sidecar::onRevoke(link::channel_number channel, const dispatch::attempt_revoke& revoke)
+{
+    std::vector<dispatch::gate_effect> effects;
+    const auto outcome = m_gate.revoke(revoke, steadyNow(), effects);
+    if (outcome == dispatch::revoke_outcome::NotStarted)
+        m_work.erase(revoke.attempt);
+    send(channel, dispatch::revoke_reply { revoke.attempt, outcome });
+    carryOut(effects);
+}
+
+void sidecar::onAttach(link::channel_number channel, const dispatch::answer_attach& attach)
+{
+    using dispatch::attach_outcome;
+    const auto reply = [&](attach_outcome outcome) {
+        send(channel, dispatch::attach_reply { attach.attempt, outcome });
+    };
+    const auto state = m_gate.stateOf(attach.attempt);
+    if (attach.incarnation != m_incarnation) {
+        reply(attach_outcome::Unknown);
+        return;
+    }
+    if (!state || state == dispatch::gate_state::Refused) {
+        // A tombstone for an attempt that was never offered keeps it from being started later.
+        std::vector<dispatch::gate_effect> effects;
+        (void)m_gate.revoke({ attach.attempt, attach.incarnation, false }, steadyNow(), effects);
+        reply(attach_outcome::NotStarted);
+        return;
+    }
+    if (state == dispatch::gate_state::Queued) {
+        m_followers[toString(attach.attempt)].insert(channel);
+        reply(attach_outcome::Attached);
+        return;
+    }
+    const auto* answer = m_answers.find(attach.attempt);
+    if (answer == nullptr || answer->evicted) {
+        reply(attach_outcome::Gone);
+        return;
+    }
+    reply(attach_outcome::Attached);
+    for (const auto& frame : answer->frames)
+        send(channel, frame);
+    if (answer->end)
+        send(channel, *answer->end);
+    else
+        m_followers[toString(attach.attempt)].insert(channel);
+}
+
+void sidecar::onStep(const execution::stage_step& step)
+{
+    const auto verdict = m_guard.admit(step);
+    if (verdict != execution::step_verdict::Run) {
+        m_metrics.count("steps_dropped_total", std::string(nameOf(verdict)));
+        return;
+    }
+    const auto open = m_stageWork.find(step.request);
+    const auto* plan = m_guard.planOf(step.request);
+    if (open == m_stageWork.end() || plan == nullptr)
+        return;
+    const auto work = m_work.find(open->second);
+    if (work != m_work.end())
+        runStep(step, *plan, work->second.offer.work.maxTokens);
+}
+
+void sidecar::onFence(link::channel_number channel, const link::stage_fence& fence)
+{
+    m_guard.fence(fence.request, fence.generation, steadyNow() + m_gate.options().recordRetention);
+    endStage(fence.request);
+    telemetry::logEvent(
+        event_code::GenerationFenced, { { "request", fence.request }, { "below", std::to_string(fence.generation) } });
+    send(channel, link::stage_fenced { fence.request, fence.generation });
+}
+
+void sidecar::onStageClose(const std::string& request)
+{
+    m_guard.close(request);
+    endStage(request);
+    asio::post(m_pool, [this, request] { m_dialect->closeStage(request); });
+}
+
+void sidecar::carryOut(const std::vector<dispatch::gate_effect>& effects)
+{
+    for (const auto& effect : effects) {
+        if (const auto* accept = std::get_if<dispatch::gate_accept>(&effect)) {
+            send(accept->channel, dispatch::attempt_accepted { accept->attempt });
+        } else if (const auto* refuse = std::get_if<dispatch::gate_refuse>(&effect)) {
+            m_work.erase(refuse->attempt);
+            m_metrics.count("offers_refused_total", std::string(describe(refuse->why.code).name));
+            telemetry::logEvent(event_code::OfferRefused,
+                { { "attempt", toString(refuse->attempt) }, { "code", std::string(describe(refuse->why.code).name) } });
+            const dispatch::attempt_refused refused { refuse->attempt, refuse->why.code, refuse->why.reason };
+            send(refuse->channel, refused);
+            sendLoad(refuse->channel);
+            for (const auto follower : std::exchange(m_followers[toString(refuse->attempt)], {}))
+                send(follower, refused);
+            m_followers.erase(toString(refuse->attempt));
+        } else if (const auto* start = std::get_if<dispatch::gate_start>(&effect)) {
+            startWork(start->attempt);
+        } else if (const auto* cancel = std::get_if<dispatch::gate_cancel>(&effect)) {
+            cancelWork(cancel->attempt);
+        }
+    }
+    m_metrics.gauge("running", static_cast<double>(m_gate.running()));
+    m_metrics.gauge("queued", static_cast<double>(m_gate.queued()));
+}
+
+void sidecar::startWork(const attempt_id& attempt)
+{
+    const auto found = m_work.find(attempt);
+    if (found == m_work.end())
+        return;
+    auto& work = found->second;
+    telemetry::logEvent(event_code::WorkStarted, { { "attempt", toString(attempt) } });
+    if (work.offer.work.kind == dispatch::work_kind::Stage) {
+        startStage(attempt, work);
+        return;
+    }
+    if (work.offer.nonIdempotent)
+        m_answers.begin(attempt);
+    tellStarted(attempt, work);
+    asio::post(m_pool, [this, attempt, order = work.offer.work, deadline = work.deadline, canceller = work.canceller] {
+        const auto sink = [this](dispatch::answer_frame frame) {
+            m_loop.post([this, frame = std::move(frame)]() mutable { takeFrame(std::move(frame)); });
+        };
+        const auto outcome = m_dialect->run(attempt, order, deadline, *canceller, sink);
+        m_loop.post([this, attempt, outcome] { endWork(attempt, outcome); });
+    });
+}
+
+void sidecar::startStage(const attempt_id& attempt, open_work& work)
+{
+    const auto& order = work.offer.work;
+    const auto opened = m_guard.open(
+        attempt.request, order.chain, order.stage, ownStage(), work.deadline + m_gate.options().recordRetention);
+    if (!opened) {
+        carryOut(m_gate.notBegun(attempt, opened.error(), steadyNow()));
+        return;
+    }
+    endStage(attempt.request); // an older generation's stage gives up its slot
+    m_stageWork[attempt.request] = attempt;
+    tellStarted(attempt, work);
+}
+
+void sidecar::cancelWork(const attempt_id& attempt)
+{
+    const auto found = m_work.find(attempt);
+    if (found == m_work.end())
+        return;
+    telemetry::logEvent(event_code::WorkCancelled, { { "attempt", toString(attempt) } });
+    if (found->second.offer.work.kind == dispatch::work_kind::Stage) {
+        m_guard.close(attempt.request);
+        endStage(attempt.request);
+        return;
+    }
+    asio::post(m_pool, [this, attempt, canceller = found->second.canceller] {
+        canceller->cancel();
+        m_dialect->cancel(attempt);
+    });
+}
+
+void sidecar::takeFrame(dispatch::answer_frame frame)
+{
+    const auto found = m_work.find(frame.attempt);
+    if (found == m_work.end())
+        return;
+    auto& work = found->second;
+    frame.sequence = work.nextSequence++;
+    work.digest.add(frame);
+    if (work.offer.nonIdempotent)
+        m_answers.add(frame);
+    send(m_gate.channelOf(frame.attempt), frame);
+    const auto followers = m_followers.find(toString(frame.attempt));
+    if (followers == m_followers.end())
+        return;
+    for (const auto channel : followers->second)
+        send(channel, frame);
+}
+
+void sidecar::endWork(const attempt_id& attempt, const work_outcome& outcome)
+{
+    const auto found = m_work.find(attempt);
+    if (found == m_work.end())
+        return;
+    auto& work = found->second;
+    telemetry::logEvent(event_code::WorkFinished,
+        { { "attempt", toString(attempt) }, { "code", std::string(describe(outcome.code).name) } });
+    m_metrics.count("work_total", std::string(describe(outcome.code).name));
+    if (outcome.notBegun) {
+        m_answers.drop(attempt);
+        carryOut(m_gate.notBegun(attempt, { outcome.code, outcome.reason }, steadyNow()));
+        return;
+    }
+    const dispatch::answer_end end { attempt, outcome.code, outcome.reason, work.nextSequence, work.digest.value(),
+        outcome.finishReason };
+    if (work.offer.nonIdempotent)
+        m_answers.end(end);
+    const auto channel = m_gate.channelOf(attempt);
+    send(channel, end);
+    for (const auto follower : std::exchange(m_followers[toString(attempt)], {}))
+        send(follower, end);
+    m_followers.erase(toString(attempt));
+    m_work.erase(found);
+    const auto effects = m_gate.finished(attempt, steadyNow());
+    sendLoad(channel);
+    carryOut(effects);
+}
+
+void sidecar::endStage(const std::string& request)
+{
+    const auto found = m_stageWork.find(request);
+    if (found == m_stageWork.end())
+        return;
+    const attempt_id attempt = found->second;
+    m_stageWork.erase(found);
+    m_work.erase(attempt);
+    carryOut(m_gate.finished(attempt, steadyNow()));
+}
+
+void sidecar::tellStarted(const attempt_id& attempt, open_work& work)
+{
+    if (work.toldStarted)
+        return;
+    work.toldStarted = true;
+    send(m_gate.channelOf(attempt), dispatch::attempt_started { attempt });
+}
+
+void sidecar::runStep(const execution::stage_step& step, const execution::chain_plan& plan, std::uint32_t maxTokens)
+{
+    step_order order;
+    order.step = step;
+    order.firstLayer = m_settings.firstLayer;
+    order.endLayer = m_settings.endLayer;
+    order.isLastStage = step.stage + 1 == plan.stages.size();
+    order.maxTokens = maxTokens;
+    asio::post(m_pool, [this, order] {
+        const auto outcome = m_dialect->step(order, steadyNow() + stepPatience);
+        m_loop.post([this, step = order.step, outcome] { stepDone(step, outcome); });
+    });
+}
+
+void sidecar::stepDone(const execution::stage_step& step, const step_outcome& outcome)
+{
+    const auto* plan = m_guard.planOf(step.request);
+    if (plan == nullptr || plan->generation != step.generation)
+        return; // fenced while the target was at it
+    if (outcome.code != result_code::Ok) {
+        tellEntry(step.request, step.generation,
+            link::stage_failed { step.request, step.generation, step.stage, outcome.code, outcome.reason });
+        return;
+    }
+    if (step.stage + 1 < plan->stages.size()) {
+        passOn({ step.request, step.generation, step.token, step.stage + 1, outcome.output },
+            plan->stages[step.stage + 1]);
+        return;
+    }
+    tellEntry(step.request, step.generation,
+        link::stage_token {
+            step.request, step.generation, step.token, outcome.output, outcome.last, outcome.finishReason });
+    if (!outcome.last)
+        passOn({ step.request, step.generation, step.token + 1, 0, outcome.output }, plan->stages.front());
+}
+
+void sidecar::passOn(const execution::stage_step& step, const execution::chain_stage& stage)
+{
+    if (stage.instance == m_settings.id) {
+        onStep(step);
+        return;
+    }
+    auto& channel = m_nextStages[stage.linkAddress];
+    if (channel == 0)
+        channel = m_hub->dial(stage.linkAddress);
+    const std::string bytes = link::encode(step);
+    if (!m_hub->send(channel, bytes))
+        m_unsent[channel].push_back(bytes);
+}
+
+void sidecar::tellEntry(const std::string& request, std::uint32_t generation, const link::message& message)
+{
+    send(m_gate.channelOf({ request, generation }), message);
+}
+
+void sidecar::send(link::channel_number channel, const link::message& message)
+{
+    if (channel != 0)
+        m_hub->send(channel, link::encode(message));
+}
+
+void sidecar::sendLoad(link::channel_number channel)
+{
+    send(channel,
+        dispatch::load_report { m_settings.id, static_cast<std::uint32_t>(m_gate.running()),
+            static_cast<std::uint32_t>(m_gate.queued()), static_cast<std::uint32_t>(m_gate.options().slots) });
+}
+
+void sidecar::probe()
+{
+    if (m_probing)
+        return;
+    m_probing = true;
+    asio::post(m_pool, [this] {
+        const auto condition = m_dialect->probe();
+        m_loop.post([this, condition] { takeCondition(condition); });
+    });
+}
+
+void sidecar::takeCondition(const target_condition& condition)
+{
+    m_probing = false;
+    m_metrics.gauge("target_running", condition.running);
+    m_metrics.gauge("target_waiting", condition.waiting);
+    if (condition.ready != m_targetReady) {
+        m_targetReady = condition.ready;
+        telemetry::logEvent(event_code::TargetStateChanged, { { "ready", condition.ready ? "yes" : "no" } });
+    }
+    m_gate.setReady(condition.ready);
+    announceState();
+}
+
+void sidecar::announceState()
+{
+    if (m_draining)
+        return;
+    m_session->setState(m_targetReady ? membership::instance_state::Ready : membership::instance_state::Joined);
+    m_isReady = m_targetReady && m_session->hasLease();
+}
+
+void sidecar::tick()
+{
+    const steady_time now = steadyNow();
+    carryOut(m_gate.tick(now));
+    for (const auto& request : m_guard.expire(now))
+        endStage(request);
+    m_metrics.gauge("link_bytes_sent", static_cast<double>(m_hub->bytesSent()));
+    m_metrics.gauge("link_bytes_received", static_cast<double>(m_hub->bytesReceived()));
+    if (!m_whenDrained || m_gate.running() + m_gate.queued() > 0)
+        return;
+    if (m_session->record().state != membership::instance_state::Left) {
+        m_session->setState(membership::instance_state::Left);
+        m_leaveDeadline = now + leavePatience;
+        return;
+    }
+    if (m_session->isAnnounced() || now >= m_leaveDeadline)
+        std::exchange(m_whenDrained, {})();
+}
+
+execution::chain_stage sidecar::ownStage() const
+{
+    return { m_settings.id, m_settings.linkAddress, m_incarnation, m_settings.version, m_settings.firstLayer,
+        m_settings.endLayer };
+}
+
+int runSidecar(const settings::settings& settings)
+{
+    link::event_loop loop;
+    telemetry::metrics metrics;
+    std::unique_ptr<sidecar> role;
+    const signal_watch watch(loop, [&] {
+        telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
+        role->drainAndStop([&loop] { loop.stop(); });
+    });
+    role = std::make_unique<sidecar>(loop, settings, metrics);
+    if (auto started = role->start(); !started) {
+        telemetry::logEvent(
+            event_code::SettingsRejected, { { "reason", started.error().reason } }, telemetry::severity::Error);
+        return exitFailure;
+    }
+    auto server = startHttp(settings, healthRoutes(metrics, [&role] { return role->isReady(); }));
+    if (!server) {
+        telemetry::logEvent(event_code::SettingsRejected, { { "reason", server.error() } }, telemetry::severity::Error);
+        return exitFailure;
+    }
+    telemetry::logEvent(event_code::ProcessStarted,
+        { { "role", "sidecar" }, { "instance", settings.id }, { "link", settings.linkAddress },
+            { "http", settings.httpAddress } });
+    loop.run();
+    server->reset();
+    role.reset();
+    telemetry::logEvent(event_code::ProcessStopped, { { "instance", settings.id } });
+    return exitOk;
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/sidecar_links.cpp
@@ -0,0 +1,56 @@
+/// @file
+/// @brief Opening links and keeping what waits for them.
+#include "app/sidecar_links.hpp"
+
+namespace buckthornrail::app {
+
+void sidecar_links::send(const instance_id& instance, const std::string& address, const link::message& message)
+{
+    auto& entry = m_links[instance];
+    if (entry.channel == 0) {
+        entry.channel = m_hub.dial(address);
+        m_byChannel[entry.channel] = instance;
+    }
+    const std::string bytes = link::encode(message);
+    if (entry.open && m_hub.send(entry.channel, bytes))
+        return;
+    const auto* offer = std::get_if<dispatch::attempt_offer>(&message);
+    entry.unsent.push_back({ bytes, offer == nullptr ? std::nullopt : std::optional(offer->attempt) });
+}
+
+void sidecar_links::close(const instance_id& instance)
+{
+    const auto found = m_links.find(instance);
+    if (found != m_links.end() && found->second.channel != 0)
+        m_hub.close(found->second.channel);
+}
+
+void sidecar_links::onOpened(link::channel_number channel)
+{
+    const auto known = m_byChannel.find(channel);
+    if (known == m_byChannel.end())
+        return;
+    auto& entry = m_links[known->second];
+    entry.open = true;
+    m_hub.send(channel, link::encode(link::link_hello { m_self, m_incarnation, ++m_epoch }));
+    for (const auto& message : std::exchange(entry.unsent, {}))
+        m_hub.send(channel, message.bytes);
+}
+
+void sidecar_links::onClosed(link::channel_number channel)
+{
+    const auto known = m_byChannel.find(channel);
+    if (known == m_byChannel.end())
+        return;
+    const instance_id instance = known->second;
+    m_byChannel.erase(known);
+    const auto unsent = std::move(m_links[instance].unsent);
+    m_links.erase(instance);
+    for (const auto& message : unsent) {
+        if (message.offer)
+            m_callbacks.offerNotSent(*message.offer);
+    }
+    m_callbacks.linkLost(instance);
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/sidecar_links.hpp
@@ -0,0 +1,66 @@
+/// @file
+/// @brief An entry's links to sidecars, opened when first needed.
+#pragma once
+
+#include "buckthornrail/link/link_hub.hpp"
+#include "buckthornrail/link/message.hpp"
+
+#include <functional>
+#include <map>
+
+namespace buckthornrail::app {
+
+struct sidecar_link_callbacks {
+    /// An offer waited for a link that did not open: it can't have left this process.
+    std::function<void(const attempt_id&)> offerNotSent;
+    /// A link closed; called after offerNotSent.
+    std::function<void(const instance_id&)> linkLost;
+};
+
+/// @brief Lives on the loop thread.
+class sidecar_links {
+public:
+    sidecar_links(
+        link::link_hub& hub, instance_id self, incarnation_number incarnation, sidecar_link_callbacks callbacks)
+        : m_hub(hub)
+        , m_self(std::move(self))
+        , m_incarnation(incarnation)
+        , m_callbacks(std::move(callbacks))
+    {
+    }
+
+    /// @brief Sends over the instance's link, or when it opens.
+    void send(const instance_id& instance, const std::string& address, const link::message& message);
+    void close(const instance_id& instance);
+
+    void onOpened(link::channel_number channel);
+    void onClosed(link::channel_number channel);
+    /// @return the sidecar at the other end, or an empty name.
+    [[nodiscard]] instance_id instanceOf(link::channel_number channel) const
+    {
+        const auto found = m_byChannel.find(channel);
+        return found == m_byChannel.end() ? instance_id() : found->second;
+    }
+    [[nodiscard]] std::size_t size() const { return m_links.size(); }
+
+private:
+    struct unsent_message {
+        std::string bytes;
+        std::optional<attempt_id> offer;
+    };
+    struct sidecar_link {
+        link::channel_number channel = 0;
+        bool open = false;
+        std::vector<unsent_message> unsent;
+    };
+
+    link::link_hub& m_hub;
+    instance_id m_self;
+    incarnation_number m_incarnation;
+    sidecar_link_callbacks m_callbacks;
+    std::map<instance_id, sidecar_link> m_links;
+    std::map<link::channel_number, instance_id> m_byChannel;
+    std::uint64_t m_epoch = 0; ///< counts the links dialled; tells a sidecar which is the newest
+};
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/target_adapter.cpp
@@ -0,0 +1,385 @@
+/// @file
+/// @brief The four dialects.
+#include "app/target_adapter.hpp"
+
+#include "app/process.hpp"
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace buckthornrail::app {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds probePatience { 800 };
+constexpr milliseconds cancelPatience { 500 };
+constexpr int firstErrorStatus = 400;
+constexpr int firstServerErrorStatus = 500;
+constexpr const char* jsonType = "application/json";
+constexpr const char* requestHeader = "X-Request-Id";
+constexpr const char* attemptHeader = "X-Attempt";
+
+http::client_response get(const std::string& address, const std::string& path)
+{
+    http::client_request request;
+    request.address = address;
+    request.method = "GET";
+    request.path = path;
+    request.deadline = steadyNow() + probePatience;
+    return http::call(request);
+}
+
+bool isOk(const http::client_response& response)
+{
+    return response.outcome == http::client_outcome::Ok && response.status < firstErrorStatus;
+}
+
+http::client_request makePost(
+    const std::string& address, const std::string& path, const json& body, steady_time deadline)
+{
+    http::client_request request;
+    request.address = address;
+    request.method = "POST";
+    request.path = path;
+    request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    request.contentType = jsonType;
+    request.deadline = deadline;
+    return request;
+}
+
+void addIdentity(http::client_request& request, const attempt_id& attempt)
+{
+    request.headers.push_back({ requestHeader, attempt.request });
+    request.headers.push_back({ attemptHeader, std::to_string(attempt.number) });
+}
+
+/// What a call that did not end well means for the work.
+work_outcome outcomeOf(const http::client_response& response)
+{
+    work_outcome outcome;
+    switch (response.outcome) {
+    case http::client_outcome::NotSent:
+        outcome.code = result_code::TargetNotReady;
+        outcome.reason = "the target accepts no connection";
+        outcome.notBegun = true;
+        return outcome;
+    case http::client_outcome::TimedOut:
+        outcome.code = result_code::TargetStalled;
+        return outcome;
+    case http::client_outcome::Cancelled:
+        outcome.code = result_code::Cancelled;
+        return outcome;
+    case http::client_outcome::Broken:
+        outcome.code = result_code::TargetFailed;
+        outcome.reason = "the target's connection ended early";
+        return outcome;
+    case http::client_outcome::Ok:
+        break;
+    }
+    if (response.status >= firstServerErrorStatus) {
+        outcome.code = result_code::TargetFailed;
+        outcome.reason = "the target answered " + std::to_string(response.status);
+    } else if (response.status >= firstErrorStatus) {
+        outcome.code = result_code::TargetRejected;
+        outcome.reason = "the target answered " + std::to_string(response.status);
+    }
+    return outcome;
+}
+
+/// Cuts a stream of server-sent events into the data of each.
+class event_splitter {
+public:
+    /// @param take gets the data of each event; false stops
+    bool add(const char* data, std::size_t size, const std::function<bool(const std::string&)>& take)
+    {
+        m_rest.append(data, size);
+        for (auto end = m_rest.find("\n\n"); end != std::string::npos; end = m_rest.find("\n\n")) {
+            std::string event = m_rest.substr(0, end);
+            m_rest.erase(0, end + 2);
+            if (event.starts_with("data: ") && !take(event.substr(std::string_view("data: ").size())))
+                return false;
+        }
+        return true;
+    }
+
+private:
+    std::string m_rest;
+};
+
+/// Shared by the two kinds that stream tokens as server-sent events.
+class streaming_dialect : public target_dialect {
+public:
+    explicit streaming_dialect(std::string address)
+        : m_address(std::move(address))
+    {
+    }
+
+    work_outcome run(const attempt_id& attempt, const dispatch::work_order& work, steady_time deadline,
+        http::call_canceller& canceller, const frame_sink& sink) override
+    {
+        auto request = makePost(m_address, pathFor(work), bodyFor(work), deadline);
+        addIdentity(request, attempt);
+        event_splitter splitter;
+        std::string finishReason;
+        std::string fault;
+        const auto takeEvent = [&](const std::string& data) {
+            try {
+                dispatch::answer_frame frame;
+                frame.attempt = attempt;
+                if (readEvent(data, frame.bytes, finishReason))
+                    sink(std::move(frame));
+            } catch (const json::exception& error) {
+                fault = error.what();
+                return false;
+            }
+            return true;
+        };
+        const auto onBody = [&](const char* data, std::size_t size) { return splitter.add(data, size, takeEvent); };
+        const auto response = http::call(request, {}, onBody, &canceller);
+        work_outcome outcome = outcomeOf(response);
+        outcome.finishReason = finishReason;
+        if (!fault.empty())
+            return { result_code::TargetFailed, "an event can't be read: " + fault, "", false };
+        if (outcome.code == result_code::Ok && finishReason.empty())
+            return { result_code::AnswerIncomplete, "the stream ended without a finish reason", "", false };
+        return outcome;
+    }
+
+    void cancel(const attempt_id& attempt) override
+    {
+        auto request = makePost(m_address, "/cancel", { { "request", attempt.request }, { "attempt", attempt.number } },
+            steadyNow() + cancelPatience);
+        (void)http::call(request);
+    }
+
+protected:
+    [[nodiscard]] virtual std::string pathFor(const dispatch::work_order& work) const = 0;
+    [[nodiscard]] virtual json bodyFor(const dispatch::work_order& work) const = 0;
+    /// @return true when the event holds a token
+    virtual bool readEvent(const std::string& data, std::string& token, std::string& finishReason) const = 0;
+    [[nodiscard]] const std::string& address() const { return m_address; }
+
+private:
+    std::string m_address;
+};
+
+class openai_dialect : public streaming_dialect {
+public:
+    using streaming_dialect::streaming_dialect;
+
+    target_condition probe() override
+    {
+        target_condition condition;
+        condition.ready = isOk(get(address(), "/health"));
+        const auto metrics = get(address(), "/metrics");
+        std::istringstream lines(metrics.body);
+        for (std::string line; std::getline(lines, line);) {
+            std::istringstream words(line);
+            std::string name;
+            double value = 0;
+            if (!(words >> name >> value))
+                continue;
+            if (name == "num_requests_running")
+                condition.running = static_cast<std::uint32_t>(value);
+            if (name == "num_requests_waiting")
+                condition.waiting = static_cast<std::uint32_t>(value);
+        }
+        return condition;
+    }
+
+protected:
+    [[nodiscard]] std::string pathFor(const dispatch::work_order& /*work*/) const override { return "/v1/completions"; }
+
+    [[nodiscard]] json bodyFor(const dispatch::work_order& work) const override
+    {
+        return { { "model", work.model }, { "prompt", work.prompt }, { "max_tokens", work.maxTokens },
+            { "stream", true } };
+    }
+
+    bool readEvent(const std::string& data, std::string& token, std::string& finishReason) const override
+    {
+        if (data == "[DONE]")
+            return false;
+        const json event = json::parse(data);
+        const json& choice = event.at("choices").at(0);
+        if (choice.contains("finish_reason") && choice.at("finish_reason").is_string())
+            finishReason = choice.at("finish_reason").get<std::string>();
+        token = choice.value("text", "");
+        return !token.empty();
+    }
+};
+
+class kserve_dialect : public streaming_dialect {
+public:
+    kserve_dialect(const std::string& address, std::string model, std::string version)
+        : streaming_dialect(address)
+        , m_model("/v2/models/" + std::move(model) + "/versions/" + std::move(version))
+    {
+    }
+
+    target_condition probe() override
+    {
+        target_condition condition;
+        condition.ready = isOk(get(address(), "/v2/health/ready")) && isOk(get(address(), m_model + "/ready"));
+        const auto stats = get(address(), m_model + "/stats");
+        const json body = json::parse(stats.body, nullptr, false);
+        if (body.is_object()) {
+            condition.running = body.value("executing", 0U);
+            condition.waiting = body.value("pending", 0U);
+        }
+        return condition;
+    }
+
+protected:
+    [[nodiscard]] std::string pathFor(const dispatch::work_order& /*work*/) const override
+    {
+        return m_model + "/generate_stream";
+    }
+
+    [[nodiscard]] json bodyFor(const dispatch::work_order& work) const override
+    {
+        return { { "text_input", work.prompt }, { "parameters", { { "max_tokens", work.maxTokens } } } };
+    }
+
+    bool readEvent(const std::string& data, std::string& token, std::string& finishReason) const override
+    {
+        const json event = json::parse(data);
+        if (event.contains("finish_reason") && event.at("finish_reason").is_string())
+            finishReason = event.at("finish_reason").get<std::string>();
+        token = event.value("text_output", "");
+        return !token.empty();
+    }
+
+private:
+    std::string m_model; ///< path of the model's version
+};
+
+class layer_range_dialect : public target_dialect {
+public:
+    explicit layer_range_dialect(std::string address)
+        : m_address(std::move(address))
+    {
+    }
+
+    target_condition probe() override
+    {
+        target_condition condition;
+        const json body = json::parse(get(m_address, "/engine/state").body, nullptr, false);
+        if (!body.is_object())
+            return condition;
+        condition.ready = body.value("ready", false);
+        condition.running = body.value("running", 0U);
+        condition.waiting = body.value("waiting", 0U);
+        return condition;
+    }
+
+    work_outcome run(const attempt_id& /*attempt*/, const dispatch::work_order& /*work*/, steady_time /*deadline*/,
+        http::call_canceller& /*canceller*/, const frame_sink& /*sink*/) override
+    {
+        return { result_code::TargetRejected, "a layer_range target runs only steps of chains", "", true };
+    }
+
+    step_outcome step(const step_order& order, steady_time deadline) override
+    {
+        const auto& step = order.step;
+        const json body = { { "request", step.request }, { "generation", step.generation }, { "token", step.token },
+            { "first_layer", order.firstLayer }, { "end_layer", order.endLayer }, { "input", step.input },
+            { "last_stage", order.isLastStage }, { "max_tokens", order.maxTokens } };
+        const auto response = http::call(makePost(m_address, "/engine/step", body, deadline));
+        const work_outcome outcome = outcomeOf(response);
+        if (outcome.code != result_code::Ok)
+            return { outcome.code, outcome.reason, "", false, "" };
+        try {
+            const json answer = json::parse(response.body);
+            return { result_code::Ok, "", answer.at("output").get<std::string>(), answer.value("last", false),
+                answer.value("finish_reason", "") };
+        } catch (const json::exception& error) {
+            return { result_code::TargetFailed, error.what(), "", false, "" };
+        }
+    }
+
+    void closeStage(const std::string& request) override
+    {
+        (void)http::call(
+            makePost(m_address, "/engine/close", { { "request", request } }, steadyNow() + cancelPatience));
+    }
+
+private:
+    std::string m_address;
+};
+
+class plain_service_dialect : public target_dialect {
+public:
+    explicit plain_service_dialect(std::string address)
+        : m_address(std::move(address))
+    {
+    }
+
+    target_condition probe() override
+    {
+        target_condition condition;
+        condition.ready = isOk(get(m_address, "/healthz"));
+        return condition;
+    }
+
+    work_outcome run(const attempt_id& attempt, const dispatch::work_order& work, steady_time deadline,
+        http::call_canceller& canceller, const frame_sink& sink) override
+    {
+        http::client_request request;
+        request.address = m_address;
+        request.method = work.method;
+        request.path = work.path;
+        request.body = work.body;
+        request.headers = work.headers;
+        request.deadline = deadline;
+        addIdentity(request, attempt);
+        const auto onHead = [&](int status, const std::vector<http::header_field>& headers) {
+            dispatch::answer_frame head;
+            head.attempt = attempt;
+            head.kind = dispatch::frame_kind::Head;
+            head.status = status;
+            head.headers = headers;
+            sink(std::move(head));
+        };
+        const auto onBody = [&](const char* data, std::size_t size) {
+            dispatch::answer_frame frame;
+            frame.attempt = attempt;
+            frame.bytes.assign(data, size);
+            sink(std::move(frame));
+            return true;
+        };
+        const auto response = http::call(request, onHead, onBody, &canceller);
+        // Whatever status a service gives is its answer and is passed on.
+        if (response.outcome == http::client_outcome::Ok)
+            return {};
+        return outcomeOf(response);
+    }
+
+private:
+    std::string m_address;
+};
+
+} // namespace
+
+step_outcome target_dialect::step(const step_order& /*order*/, steady_time /*deadline*/)
+{
+    return { result_code::TargetRejected, "the target doesn't hold a range of layers", "", false, "" };
+}
+
+std::unique_ptr<target_dialect> makeDialect(const settings::settings& settings)
+{
+    switch (valueIn(membership::targetKindNames, settings.targetKind).value_or(membership::target_kind::OpenAi)) {
+    case membership::target_kind::KServe:
+        return std::make_unique<kserve_dialect>(settings.targetAddress, settings.model, settings.version);
+    case membership::target_kind::LayerRange:
+        return std::make_unique<layer_range_dialect>(settings.targetAddress);
+    case membership::target_kind::PlainService:
+        return std::make_unique<plain_service_dialect>(settings.targetAddress);
+    case membership::target_kind::OpenAi:
+        break;
+    }
+    return std::make_unique<openai_dialect>(settings.targetAddress);
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/target_adapter.hpp
@@ -0,0 +1,69 @@
+/// @file
+/// @brief Dialects of targets: how each kind is asked for readiness, load and work. Calls block.
+#pragma once
+
+#include "buckthornrail/dispatch/messages.hpp"
+#include "buckthornrail/execution/stage_guard.hpp"
+#include "buckthornrail/http/http_client.hpp"
+#include "buckthornrail/settings/settings.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace buckthornrail::app {
+
+struct target_condition {
+    bool ready = false;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+};
+
+/// How work at a target ended.
+struct work_outcome {
+    result_code code = result_code::Ok;
+    std::string reason;
+    std::string finishReason;
+    bool notBegun = false; ///< the target never got the work
+};
+
+/// Gets the frames of an answer as they come; sequence numbers are set by the caller.
+using frame_sink = std::function<void(dispatch::answer_frame)>;
+
+/// One step of a split request at a layer-range engine.
+struct step_order {
+    execution::stage_step step;
+    std::uint32_t firstLayer = 0;
+    std::uint32_t endLayer = 0;
+    bool isLastStage = false;
+    std::uint32_t maxTokens = 0;
+};
+struct step_outcome {
+    result_code code = result_code::Ok;
+    std::string reason;
+    std::string output; ///< activations, or the token's text at the last stage
+    bool last = false;
+    std::string finishReason;
+};
+
+/// @brief One kind of target. Functions are called from several threads.
+class target_dialect {
+public:
+    target_dialect() = default;
+    target_dialect(const target_dialect&) = delete;
+    target_dialect& operator=(const target_dialect&) = delete;
+    virtual ~target_dialect() = default;
+
+    virtual target_condition probe() = 0;
+    virtual work_outcome run(const attempt_id& attempt, const dispatch::work_order& work, steady_time deadline,
+        http::call_canceller& canceller, const frame_sink& sink)
+        = 0;
+    /// @brief Stops what a closed connection alone might not stop.
+    virtual void cancel(const attempt_id& attempt) { (void)attempt; }
+    virtual step_outcome step(const step_order& order, steady_time deadline);
+    virtual void closeStage(const std::string& request) { (void)request; }
+};
+
+/// @brief Makes the dialect that the settings name.
+std::unique_ptr<target_dialect> makeDialect(const settings::settings& settings);
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/buckthornrail/configuration/document.cpp
@@ -0,0 +1,337 @@
+/// @file
+/// @brief Reading, checking and writing the configuration document.
+#include "buckthornrail/configuration/document.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace buckthornrail::configuration {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint32_t maxWeight = 1000;
+constexpr std::uint32_t maxLayers = 1000;
+constexpr std::uint32_t maxInFlightLimit = 1'000'000;
+constexpr std::uint32_t fullShare = 100;
+constexpr std::size_t maxNameLength = 128;
+
+/// Thrown within this file and turned into an error at its edge.
+struct invalid_field {
+    std::string path;
+    std::string reason;
+};
+
+[[noreturn]] void reject(const std::string& path, const std::string& reason)
+{
+    throw invalid_field { path.empty() ? "/" : path, reason };
+}
+
+std::string escapePointer(const std::string& name)
+{
+    std::string escaped;
+    for (const char symbol : name) {
+        if (symbol == '~')
+            escaped += "~0";
+        else if (symbol == '/')
+            escaped += "~1";
+        else
+            escaped += symbol;
+    }
+    return escaped;
+}
+
+/// One JSON object whose fields are taken one by one; what is left over is an unknown field.
+class object_reader {
+public:
+    object_reader(const json& value, std::string path)
+        : m_value(value)
+        , m_path(std::move(path))
+    {
+        if (!value.is_object())
+            reject(m_path, "must be an object");
+    }
+
+    std::uint32_t number(const std::string& name, std::uint32_t low, std::uint32_t high, std::uint32_t fallback)
+    {
+        const json* field = take(name);
+        if (field == nullptr)
+            return fallback;
+        if (!field->is_number_integer())
+            reject(pathOf(name), "must be a whole number");
+        const auto value = field->is_number_unsigned() && field->get<std::uint64_t>() > high
+            ? static_cast<std::int64_t>(high) + 1
+            : field->get<std::int64_t>();
+        if (value < low || value > high)
+            reject(pathOf(name), "must be from " + std::to_string(low) + " to " + std::to_string(high));
+        return static_cast<std::uint32_t>(value);
+    }
+
+    std::string text(const std::string& name)
+    {
+        const json* field = take(name);
+        if (field == nullptr)
+            reject(pathOf(name), "is missing");
+        if (!field->is_string() || field->get_ref<const std::string&>().empty())
+            reject(pathOf(name), "must be a text that isn't empty");
+        return field->get<std::string>();
+    }
+
+    request_priority priority(const std::string& name, request_priority fallback)
+    {
+        const json* field = take(name);
+        if (field == nullptr)
+            return fallback;
+        const auto value
+            = field->is_string() ? valueIn(priorityNames, field->get_ref<const std::string&>()) : std::nullopt;
+        if (!value)
+            reject(pathOf(name), "must be one of low, normal, high");
+        return *value;
+    }
+
+    /// The field, or an empty value of its kind when it is missing.
+    const json& list(const std::string& name)
+    {
+        static const json empty = json::array();
+        const json* field = take(name);
+        if (field == nullptr)
+            return empty;
+        if (!field->is_array())
+            reject(pathOf(name), "must be a list");
+        return *field;
+    }
+
+    const json& object(const std::string& name)
+    {
+        static const json empty = json::object();
+        const json* field = take(name);
+        if (field == nullptr)
+            return empty;
+        if (!field->is_object())
+            reject(pathOf(name), "must be an object");
+        return *field;
+    }
+
+    void refuseUnknown() const
+    {
+        for (const auto& item : m_value.items()) {
+            if (!m_taken.contains(item.key()))
+                reject(pathOf(item.key()), "is not a known field");
+        }
+    }
+
+    [[nodiscard]] std::string pathOf(const std::string& name) const { return m_path + "/" + escapePointer(name); }
+
+private:
+    const json* take(const std::string& name)
+    {
+        m_taken.insert(name);
+        const auto found = m_value.find(name);
+        return found == m_value.end() ? nullptr : &*found;
+    }
+
+    const json& m_value;
+    std::string m_path;
+    std::set<std::string> m_taken;
+};
+
+void checkName(const std::string& name, const std::string& path)
+{
+    const auto isAllowed = [](unsigned char symbol) {
+        return std::isalnum(symbol) != 0 || symbol == '-' || symbol == '_' || symbol == '.';
+    };
+    if (name.empty() || name.size() > maxNameLength || !std::all_of(name.begin(), name.end(), isAllowed))
+        reject(path, "a name has 1 to 128 letters, digits, '-', '_' or '.'");
+}
+
+std::vector<share> readShares(const json& list, const std::string& path, const std::string& nameField)
+{
+    std::vector<share> shares;
+    std::set<std::string> names;
+    std::uint32_t sum = 0;
+    for (std::size_t at = 0; at < list.size(); ++at) {
+        object_reader reader(list[at], path + "/" + std::to_string(at));
+        share one;
+        one.name = reader.text(nameField);
+        one.percent = reader.number("share", 0, fullShare, fullShare);
+        reader.refuseUnknown();
+        if (!names.insert(one.name).second)
+            reject(reader.pathOf(nameField), "stands twice");
+        sum += one.percent;
+        shares.push_back(std::move(one));
+    }
+    if (!shares.empty() && sum != fullShare)
+        reject(path, "shares add up to " + std::to_string(sum) + ", not 100");
+    return shares;
+}
+
+std::vector<std::string> readWorkspaceNames(const json& list, const std::string& path, const document& all)
+{
+    std::vector<std::string> names;
+    for (std::size_t at = 0; at < list.size(); ++at) {
+        const std::string place = path + "/" + std::to_string(at);
+        if (!list[at].is_string())
+            reject(place, "must be the name of a workspace");
+        const auto& name = list[at].get_ref<const std::string&>();
+        if (!all.workspaces.contains(name))
+            reject(place, "no workspace is called '" + name + "'");
+        if (std::find(names.begin(), names.end(), name) != names.end())
+            reject(place, "stands twice");
+        names.push_back(name);
+    }
+    return names;
+}
+
+workspace readWorkspace(const json& value, const std::string& path)
+{
+    object_reader reader(value, path);
+    workspace one;
+    one.weight = reader.number("weight", 1, maxWeight, one.weight);
+    one.maxPriority = reader.priority("max_priority", one.maxPriority);
+    one.maxInFlight = reader.number("max_in_flight", 0, maxInFlightLimit, one.maxInFlight);
+    reader.refuseUnknown();
+    return one;
+}
+
+model readModel(const json& value, const std::string& path)
+{
+    object_reader reader(value, path);
+    model one;
+    one.layers = reader.number("layers", 1, maxLayers, one.layers);
+    reader.refuseUnknown();
+    return one;
+}
+
+pipeline readPipeline(const json& value, const std::string& path, const document& all)
+{
+    object_reader reader(value, path);
+    pipeline one;
+    one.model = reader.text("model");
+    if (!all.models.contains(one.model))
+        reject(reader.pathOf("model"), "no model is called '" + one.model + "'");
+    one.versions = readShares(reader.list("versions"), reader.pathOf("versions"), "version");
+    if (one.versions.empty())
+        reject(reader.pathOf("versions"), "at least one version is needed");
+    one.pools = readShares(reader.list("pools"), reader.pathOf("pools"), "pool");
+    one.workspaces = readWorkspaceNames(reader.list("workspaces"), reader.pathOf("workspaces"), all);
+    one.priority = reader.priority("priority", one.priority);
+    reader.refuseUnknown();
+    return one;
+}
+
+service readService(const json& value, const std::string& path, const document& all)
+{
+    object_reader reader(value, path);
+    service one;
+    one.workspaces = readWorkspaceNames(reader.list("workspaces"), reader.pathOf("workspaces"), all);
+    const json& marks = reader.list("non_idempotent");
+    for (std::size_t at = 0; at < marks.size(); ++at) {
+        object_reader markReader(marks[at], reader.pathOf("non_idempotent") + "/" + std::to_string(at));
+        route_mark mark;
+        mark.method = markReader.text("method");
+        mark.pathPrefix = markReader.text("path_prefix");
+        if (mark.pathPrefix.front() != '/')
+            reject(markReader.pathOf("path_prefix"), "must begin with '/'");
+        markReader.refuseUnknown();
+        one.nonIdempotent.push_back(std::move(mark));
+    }
+    reader.refuseUnknown();
+    return one;
+}
+
+/// Calls read(name, value, path) for each member of an object of named things.
+template <typename Reader> void readNamed(object_reader& reader, const std::string& field, Reader read)
+{
+    for (const auto& item : reader.object(field).items()) {
+        const std::string path = reader.pathOf(field) + "/" + escapePointer(item.key());
+        checkName(item.key(), path);
+        read(item.key(), item.value(), path);
+    }
+}
+
+document readDocument(const json& root)
+{
+    document all;
+    object_reader reader(root, "");
+    readNamed(reader, "workspaces", [&](const auto& name, const auto& value, const auto& path) {
+        all.workspaces[name] = readWorkspace(value, path);
+    });
+    readNamed(reader, "models",
+        [&](const auto& name, const auto& value, const auto& path) { all.models[name] = readModel(value, path); });
+    readNamed(reader, "pipelines", [&](const auto& name, const auto& value, const auto& path) {
+        all.pipelines[name] = readPipeline(value, path, all);
+    });
+    readNamed(reader, "services", [&](const auto& name, const auto& value, const auto& path) {
+        all.services[name] = readService(value, path, all);
+    });
+    reader.refuseUnknown();
+    return all;
+}
+
+/// Parses JSON and refuses an object that names a field twice, which the parser alone would let pass.
+json parseStrictly(std::string_view text)
+{
+    std::vector<std::set<std::string>> open;
+    std::string repeated;
+    const auto watch = [&](int, json::parse_event_t event, json& parsed) {
+        if (event == json::parse_event_t::object_start)
+            open.emplace_back();
+        if (event == json::parse_event_t::object_end)
+            open.pop_back();
+        if (event == json::parse_event_t::key && !open.back().insert(parsed.get<std::string>()).second)
+            repeated = parsed.get<std::string>();
+        return true;
+    };
+    json root = json::parse(text, watch);
+    if (!repeated.empty())
+        reject("", "the field '" + repeated + "' stands twice in one object");
+    return root;
+}
+
+json sharesToJson(const std::vector<share>& shares, const char* nameField)
+{
+    json list = json::array();
+    for (const auto& one : shares)
+        list.push_back({ { nameField, one.name }, { "share", one.percent } });
+    return list;
+}
+
+} // namespace
+
+tl::expected<document, failure> parseDocument(std::string_view text)
+{
+    try {
+        return readDocument(parseStrictly(text));
+    } catch (const invalid_field& fault) {
+        return tl::make_unexpected(failure { result_code::InvalidDocument, fault.path + ": " + fault.reason });
+    } catch (const json::exception& fault) {
+        return tl::make_unexpected(failure { result_code::InvalidDocument, std::string("not JSON: ") + fault.what() });
+    }
+}
+
+std::string formatDocument(const document& value)
+{
+    json root = { { "workspaces", json::object() }, { "models", json::object() }, { "pipelines", json::object() },
+        { "services", json::object() } };
+    for (const auto& [name, one] : value.workspaces) {
+        root["workspaces"][name] = { { "weight", one.weight },
+            { "max_priority", nameIn(priorityNames, one.maxPriority) }, { "max_in_flight", one.maxInFlight } };
+    }
+    for (const auto& [name, one] : value.models)
+        root["models"][name] = { { "layers", one.layers } };
+    for (const auto& [name, one] : value.pipelines) {
+        root["pipelines"][name] = { { "model", one.model }, { "versions", sharesToJson(one.versions, "version") },
+            { "pools", sharesToJson(one.pools, "pool") }, { "workspaces", one.workspaces },
+            { "priority", nameIn(priorityNames, one.priority) } };
+    }
+    for (const auto& [name, one] : value.services) {
+        json marks = json::array();
+        for (const auto& mark : one.nonIdempotent)
+            marks.push_back({ { "method", mark.method }, { "path_prefix", mark.pathPrefix } });
+        root["services"][name] = { { "workspaces", one.workspaces }, { "non_idempotent", marks } };
+    }
+    return root.dump();
+}
+
+} // namespace buckthornrail::configuration
--- /dev/null
+++ b/src/buckthornrail/core/event_code.cpp
@@ -0,0 +1,62 @@
+/// @file
+/// @brief Catalogue of log events.
+#include "buckthornrail/core/event_code.hpp"
+
+#include <array>
+
+namespace buckthornrail {
+namespace {
+
+constexpr std::array eventRows {
+    event_info { event_code::ProcessStarted, "process_started", "A role is up; fields: role, addresses." },
+    event_info { event_code::ProcessStopping, "process_stopping", "SIGTERM: no new work; work in flight goes on." },
+    event_info { event_code::ProcessStopped, "process_stopped", "Work in flight has ended; the process exits." },
+    event_info { event_code::SettingsRejected, "settings_rejected", "The settings file has a fault." },
+    event_info { event_code::RouteChosen, "route_chosen",
+        "Routing decision; fields: request, attempt, candidates, chosen, reason." },
+    event_info { event_code::RouteRefused, "route_refused", "No target could be chosen; fields: request, reason." },
+    event_info { event_code::AttemptRefused, "attempt_refused", "A sidecar refused an attempt; it was not run there." },
+    event_info { event_code::AttemptLost, "attempt_lost", "An attempt ended without an answer." },
+    event_info { event_code::RequestFinished, "request_finished", "Final answer; fields: request, code, ran." },
+    event_info { event_code::ChainBuilt, "chain_built", "Placement of a split request; fields: generation, stages." },
+    event_info { event_code::GenerationFenced, "generation_fenced", "An older generation of a chain was fenced." },
+    event_info { event_code::ClaimHeld, "claim_held", "A claim exists already; its holder is asked." },
+    event_info { event_code::FrameDropped, "frame_dropped", "A frame of a superseded attempt was dropped." },
+    event_info { event_code::WorkStarted, "work_started", "A sidecar handed an attempt to its target." },
+    event_info { event_code::WorkFinished, "work_finished", "An attempt ended at the target." },
+    event_info { event_code::WorkCancelled, "work_cancelled", "An attempt was cancelled at the target." },
+    event_info { event_code::OfferRefused, "offer_refused", "A sidecar refused an offer; fields: attempt, code." },
+    event_info { event_code::TargetStateChanged, "target_state_changed", "The target's readiness changed." },
+    event_info { event_code::TargetDraining, "target_draining", "The sidecar takes no new work." },
+    event_info { event_code::LeaderElected, "leader_elected", "This controller leads; field: term." },
+    event_info { event_code::LeaderLost, "leader_lost", "This controller no longer leads." },
+    event_info { event_code::MemberChanged, "member_changed", "The set of controllers changed." },
+    event_info { event_code::SnapshotSaved, "snapshot_saved", "A snapshot was saved and the log shortened." },
+    event_info { event_code::StorageFault, "storage_fault", "The data folder failed; the controller stops voting." },
+    event_info { event_code::ConfigurationAccepted, "configuration_accepted", "A change was committed." },
+    event_info {
+        event_code::ConfigurationRejected, "configuration_rejected", "A change was refused, with its reason." },
+    event_info { event_code::ConfigurationApplied, "configuration_applied", "A version is in force in this process." },
+    event_info { event_code::LeaseExpired, "lease_expired", "No controller renewed the configuration lease in time." },
+    event_info { event_code::InstanceJoined, "instance_joined", "An instance joined or came back." },
+    event_info { event_code::InstanceLost, "instance_lost", "An instance's heartbeats stopped." },
+    event_info { event_code::InstanceDraining, "instance_draining", "An instance is leaving." },
+    event_info { event_code::LinkOpened, "link_opened", "A link between processes opened." },
+    event_info { event_code::LinkClosed, "link_closed", "A link between processes closed." },
+    event_info { event_code::MessageRejected, "message_rejected", "A message could not be read." },
+};
+
+} // namespace
+
+std::span<const event_info> eventTable() { return eventRows; }
+
+const event_info& describe(event_code code)
+{
+    for (const auto& row : eventRows) {
+        if (row.code == code)
+            return row;
+    }
+    return eventRows.front();
+}
+
+} // namespace buckthornrail
--- /dev/null
+++ b/src/buckthornrail/dispatch/request_run.cpp
@@ -0,0 +1,441 @@
+/// @file
+/// @brief The life of one request at an entry.
+#include "buckthornrail/dispatch/request_run.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornrail::dispatch {
+
+request_run::request_run(run_request request, run_options options, steady_time now)
+    : m_request(std::move(request))
+    , m_options(options)
+    , m_phaseDeadline(now)
+{
+}
+
+void request_run::start(steady_time now)
+{
+    m_phaseDeadline = m_request.deadline;
+    if (now >= m_request.deadline) {
+        finish({ result_code::DeadlinePassed, "the timeout is already over" });
+        return;
+    }
+    choose();
+}
+
+void request_run::targetChosen(const chosen_target& target, steady_time now)
+{
+    if (m_phase != phase::Choosing)
+        return;
+    m_target = target;
+    beginAttempt(now);
+}
+
+void request_run::noTarget(failure why, steady_time now)
+{
+    (void)now;
+    if (m_phase != phase::Choosing)
+        return;
+    finish(m_lastFailure.code == result_code::Ok ? std::move(why) : m_lastFailure);
+}
+
+void request_run::claimAnswered(const claim_result& result, steady_time now)
+{
+    if (m_phase != phase::Claiming)
+        return;
+    if (result.outcome == claim_outcome::Reused) {
+        finish({ result_code::KeyReused, "" });
+        return;
+    }
+    if (result.outcome == claim_outcome::Granted && result.holder == m_wanted) {
+        m_claimed = result.holder;
+        m_replaces = {};
+        offerNow(now);
+        return;
+    }
+    // Another run holds the key: its sidecar alone knows what became of it.
+    m_followsHolder = true;
+    m_claimed = result.holder;
+    m_attempt = result.holder.attempt;
+    m_target = { result.holder.instance, result.holder.incarnation };
+    m_mayHaveStarted = true;
+    m_hasStarted = false;
+    m_assembler.emplace(m_attempt);
+    m_held.clear();
+    m_effects.emplace_back(send_attach { m_attempt, m_target });
+    enter(phase::Attaching, now + m_options.revokeTimeout);
+}
+
+void request_run::claimFailed(steady_time now)
+{
+    (void)now;
+    if (m_phase == phase::Claiming)
+        finish({ result_code::ClaimUnavailable, "" });
+}
+
+void request_run::accepted(const attempt_id& attempt, steady_time now)
+{
+    (void)now;
+    if (isCurrent(attempt) && m_phase == phase::Offered)
+        enter(phase::Accepted, m_request.deadline);
+}
+
+void request_run::refused(const attempt_refused& refusal, steady_time now)
+{
+    if (!isCurrent(refusal.attempt) || !isOpen() || hasFrames())
+        return;
+    m_mayHaveStarted = false;
+    m_hasStarted = false; // the sidecar found that its target never got the work
+    if (refusal.code == result_code::StaleConfiguration) {
+        m_lastFailure = { refusal.code, refusal.reason };
+        m_effects.emplace_back(await_configuration {});
+        enter(phase::Waiting, now + m_options.staleConfigurationWait);
+        return;
+    }
+    retryAfterNotRun({ refusal.code, refusal.reason }, now);
+}
+
+void request_run::started(const attempt_id& attempt, steady_time now)
+{
+    if (!isCurrent(attempt) || !isOpen())
+        return;
+    m_hasStarted = true;
+    enter(phase::Started, progressDeadline(now));
+}
+
+void request_run::frame(const answer_frame& frame, steady_time now)
+{
+    if (!isCurrent(frame.attempt) || !m_assembler || m_phase == phase::Finished)
+        return;
+    started(frame.attempt, now);
+    if (m_phase != phase::Started)
+        return;
+    m_phaseDeadline = progressDeadline(now);
+    deliver(m_assembler->add(frame));
+    completeIfWhole(now);
+}
+
+void request_run::ended(const answer_end& end, steady_time now)
+{
+    if (!isCurrent(end.attempt) || !m_assembler || m_phase == phase::Finished)
+        return;
+    started(end.attempt, now);
+    if (m_phase != phase::Started)
+        return;
+    m_assembler->end(end);
+    completeIfWhole(now);
+}
+
+void request_run::revokeAnswered(const revoke_reply& reply, steady_time now)
+{
+    if (!isCurrent(reply.attempt) || m_phase != phase::Revoking)
+        return;
+    if (reply.outcome == revoke_outcome::NotStarted) {
+        m_mayHaveStarted = false;
+        retryAfterNotRun(m_lastFailure, now);
+        return;
+    }
+    m_hasStarted = m_hasStarted || reply.outcome == revoke_outcome::Started;
+    retryAfterRun(m_lastFailure, now);
+}
+
+void request_run::attachAnswered(const attach_reply& reply, steady_time now)
+{
+    if (!isCurrent(reply.attempt) || m_phase != phase::Attaching)
+        return;
+    switch (reply.outcome) {
+    case attach_outcome::Attached:
+        m_hasStarted = true;
+        enter(phase::Started, progressDeadline(now));
+        return;
+    case attach_outcome::NotStarted:
+        // Proved not run and fenced: the claim may move to an attempt of ours.
+        m_mayHaveStarted = false;
+        m_replaces = m_claimed;
+        m_claimed = {};
+        m_followsHolder = false;
+        choose();
+        return;
+    case attach_outcome::Gone:
+        m_hasStarted = true;
+        finish({ result_code::OutcomeUnknown, "it was run under this key; its answer is no longer kept" });
+        return;
+    case attach_outcome::Unknown:
+        finish({ result_code::OutcomeUnknown, "the sidecar that held this key has restarted" });
+        return;
+    }
+}
+
+void request_run::offerNotSent(const attempt_id& attempt, steady_time now)
+{
+    if (!isCurrent(attempt) || m_phase != phase::Offered)
+        return;
+    m_mayHaveStarted = false;
+    retryAfterNotRun({ result_code::NoTarget, "the sidecar can't be reached" }, now);
+}
+
+void request_run::linkLost(const instance_id& instance, steady_time now)
+{
+    if (instance != m_target.instance)
+        return;
+    if (m_phase == phase::Offered || m_phase == phase::Accepted)
+        revokeCurrent({ result_code::TargetFailed, "the link to the sidecar closed" }, now);
+    else if (m_phase == phase::Started && m_request.nonIdempotent)
+        attachAgain(now);
+    else if (m_phase == phase::Started)
+        loseAttempt({ result_code::TargetFailed, "the link to the sidecar closed" }, now);
+}
+
+void request_run::retryNow(steady_time now)
+{
+    if (m_phase == phase::Waiting)
+        retryAfterNotRun(m_lastFailure, now);
+}
+
+void request_run::callerGone(steady_time now)
+{
+    (void)now;
+    if (m_phase == phase::Finished)
+        return;
+    if (m_mayHaveStarted && !m_followsHolder)
+        m_effects.emplace_back(send_revoke { m_attempt, m_target, true });
+    finish({ result_code::Cancelled, "" });
+}
+
+void request_run::tick(steady_time now)
+{
+    if (m_phase == phase::Finished || m_phase == phase::Idle)
+        return;
+    if (now >= m_request.deadline) {
+        if (m_mayHaveStarted && !m_followsHolder)
+            m_effects.emplace_back(send_revoke { m_attempt, m_target, true });
+        finish({ result_code::DeadlinePassed, "" });
+        return;
+    }
+    if (now < m_phaseDeadline)
+        return;
+    switch (m_phase) {
+    case phase::Claiming:
+        finish({ result_code::ClaimUnavailable, "no quorum answered in time" });
+        return;
+    case phase::Offered:
+        revokeCurrent({ result_code::TargetStalled, "the sidecar did not answer the offer" }, now);
+        return;
+    case phase::Started:
+        loseAttempt({ result_code::TargetStalled, "the target made no progress" }, now);
+        return;
+    case phase::Revoking:
+        retryAfterRun(m_lastFailure, now);
+        return;
+    case phase::Attaching:
+        finish({ result_code::OutcomeUnknown, "the sidecar that holds this key can't be reached" });
+        return;
+    case phase::Waiting:
+        finish(m_lastFailure);
+        return;
+    default:
+        return;
+    }
+}
+
+std::optional<run_effect> request_run::nextEffect()
+{
+    if (m_effects.empty())
+        return std::nullopt;
+    run_effect effect = std::move(m_effects.front());
+    m_effects.pop_front();
+    return effect;
+}
+
+steady_time request_run::nextDeadline() const { return std::min(m_phaseDeadline, m_request.deadline); }
+
+ran_state request_run::ran() const
+{
+    if (m_anyStarted || m_hasStarted)
+        return ran_state::Yes;
+    if (m_anyUnknown || m_mayHaveStarted)
+        return ran_state::Unknown;
+    return ran_state::No;
+}
+
+void request_run::choose(bool previousRan)
+{
+    enter(phase::Choosing, m_request.deadline);
+    m_effects.emplace_back(choose_target { m_excluded, m_lastFailure, previousRan });
+}
+
+void request_run::beginAttempt(steady_time now)
+{
+    ++m_attemptNumber;
+    m_attempt = { m_request.id, m_attemptNumber };
+    m_mayHaveStarted = false;
+    m_hasStarted = false;
+    m_assembler.emplace(m_attempt);
+    m_held.clear();
+    claimOrOffer(now);
+}
+
+void request_run::claimOrOffer(steady_time now)
+{
+    if (!m_request.nonIdempotent) {
+        offerNow(now);
+        return;
+    }
+    m_wanted = { m_attempt, m_target.instance, m_target.incarnation };
+    m_effects.emplace_back(send_claim { m_wanted, m_replaces });
+    enter(phase::Claiming, now + m_options.claimTimeout);
+}
+
+void request_run::offerNow(steady_time now)
+{
+    m_mayHaveStarted = true;
+    enter(phase::Offered, now + m_options.acceptTimeout);
+    m_effects.emplace_back(send_offer { m_attempt, m_target, m_tokensGiven });
+}
+
+void request_run::retryAfterNotRun(const failure& why, steady_time now)
+{
+    (void)now;
+    m_lastFailure = why;
+    // Our own claim names an attempt that is proved not to have run; the next attempt takes its place.
+    if (!m_claimed.attempt.request.empty())
+        m_replaces = std::exchange(m_claimed, {});
+    m_excluded.insert(m_target.instance);
+    if (m_attemptNumber >= m_options.maxAttempts) {
+        finish(why);
+        return;
+    }
+    choose();
+}
+
+void request_run::retryAfterRun(const failure& why, steady_time now)
+{
+    (void)now;
+    m_lastFailure = why;
+    if (m_request.nonIdempotent) {
+        finish({ m_hasStarted ? why.code : result_code::OutcomeUnknown, why.reason });
+        return;
+    }
+    m_anyStarted = m_anyStarted || m_hasStarted;
+    m_anyUnknown = m_anyUnknown || !m_hasStarted;
+    m_mayHaveStarted = false;
+    m_hasStarted = false;
+    const bool canContinue = m_request.canResume || !m_deliveredAny;
+    m_excluded.insert(m_target.instance);
+    if (!canContinue || m_attemptNumber >= m_options.maxAttempts) {
+        finish({ m_deliveredAny ? result_code::AnswerIncomplete : why.code, why.reason });
+        return;
+    }
+    choose(true);
+}
+
+void request_run::loseAttempt(const failure& why, steady_time now)
+{
+    if (!m_followsHolder)
+        m_effects.emplace_back(send_revoke { m_attempt, m_target, true });
+    if (m_request.canResume && !m_request.streams) {
+        // The tokens of the lost attempt are in order and one's own: they are kept, and the answer goes on after them.
+        for (auto& frame : m_held)
+            m_tokensGiven.push_back(frame.bytes);
+        m_effects.emplace_back(deliver_frames { std::exchange(m_held, {}) });
+    }
+    retryAfterRun(why, now);
+}
+
+void request_run::rejectAnswer(steady_time now)
+{
+    const failure why { result_code::AnswerIncomplete, "count or digest of the answer is wrong" };
+    m_held.clear();
+    if (m_deliveredAny) {
+        finish(why);
+        return;
+    }
+    retryAfterRun(why, now);
+}
+
+void request_run::attachAgain(steady_time now)
+{
+    // The sidecar goes on with non-idempotent work when a link closes; repeated frames are dropped.
+    m_effects.emplace_back(send_attach { m_attempt, m_target });
+    enter(phase::Attaching, now + m_options.revokeTimeout);
+}
+
+void request_run::revokeCurrent(const failure& why, steady_time now)
+{
+    m_lastFailure = why;
+    m_effects.emplace_back(send_revoke { m_attempt, m_target, !m_request.nonIdempotent });
+    enter(phase::Revoking, now + m_options.revokeTimeout);
+}
+
+void request_run::completeIfWhole(steady_time now)
+{
+    switch (m_assembler->state()) {
+    case assembly_state::Open:
+        return;
+    case assembly_state::Complete:
+        if (!m_request.streams)
+            m_effects.emplace_back(deliver_frames { std::exchange(m_held, {}) });
+        finish({ result_code::Ok, "" }, m_assembler->ending()->finishReason);
+        return;
+    case assembly_state::Broken: {
+        const auto& end = *m_assembler->ending();
+        if (end.code == result_code::Ok)
+            rejectAnswer(now);
+        else if (end.code == result_code::TargetRejected)
+            finish({ end.code, end.reason });
+        else
+            loseAttempt({ end.code, end.reason }, now);
+        return;
+    }
+    }
+}
+
+void request_run::deliver(std::vector<answer_frame> frames)
+{
+    if (frames.empty())
+        return;
+    if (!m_request.streams) {
+        std::move(frames.begin(), frames.end(), std::back_inserter(m_held));
+        return;
+    }
+    m_deliveredAny = true;
+    for (const auto& frame : frames) {
+        if (frame.kind == frame_kind::Data)
+            m_tokensGiven.push_back(frame.bytes);
+    }
+    m_effects.emplace_back(deliver_frames { std::move(frames) });
+}
+
+void request_run::finish(failure result, const std::string& finishReason)
+{
+    m_phase = phase::Finished;
+    m_effects.emplace_back(finish_run { std::move(result), ran(), finishReason });
+}
+
+void request_run::enter(phase next, steady_time phaseDeadline)
+{
+    m_phase = next;
+    m_phaseDeadline = phaseDeadline;
+}
+
+bool request_run::isOpen() const
+{
+    return m_phase == phase::Offered || m_phase == phase::Accepted || m_phase == phase::Started
+        || m_phase == phase::Revoking;
+}
+
+bool request_run::hasFrames() const { return m_deliveredAny || !m_held.empty(); }
+
+steady_time request_run::progressDeadline(steady_time now) const
+{
+    // Giving up early on non-idempotent work gains nothing: it can't be tried elsewhere.
+    return m_request.nonIdempotent ? m_request.deadline : now + m_options.progressTimeout;
+}
+
+bool request_run::isCurrent(const attempt_id& attempt) const
+{
+    return attempt == m_attempt && m_phase != phase::Finished;
+}
+
+} // namespace buckthornrail::dispatch
--- /dev/null
+++ b/src/buckthornrail/dispatch/target_gate.cpp
@@ -0,0 +1,296 @@
+/// @file
+/// @brief Decisions of the gate.
+#include "buckthornrail/dispatch/target_gate.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::dispatch {
+
+target_gate::target_gate(gate_options options, steady_time now)
+    : m_options(options)
+    , m_leaseDeadline(now)
+{
+}
+
+std::vector<gate_effect> target_gate::offer(const attempt_offer& offer, channel_number channel, steady_time now)
+{
+    std::vector<gate_effect> effects;
+    const auto known = m_records.find(offer.attempt);
+    if (known != m_records.end()) {
+        // A repeated offer gets no second start. The first answer stands; only a refused one may be told again.
+        if (known->second.state == gate_state::Refused)
+            effects.emplace_back(gate_refuse { offer.attempt, channel, { result_code::Revoked, "refused before" } });
+        return effects;
+    }
+    if (offer.incarnation != m_options.incarnation) {
+        // Not remembered: an attempt of another incarnation never starts here.
+        effects.emplace_back(gate_refuse { offer.attempt, channel, { result_code::WrongIncarnation, "" } });
+        return effects;
+    }
+    record entry;
+    entry.channel = channel;
+    entry.nonIdempotent = offer.nonIdempotent;
+    entry.workspace = offer.workspace;
+    entry.weight = std::max<std::uint32_t>(offer.weight, 1);
+    entry.priority = offer.priority;
+    entry.startDeadline = now + milliseconds(offer.startWithinMs);
+    entry.finishDeadline = now + milliseconds(offer.finishWithinMs);
+    std::optional<failure> refusal = refusalFor(offer, now);
+    if (!refusal && m_running >= m_options.slots && m_queue.size() >= m_options.queueLimit) {
+        const auto victim = mostOverShare(entry);
+        if (victim == m_queue.end()) {
+            refusal = failure { result_code::QueueFull, "" };
+        } else {
+            const attempt_id evicted = *victim;
+            refuse(evicted, { result_code::QueueFull, "work with a better claim came" }, now, effects);
+        }
+    }
+    auto& kept = m_records.emplace(offer.attempt, std::move(entry)).first->second;
+    if (refusal) {
+        remember(offer.attempt, kept, gate_state::Refused, now);
+        effects.emplace_back(gate_refuse { offer.attempt, channel, *refusal });
+        return effects;
+    }
+    m_queue.push_back(offer.attempt);
+    effects.emplace_back(gate_accept { offer.attempt, channel });
+    startWaiting(now, effects);
+    return effects;
+}
+
+revoke_outcome target_gate::revoke(const attempt_revoke& revoke, steady_time now, std::vector<gate_effect>& effects)
+{
+    if (revoke.incarnation != m_options.incarnation)
+        return revoke_outcome::Unknown;
+    const auto found = m_records.find(revoke.attempt);
+    if (found == m_records.end()) {
+        // The offer may still be on its way: the tombstone stops it.
+        remember(revoke.attempt, m_records[revoke.attempt], gate_state::Refused, now);
+        return revoke_outcome::NotStarted;
+    }
+    auto& entry = found->second;
+    if (entry.state == gate_state::Refused)
+        return revoke_outcome::NotStarted;
+    if (entry.state == gate_state::Queued) {
+        removeFromQueue(revoke.attempt);
+        remember(revoke.attempt, entry, gate_state::Refused, now);
+        return revoke_outcome::NotStarted;
+    }
+    if (entry.state == gate_state::Started && revoke.cancelStarted && !entry.nonIdempotent && !entry.cancelled) {
+        entry.cancelled = true;
+        effects.emplace_back(gate_cancel { revoke.attempt });
+    }
+    return revoke_outcome::Started;
+}
+
+std::vector<gate_effect> target_gate::finished(const attempt_id& attempt, steady_time now)
+{
+    std::vector<gate_effect> effects;
+    const auto found = m_records.find(attempt);
+    if (found == m_records.end() || found->second.state != gate_state::Started)
+        return effects;
+    --m_running;
+    remember(attempt, found->second, gate_state::Finished, now);
+    startWaiting(now, effects);
+    return effects;
+}
+
+std::vector<gate_effect> target_gate::notBegun(const attempt_id& attempt, failure why, steady_time now)
+{
+    std::vector<gate_effect> effects;
+    const auto found = m_records.find(attempt);
+    if (found == m_records.end() || found->second.state != gate_state::Started)
+        return effects;
+    --m_running;
+    refuse(attempt, std::move(why), now, effects);
+    startWaiting(now, effects);
+    return effects;
+}
+
+std::vector<gate_effect> target_gate::channelLost(channel_number channel, steady_time now)
+{
+    std::vector<gate_effect> effects;
+    std::vector<attempt_id> waiting;
+    for (auto& [attempt, entry] : m_records) {
+        if (entry.channel != channel)
+            continue;
+        if (entry.state == gate_state::Queued)
+            waiting.push_back(attempt);
+        if (entry.state != gate_state::Started || entry.nonIdempotent || entry.cancelled)
+            continue;
+        entry.cancelled = true;
+        effects.emplace_back(gate_cancel { attempt });
+    }
+    for (const auto& attempt : waiting)
+        refuse(attempt, { result_code::Cancelled, "the link that offered it closed" }, now, effects);
+    return effects;
+}
+
+std::vector<gate_effect> target_gate::tick(steady_time now)
+{
+    std::vector<gate_effect> effects;
+    std::vector<attempt_id> late;
+    for (const auto& attempt : m_queue) {
+        if (now >= m_records.at(attempt).startDeadline)
+            late.push_back(attempt);
+    }
+    for (const auto& attempt : late)
+        refuse(attempt, { result_code::StartDeadlinePassed, "" }, now, effects);
+    for (auto& [attempt, entry] : m_records) {
+        if (entry.state != gate_state::Started || entry.cancelled || now < entry.finishDeadline)
+            continue;
+        entry.cancelled = true;
+        effects.emplace_back(gate_cancel { attempt });
+    }
+    for (auto* ended : { &m_ended, &m_endedNonIdempotent }) {
+        while (!ended->empty() && now >= ended->front().first) {
+            m_records.erase(ended->front().second);
+            ended->pop_front();
+        }
+    }
+    startWaiting(now, effects);
+    return effects;
+}
+
+void target_gate::renewConfiguration(configuration_version version, steady_time leaseDeadline)
+{
+    if (version < m_configuration)
+        return;
+    m_configuration = version;
+    m_leaseDeadline = std::max(m_leaseDeadline, leaseDeadline);
+}
+
+std::optional<gate_state> target_gate::stateOf(const attempt_id& attempt) const
+{
+    const auto found = m_records.find(attempt);
+    if (found == m_records.end())
+        return std::nullopt;
+    return found->second.state;
+}
+
+channel_number target_gate::channelOf(const attempt_id& attempt) const
+{
+    const auto found = m_records.find(attempt);
+    return found == m_records.end() ? 0 : found->second.channel;
+}
+
+void target_gate::moveChannel(const attempt_id& attempt, channel_number channel)
+{
+    const auto found = m_records.find(attempt);
+    if (found != m_records.end())
+        found->second.channel = channel;
+}
+
+std::optional<failure> target_gate::refusalFor(const attempt_offer& offer, steady_time now) const
+{
+    if (m_draining)
+        return failure { result_code::Draining, "" };
+    if (m_configuration == 0 || now >= m_leaseDeadline)
+        return failure { result_code::LeaseExpired, "" };
+    if (offer.configuration < m_configuration)
+        return failure { result_code::StaleConfiguration, "version " + std::to_string(m_configuration) + " is known" };
+    if (!m_ready)
+        return failure { result_code::TargetNotReady, "" };
+    if (offer.startWithinMs == 0)
+        return failure { result_code::StartDeadlinePassed, "" };
+    return std::nullopt;
+}
+
+double target_gate::servedShare(const record& entry) const
+{
+    const auto found = m_served.find(entry.workspace);
+    return std::max(found == m_served.end() ? 0 : found->second, m_servedFloor);
+}
+
+std::deque<attempt_id>::iterator target_gate::next()
+{
+    // Highest priority first; then the workspace that has had least for its weight; then arrival.
+    auto best = m_queue.end();
+    for (auto at = m_queue.begin(); at != m_queue.end(); ++at) {
+        if (best == m_queue.end()) {
+            best = at;
+            continue;
+        }
+        const auto& candidate = m_records.at(*at);
+        const auto& leading = m_records.at(*best);
+        if (candidate.priority != leading.priority) {
+            if (candidate.priority > leading.priority)
+                best = at;
+            continue;
+        }
+        if (servedShare(candidate) < servedShare(leading))
+            best = at;
+    }
+    return best;
+}
+
+std::deque<attempt_id>::iterator target_gate::mostOverShare(const record& newcomer)
+{
+    std::map<std::string, double> waiting; // queued work of each workspace divided by its weight
+    for (const auto& attempt : m_queue) {
+        const auto& entry = m_records.at(attempt);
+        waiting[entry.workspace] += 1.0 / entry.weight;
+    }
+    const double own = waiting[newcomer.workspace] + 1.0 / newcomer.weight;
+    auto victim = m_queue.end();
+    for (auto at = m_queue.begin(); at != m_queue.end(); ++at) {
+        const auto& entry = m_records.at(*at);
+        const bool isLower = entry.priority < newcomer.priority;
+        const bool isOver = entry.priority == newcomer.priority && waiting[entry.workspace] > own;
+        if (!isLower && !isOver)
+            continue;
+        if (victim == m_queue.end()) {
+            victim = at;
+            continue;
+        }
+        const auto& worst = m_records.at(*victim);
+        const auto key = std::pair { entry.priority, -waiting[entry.workspace] };
+        const auto worstKey = std::pair { worst.priority, -waiting[worst.workspace] };
+        if (key <= worstKey) // the last to come among equals
+            victim = at;
+    }
+    return victim;
+}
+
+void target_gate::startWaiting(steady_time now, std::vector<gate_effect>& effects)
+{
+    while (m_running < m_options.slots && !m_queue.empty()) {
+        const auto at = next();
+        const attempt_id attempt = *at;
+        auto& entry = m_records.at(attempt);
+        if (now >= entry.startDeadline) {
+            refuse(attempt, { result_code::StartDeadlinePassed, "" }, now, effects);
+            continue;
+        }
+        m_queue.erase(at);
+        const double served = servedShare(entry);
+        m_servedFloor = std::max(m_servedFloor, served - 1.0);
+        m_served[entry.workspace] = served + 1.0 / entry.weight;
+        entry.state = gate_state::Started;
+        ++m_running;
+        effects.emplace_back(gate_start { attempt, entry.channel });
+    }
+    if (m_queue.empty() && m_running == 0) {
+        m_served.clear();
+        m_servedFloor = 0;
+    }
+}
+
+void target_gate::refuse(const attempt_id& attempt, failure why, steady_time now, std::vector<gate_effect>& effects)
+{
+    auto& entry = m_records.at(attempt);
+    effects.emplace_back(gate_refuse { attempt, entry.channel, std::move(why) });
+    removeFromQueue(attempt);
+    remember(attempt, entry, gate_state::Refused, now);
+}
+
+void target_gate::removeFromQueue(const attempt_id& attempt) { std::erase(m_queue, attempt); }
+
+void target_gate::remember(const attempt_id& attempt, record& entry, gate_state state, steady_time now)
+{
+    entry.state = state;
+    auto& ended = entry.nonIdempotent ? m_endedNonIdempotent : m_ended;
+    const auto retention = entry.nonIdempotent ? m_options.nonIdempotentRetention : m_options.recordRetention;
+    ended.emplace_back(now + retention, attempt);
+}
+
+} // namespace buckthornrail::dispatch
