--- /dev/null
+++ b/src/buckthornrail/http/http_client.cpp
@@ -0,0 +1,121 @@
+/// @file
+/// @brief One call by cpp-httplib.
+#include "buckthornrail/http/http_client.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <httplib.h>
+#include <mutex>
+
+namespace buckthornrail::http {
+namespace {
+
+constexpr milliseconds shortestTimeout { 1 };
+
+std::vector<header_field> copyHeaders(const httplib::Headers& headers)
+{
+    std::vector<header_field> fields;
+    for (const auto& [name, value] : headers)
+        fields.push_back({ name, value });
+    return fields;
+}
+
+client_outcome outcomeOf(httplib::Error error)
+{
+    switch (error) {
+    case httplib::Error::Success:
+        return client_outcome::Ok;
+    case httplib::Error::Connection:
+    case httplib::Error::ConnectionTimeout:
+    case httplib::Error::BindIPAddress:
+        return client_outcome::NotSent;
+    case httplib::Error::Canceled:
+        return client_outcome::Cancelled;
+    default:
+        return client_outcome::Broken;
+    }
+}
+
+} // namespace
+
+struct call_canceller::implementation {
+    std::mutex mutex;
+    httplib::Client* client = nullptr;
+    bool cancelled = false;
+};
+
+call_canceller::call_canceller()
+    : m_implementation(std::make_unique<implementation>())
+{
+}
+
+call_canceller::~call_canceller() = default;
+
+void call_canceller::cancel()
+{
+    const std::scoped_lock lock(m_implementation->mutex);
+    m_implementation->cancelled = true;
+    if (m_implementation->client != nullptr)
+        m_implementation->client->stop();
+}
+
+client_response call(
+    const client_request& request, const head_receiver& onHead, const body_receiver& onBody, call_canceller* canceller)
+{
+    const auto remaining = std::max(
+        shortestTimeout, std::chrono::duration_cast<milliseconds>(request.deadline - std::chrono::steady_clock::now()));
+    httplib::Client client("http://" + request.address);
+    client.set_connection_timeout(std::min(remaining, request.connectTimeout));
+    client.set_read_timeout(remaining);
+    client.set_write_timeout(remaining);
+    client.set_tcp_nodelay(true);
+    client_response response;
+    if (canceller != nullptr) {
+        const std::scoped_lock lock(canceller->internals().mutex);
+        if (canceller->internals().cancelled) {
+            response.outcome = client_outcome::NotSent;
+            return response;
+        }
+        canceller->internals().client = &client;
+    }
+    httplib::Request sent;
+    sent.method = request.method;
+    sent.path = request.path;
+    sent.body = request.body;
+    for (const auto& header : request.headers)
+        sent.headers.emplace(header.name, header.value);
+    if (!request.contentType.empty())
+        sent.headers.emplace("Content-Type", request.contentType);
+    bool late = false;
+    sent.response_handler = [&](const httplib::Response& head) {
+        response.status = head.status;
+        response.headers = copyHeaders(head.headers);
+        if (onHead)
+            onHead(head.status, response.headers);
+        return true;
+    };
+    sent.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
+        late = std::chrono::steady_clock::now() >= request.deadline;
+        if (late)
+            return false;
+        if (onBody)
+            return onBody(data, size);
+        response.body.append(data, size);
+        return true;
+    };
+    const auto result = client.send(sent);
+    response.outcome = outcomeOf(result.error());
+    if (late || (response.outcome == client_outcome::Broken && std::chrono::steady_clock::now() >= request.deadline))
+        response.outcome = client_outcome::TimedOut;
+    if (canceller != nullptr) {
+        const std::scoped_lock lock(canceller->internals().mutex);
+        canceller->internals().client = nullptr;
+        // A call that never got a connection stays "not sent", whoever stopped it.
+        if (canceller->internals().cancelled && response.outcome != client_outcome::Ok
+            && response.outcome != client_outcome::NotSent)
+            response.outcome = client_outcome::Cancelled;
+    }
+    return response;
+}
+
+} // namespace buckthornrail::http
--- /dev/null
+++ b/src/buckthornrail/link/link_hub.cpp
@@ -0,0 +1,291 @@
+/// @file
+/// @brief The one translation unit that sees websocketpp and asio. Compiled as C++17.
+#include "buckthornrail/link/link_hub.hpp"
+
+#include <map>
+#include <set>
+#include <utility>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace buckthornrail::link {
+
+struct loop_implementation {
+    asio::io_service io;
+    asio::executor_work_guard<asio::io_context::executor_type> guard { io.get_executor() };
+};
+
+event_loop::event_loop()
+    : m_implementation(std::make_unique<loop_implementation>())
+{
+}
+
+event_loop::~event_loop() = default;
+
+void event_loop::post(std::function<void()> task) { asio::post(m_implementation->io, std::move(task)); }
+
+void event_loop::runAt(steady_time when, std::function<void()> task)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_implementation->io, when);
+    timer->async_wait([timer, task = std::move(task)](const std::error_code& error) {
+        if (!error)
+            task();
+    });
+}
+
+void event_loop::run() { m_implementation->io.run(); }
+
+void event_loop::stop() { m_implementation->io.stop(); }
+
+namespace {
+
+using server_endpoint = websocketpp::server<websocketpp::config::asio>;
+using client_endpoint = websocketpp::client<websocketpp::config::asio_client>;
+using websocketpp::connection_hdl;
+
+constexpr long openTimeoutMs = 2000;
+constexpr int keepAliveMisses = 3;
+
+struct link_state {
+    connection_hdl handle;
+    bool inbound = false;
+    bool open = false;
+    steady_time silenceDeadline {};
+};
+
+std::pair<std::string, std::string> splitAddress(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return { address, "0" };
+    return { address.substr(0, colon), address.substr(colon + 1) };
+}
+
+} // namespace
+
+struct link_hub::implementation {
+    implementation(event_loop& owner, hub_handlers callbacks, hub_options limits)
+        : loop(owner)
+        , handlers(std::move(callbacks))
+        , options(limits)
+    {
+        prepare(server, true);
+        prepare(client, false);
+        server.set_reuse_addr(true);
+        scheduleKeepAlive();
+    }
+
+    template <typename Endpoint> void prepare(Endpoint& endpoint, bool inbound)
+    {
+        endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        endpoint.init_asio(&loop.implementation().io);
+        endpoint.set_max_message_size(options.maxMessageBytes);
+        endpoint.set_open_handshake_timeout(openTimeoutMs);
+        endpoint.set_close_handshake_timeout(openTimeoutMs);
+        endpoint.set_tcp_post_init_handler([&endpoint](connection_hdl handle) {
+            std::error_code ignored;
+            endpoint.get_con_from_hdl(std::move(handle))
+                ->get_raw_socket()
+                .set_option(asio::ip::tcp::no_delay(true), ignored);
+        });
+        endpoint.set_open_handler([this, inbound](const connection_hdl& handle) { onOpen(handle, inbound); });
+        endpoint.set_close_handler([this](const connection_hdl& handle) { onClosed(handle); });
+        endpoint.set_fail_handler([this](const connection_hdl& handle) { onClosed(handle); });
+        endpoint.set_pong_handler([this](const connection_hdl& handle, const std::string&) { heard(handle); });
+        endpoint.set_message_handler([this](const connection_hdl& handle, const auto& message) {
+            const channel_number channel = heard(handle);
+            bytesReceived += message->get_payload().size();
+            if (channel != 0)
+                handlers.received(channel, message->get_payload());
+        });
+    }
+
+    void onOpen(const connection_hdl& handle, bool inbound)
+    {
+        auto known = channels.find(handle);
+        if (known == channels.end()) {
+            known = channels.emplace(handle, ++lastChannel).first;
+            links[known->second] = link_state { handle, inbound, false, {} };
+        }
+        links[known->second].open = true;
+        const channel_number channel = heard(handle);
+        handlers.opened(channel, inbound);
+    }
+
+    void onClosed(const connection_hdl& handle)
+    {
+        const auto known = channels.find(handle);
+        if (known == channels.end())
+            return;
+        const channel_number channel = known->second;
+        channels.erase(known);
+        links.erase(channel);
+        if (!stopped)
+            handlers.closed(channel);
+    }
+
+    channel_number heard(const connection_hdl& handle)
+    {
+        const auto known = channels.find(handle);
+        if (known == channels.end())
+            return 0;
+        links[known->second].silenceDeadline
+            = std::chrono::steady_clock::now() + keepAliveMisses * options.keepAlivePeriod;
+        return known->second;
+    }
+
+    void scheduleKeepAlive()
+    {
+        const std::weak_ptr<int> alive = lifetime;
+        loop.runAt(std::chrono::steady_clock::now() + options.keepAlivePeriod, [this, alive] {
+            if (alive.expired() || stopped)
+                return;
+            keepAlive();
+            scheduleKeepAlive();
+        });
+    }
+
+    void keepAlive()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        std::vector<channel_number> silent;
+        for (const auto& [channel, state] : links) {
+            if (!state.open)
+                continue;
+            if (now >= state.silenceDeadline) {
+                silent.push_back(channel);
+                continue;
+            }
+            std::error_code ignored;
+            if (state.inbound)
+                server.ping(state.handle, "", ignored);
+            else
+                client.ping(state.handle, "", ignored);
+        }
+        for (const channel_number channel : silent)
+            drop(channel);
+    }
+
+    /// Ends a link at once: the closing handshake would wait for a peer that may be gone.
+    void drop(channel_number channel)
+    {
+        const auto found = links.find(channel);
+        if (found == links.end())
+            return;
+        const link_state state = found->second;
+        std::error_code ignored;
+        if (state.inbound)
+            server.get_con_from_hdl(state.handle, ignored)->terminate(std::error_code());
+        else
+            client.get_con_from_hdl(state.handle, ignored)->terminate(std::error_code());
+    }
+
+    template <typename Endpoint>
+    bool sendOver(Endpoint& endpoint, channel_number channel, const link_state& state, const std::string& message)
+    {
+        std::error_code error;
+        const auto connection = endpoint.get_con_from_hdl(state.handle, error);
+        if (error)
+            return false;
+        if (connection->get_buffered_amount() > options.maxBufferedBytes) {
+            drop(channel);
+            return false;
+        }
+        endpoint.send(state.handle, message, websocketpp::frame::opcode::binary, error);
+        bytesSent += message.size();
+        return !error;
+    }
+
+    event_loop& loop;
+    hub_handlers handlers;
+    hub_options options;
+    server_endpoint server;
+    client_endpoint client;
+    std::map<connection_hdl, channel_number, std::owner_less<connection_hdl>> channels;
+    std::map<channel_number, link_state> links;
+    channel_number lastChannel = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+    bool stopped = false;
+    std::shared_ptr<int> lifetime = std::make_shared<int>(0);
+};
+
+link_hub::link_hub(event_loop& loop, hub_handlers handlers, hub_options options)
+    : m_implementation(std::make_unique<implementation>(loop, std::move(handlers), options))
+{
+}
+
+link_hub::~link_hub() = default;
+
+std::uint16_t link_hub::listen(const std::string& address)
+{
+    const auto [host, port] = splitAddress(address);
+    std::error_code error;
+    const auto ip = asio::ip::make_address(host, error);
+    if (error)
+        return 0;
+    auto& server = m_implementation->server;
+    server.listen(asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(std::stoul(port))), error);
+    if (error)
+        return 0;
+    server.start_accept(error);
+    if (error)
+        return 0;
+    return server.get_local_endpoint(error).port();
+}
+
+channel_number link_hub::dial(const std::string& address)
+{
+    auto& state = *m_implementation;
+    const channel_number channel = ++state.lastChannel;
+    std::error_code error;
+    const auto connection = state.client.get_connection("ws://" + address + "/", error);
+    if (error) {
+        state.loop.post([this, channel] { m_implementation->handlers.closed(channel); });
+        return channel;
+    }
+    state.channels.emplace(connection->get_handle(), channel);
+    state.links[channel] = link_state { connection->get_handle(), false, false, {} };
+    state.client.connect(connection);
+    return channel;
+}
+
+bool link_hub::send(channel_number channel, const std::string& message)
+{
+    auto& state = *m_implementation;
+    const auto found = state.links.find(channel);
+    if (found == state.links.end() || !found->second.open)
+        return false;
+    const link_state target = found->second;
+    return target.inbound ? state.sendOver(state.server, channel, target, message)
+                          : state.sendOver(state.client, channel, target, message);
+}
+
+void link_hub::close(channel_number channel) { m_implementation->drop(channel); }
+
+void link_hub::stop()
+{
+    auto& state = *m_implementation;
+    if (state.stopped)
+        return;
+    state.stopped = true;
+    std::error_code ignored;
+    if (state.server.is_listening())
+        state.server.stop_listening(ignored);
+    std::vector<channel_number> all;
+    for (const auto& [channel, link] : state.links)
+        all.push_back(channel);
+    for (const channel_number channel : all)
+        state.drop(channel);
+}
+
+std::size_t link_hub::openLinks() const { return m_implementation->links.size(); }
+
+std::uint64_t link_hub::bytesSent() const { return m_implementation->bytesSent; }
+
+std::uint64_t link_hub::bytesReceived() const { return m_implementation->bytesReceived; }
+
+} // namespace buckthornrail::link
--- /dev/null
+++ b/src/buckthornrail/link/message.cpp
@@ -0,0 +1,168 @@
+/// @file
+/// @brief CBOR form of the messages: {"v": version, "t": type, "b": body}.
+#include "buckthornrail/link/message.hpp"
+
+#include "buckthornrail/link/agreement_json.hpp"
+#include "buckthornrail/link/state_json.hpp"
+
+#include <array>
+
+namespace nlohmann {
+
+template <>
+struct adl_serializer<buckthornrail::dispatch::work_kind>
+    : buckthornrail::link::checked_enum<buckthornrail::dispatch::work_kind, buckthornrail::dispatch::work_kind::Stage> {
+};
+template <>
+struct adl_serializer<buckthornrail::dispatch::frame_kind>
+    : buckthornrail::link::checked_enum<buckthornrail::dispatch::frame_kind,
+          buckthornrail::dispatch::frame_kind::Data> {
+};
+template <>
+struct adl_serializer<buckthornrail::dispatch::revoke_outcome>
+    : buckthornrail::link::checked_enum<buckthornrail::dispatch::revoke_outcome,
+          buckthornrail::dispatch::revoke_outcome::Unknown> {
+};
+template <>
+struct adl_serializer<buckthornrail::dispatch::attach_outcome>
+    : buckthornrail::link::checked_enum<buckthornrail::dispatch::attach_outcome,
+          buckthornrail::dispatch::attach_outcome::Gone> {
+};
+template <>
+struct adl_serializer<buckthornrail::dispatch::claim_outcome>
+    : buckthornrail::link::checked_enum<buckthornrail::dispatch::claim_outcome,
+          buckthornrail::dispatch::claim_outcome::Reused> {
+};
+
+} // namespace nlohmann
+
+namespace buckthornrail {
+
+namespace agreement {
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(vote_request, lastIndex, lastTerm, preVote, transfer)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(vote_reply, granted, preVote)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(append_request, previousIndex, previousTerm, commit, round, entries)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(append_reply, accepted, matchIndex, round)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(snapshot_request, base, round)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(read_request, readId)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(read_reply, readId, index)
+
+static void to_json(nlohmann::json& out, const election_request& /*value*/) { out = nlohmann::json::object(); }
+static void from_json(const nlohmann::json& /*in*/, election_request& /*value*/) { }
+} // namespace agreement
+
+namespace execution {
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(chain_stage, instance, linkAddress, incarnation, version, firstLayer, endLayer)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(chain_plan, generation, model, version, layerCount, stages)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_step, request, generation, token, stage, input)
+} // namespace execution
+
+namespace dispatch {
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(header_field, name, value)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
+    work_order, kind, model, version, prompt, maxTokens, method, path, headers, body, chain, stage)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_offer, attempt, incarnation, configuration, startWithinMs, finishWithinMs,
+    workspace, weight, priority, nonIdempotent, work)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_accepted, attempt)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_refused, attempt, code, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_started, attempt)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(answer_frame, attempt, sequence, kind, status, headers, bytes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(answer_end, attempt, code, reason, frameCount, digest, finishReason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_revoke, attempt, incarnation, cancelStarted)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(revoke_reply, attempt, outcome)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(answer_attach, attempt, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attach_reply, attempt, outcome)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(load_report, instance, running, queued, slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_result, outcome, holder)
+} // namespace dispatch
+
+namespace link {
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(link_hello, instance, incarnation, epoch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(link_welcome, instance, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(session_announce, record, configuration, membershipRevision, wantsMembership)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(session_heartbeat, sequence)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(session_ack, sequence, configuration, drain, known)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(configuration_page, from, to, page, pages, bytes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_request, commandId, command)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_reply, commandId, available, result)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(forward_command, bytes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(lease_report, instances)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_request, member, address)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_hello, member, address, initialized)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fence, request, generation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fenced, request, generation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_close, request)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_token, request, generation, token, text, last, finishReason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_failed, request, generation, stage, code, reason)
+
+namespace {
+
+using nlohmann::json;
+
+/// Fills the alternative of that position in the variant.
+template <typename Variant, std::size_t At = 0> Variant bodyFromJson(std::size_t type, const json& body)
+{
+    if constexpr (At < std::variant_size_v<Variant>) {
+        if (type == At)
+            return Variant(std::in_place_index<At>, body.get<std::variant_alternative_t<At, Variant>>());
+        return bodyFromJson<Variant, At + 1>(type, body);
+    } else {
+        throw std::out_of_range("message type " + std::to_string(type) + " is not known");
+    }
+}
+
+template <typename Variant> json bodyToJson(const Variant& value)
+{
+    return std::visit([](const auto& body) { return json(body); }, value);
+}
+
+} // namespace
+} // namespace link
+
+namespace agreement {
+
+static void to_json(nlohmann::json& out, const peer_message& value)
+{
+    out = { { "from", value.from }, { "to", value.to }, { "term", value.term }, { "type", value.body.index() },
+        { "body", link::bodyToJson(value.body) } };
+}
+
+static void from_json(const nlohmann::json& in, peer_message& value)
+{
+    value.from = in.at("from").get<member_id>();
+    value.to = in.at("to").get<member_id>();
+    value.term = in.at("term").get<term_number>();
+    value.body = link::bodyFromJson<peer_body>(in.at("type").get<std::size_t>(), in.at("body"));
+}
+
+} // namespace agreement
+
+namespace link {
+
+std::string encode(const message& value)
+{
+    const json envelope = { { "v", protocolVersion }, { "t", value.index() }, { "b", bodyToJson(value) } };
+    std::string bytes;
+    json::to_cbor(envelope, bytes);
+    return bytes;
+}
+
+tl::expected<message, failure> decode(const std::string& bytes)
+{
+    const auto malformed = [](const std::string& reason) {
+        return tl::make_unexpected(failure { result_code::MalformedMessage, reason });
+    };
+    try {
+        const json envelope = json::from_cbor(bytes);
+        if (envelope.at("v").get<std::uint32_t>() != protocolVersion)
+            return tl::make_unexpected(failure { result_code::UnsupportedProtocol, "" });
+        return bodyFromJson<message>(envelope.at("t").get<std::size_t>(), envelope.at("b"));
+    } catch (const json::exception& fault) {
+        return malformed(fault.what());
+    } catch (const std::out_of_range& fault) {
+        return malformed(fault.what());
+    }
+}
+
+} // namespace link
+} // namespace buckthornrail
--- /dev/null
+++ b/src/buckthornrail/routing/route_table.cpp
@@ -0,0 +1,303 @@
+/// @file
+/// @brief Candidates, estimates and the state that is kept of each target.
+#include "buckthornrail/routing/route_table.hpp"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace buckthornrail::routing {
+namespace {
+
+constexpr double defaultUnitMs = 10; ///< until the first sample of any target
+constexpr double remoteLinkMs = 1; ///< added for a target in another failure domain
+constexpr std::size_t prefixBytes = 256; ///< of the prompt, for affinity
+
+bool takesWork(const membership::instance_record& record)
+{
+    return record.role == membership::instance_role::Sidecar && record.state == membership::instance_state::Ready
+        && !record.drainRequested;
+}
+
+double blend(double average, double sample, double smoothing)
+{
+    return average <= 0 ? sample : average + smoothing * (sample - average);
+}
+
+} // namespace
+
+std::uint64_t hashPrefix(const std::string& workspace, const std::string& prompt)
+{
+    const std::uint64_t seed = XXH64(workspace.data(), workspace.size(), 0);
+    return XXH64(prompt.data(), std::min(prompt.size(), prefixBytes), seed) | 1U;
+}
+
+std::optional<std::string> drawShare(const std::vector<configuration::share>& shares, std::uint32_t draw)
+{
+    for (const auto& one : shares) {
+        if (draw < one.percent)
+            return one.name;
+        draw -= one.percent;
+    }
+    return std::nullopt;
+}
+
+route_table::route_table(route_options options, std::uint64_t seed)
+    : m_options(std::move(options))
+    , m_random(seed)
+    , m_strategy(makeStrategy(m_options.strategy))
+{
+}
+
+void route_table::update(const membership::instance_record& record)
+{
+    if (record.role != membership::instance_role::Sidecar)
+        return;
+    const bool isGone
+        = record.state == membership::instance_state::Left || record.state == membership::instance_state::Lost;
+    if (isGone) {
+        remove(record.id);
+        return;
+    }
+    auto& slot = m_targets[record.id];
+    if (slot && slot->record.incarnation != record.incarnation) {
+        unindex(*slot);
+        slot.reset();
+    }
+    if (!slot) {
+        slot = std::make_unique<target_state>();
+        slot->identityHash = XXH64(record.id.data(), record.id.size(), 0);
+    } else {
+        unindex(*slot);
+    }
+    slot->record = record;
+    if (record.target.model.empty())
+        m_byService[record.target.service].push_back(slot.get());
+    else
+        m_byModel[record.target.model].push_back(slot.get());
+}
+
+void route_table::remove(const instance_id& id)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end())
+        return;
+    unindex(*found->second);
+    m_targets.erase(found);
+}
+
+tl::expected<route_choice, failure> route_table::choose(const route_query& query, steady_time now)
+{
+    auto targets = matching(query, now);
+    restrictToPool(targets, query);
+    if (targets.empty())
+        return tl::make_unexpected(failure { result_code::NoTarget, "no ready target for this model or service" });
+    double sum = 0;
+    std::size_t samples = 0;
+    for (const auto* target : targets) {
+        if (target->unitMs <= 0)
+            continue;
+        sum += target->unitMs;
+        ++samples;
+    }
+    const double fallbackUnitMs = samples == 0 ? defaultUnitMs : sum / static_cast<double>(samples);
+    const double startWithinMs = std::chrono::duration<double, std::milli>(query.startDeadline - now).count();
+    std::vector<candidate> candidates;
+    std::vector<target_state*> inTime;
+    for (auto* target : targets) {
+        const candidate one = estimate(*target, query, fallbackUnitMs, now);
+        if (one.waitMs > startWithinMs)
+            continue;
+        candidates.push_back(one);
+        inTime.push_back(target);
+    }
+    if (candidates.empty())
+        return tl::make_unexpected(failure { result_code::Busy, "no target could start before the deadline" });
+    const selection picked = m_strategy->select(candidates, m_random);
+    auto& target = *inTime[picked.index];
+    if (target.failuresInRow >= m_options.breakerFailures)
+        target.probing = true;
+    return route_choice { target.record.id, target.record.incarnation, candidates.size(),
+        candidates[picked.index].finishMs, picked.reason };
+}
+
+std::vector<execution::stage_candidate> route_table::stageCandidates(const route_query& query, steady_time now) const
+{
+    std::vector<execution::stage_candidate> result;
+    const auto found = m_byModel.find(query.model);
+    if (found == m_byModel.end())
+        return result;
+    for (const auto* target : found->second) {
+        const auto& record = target->record;
+        const bool fits = takesWork(record) && record.target.kind == membership::target_kind::LayerRange
+            && record.target.version == query.version && !query.excluded.contains(record.id);
+        if (!fits || !isOpen(*target, now))
+            continue;
+        execution::stage_candidate one;
+        one.stage = { record.id, record.linkAddress, record.incarnation, record.target.version,
+            record.target.firstLayer, record.target.endLayer };
+        one.cost = estimate(*target, query, defaultUnitMs, now).finishMs;
+        result.push_back(std::move(one));
+    }
+    return result;
+}
+
+void route_table::offered(const instance_id& id)
+{
+    if (auto* target = findState(id))
+        ++target->ownInFlight;
+}
+
+void route_table::released(const instance_id& id)
+{
+    auto* target = findState(id);
+    if (target == nullptr)
+        return;
+    target->probing = false;
+    if (target->ownInFlight > 0)
+        --target->ownInFlight;
+}
+
+void route_table::served(const instance_id& id, double elapsedMs, double work)
+{
+    released(id);
+    auto* target = findState(id);
+    if (target == nullptr)
+        return;
+    target->failuresInRow = 0;
+    if (work > 0)
+        target->unitMs = blend(target->unitMs, elapsedMs / work, m_options.smoothing);
+}
+
+void route_table::failed(const instance_id& id, steady_time now)
+{
+    released(id);
+    auto* target = findState(id);
+    if (target == nullptr)
+        return;
+    ++target->failuresInRow;
+    target->breakerDeadline = now + m_options.breakerPeriod;
+}
+
+void route_table::report(const dispatch::load_report& report, steady_time now)
+{
+    auto* target = findState(report.instance);
+    if (target == nullptr)
+        return;
+    const std::uint32_t total = report.running + report.queued;
+    target->othersInFlight = total > target->ownInFlight ? total - target->ownInFlight : 0;
+    target->reportDeadline = now + m_options.reportLifetime;
+    target->record.target.slots = std::max<std::uint32_t>(report.slots, 1);
+}
+
+const membership::instance_record* route_table::find(const instance_id& id) const
+{
+    const auto found = m_targets.find(id);
+    return found == m_targets.end() ? nullptr : &found->second->record;
+}
+
+std::vector<instance_id> route_table::ids() const
+{
+    std::vector<instance_id> all;
+    all.reserve(m_targets.size());
+    for (const auto& [id, target] : m_targets)
+        all.push_back(id);
+    return all;
+}
+
+std::set<std::string> route_table::readyVersions(const std::string& model) const
+{
+    std::set<std::string> versions;
+    const auto found = m_byModel.find(model);
+    if (found == m_byModel.end())
+        return versions;
+    for (const auto* target : found->second) {
+        if (takesWork(target->record))
+            versions.insert(target->record.target.version);
+    }
+    return versions;
+}
+
+bool route_table::isOpen(const target_state& target, steady_time now) const
+{
+    if (target.failuresInRow < m_options.breakerFailures)
+        return true;
+    return !target.probing && now >= target.breakerDeadline;
+}
+
+candidate route_table::estimate(
+    const target_state& target, const route_query& query, double fallbackUnitMs, steady_time now) const
+{
+    candidate one;
+    one.slots = std::max<std::uint32_t>(target.record.target.slots, 1);
+    one.outstanding = target.ownInFlight + (now < target.reportDeadline ? target.othersInFlight : 0);
+    const double unitMs = target.unitMs > 0 ? target.unitMs : fallbackUnitMs;
+    const double serviceMs = unitMs * query.work;
+    const double ahead = one.outstanding >= one.slots ? one.outstanding - one.slots + 1.0 : 0.0;
+    one.waitMs = ahead * serviceMs / one.slots;
+    const bool isRemote = target.record.failureDomain != m_options.failureDomain;
+    one.finishMs = one.waitMs + serviceMs + (isRemote ? remoteLinkMs : 0);
+    one.rate = one.slots / std::max(unitMs, 1e-3);
+    if (query.prefixHash != 0)
+        one.affinity = XXH64(&target.identityHash, sizeof target.identityHash, query.prefixHash) | 1U;
+    return one;
+}
+
+std::vector<route_table::target_state*> route_table::matching(const route_query& query, steady_time now)
+{
+    std::vector<target_state*> result;
+    const auto& index = query.model.empty() ? m_byService : m_byModel;
+    const auto found = index.find(query.model.empty() ? query.service : query.model);
+    if (found == index.end())
+        return result;
+    result.reserve(found->second.size());
+    for (auto* target : found->second) {
+        const auto& description = target->record.target;
+        if (!takesWork(target->record) || description.kind == membership::target_kind::LayerRange)
+            continue;
+        if (!query.model.empty() && description.version != query.version)
+            continue;
+        if (query.excluded.contains(target->record.id) || !isOpen(*target, now))
+            continue;
+        result.push_back(target);
+    }
+    return result;
+}
+
+void route_table::restrictToPool(std::vector<target_state*>& targets, const route_query& query)
+{
+    if (query.pools.empty())
+        return;
+    std::set<std::string> present;
+    for (const auto* target : targets)
+        present.insert(target->record.target.pool);
+    // Pools with no candidate lose their share to the others; a pool without a share never gets work.
+    std::vector<configuration::share> usable;
+    std::uint32_t total = 0;
+    for (const auto& pool : query.pools) {
+        if (!present.contains(pool.name) || pool.percent == 0)
+            continue;
+        usable.push_back(pool);
+        total += pool.percent;
+    }
+    if (total == 0) {
+        targets.clear();
+        return;
+    }
+    const auto drawn = drawShare(usable, std::uniform_int_distribution<std::uint32_t>(0, total - 1)(m_random));
+    std::erase_if(targets, [&](const target_state* target) { return target->record.target.pool != *drawn; });
+}
+
+void route_table::unindex(const target_state& target)
+{
+    const auto& description = target.record.target;
+    auto& list = description.model.empty() ? m_byService[description.service] : m_byModel[description.model];
+    std::erase(list, &target);
+}
+
+route_table::target_state* route_table::findState(const instance_id& id)
+{
+    const auto found = m_targets.find(id);
+    return found == m_targets.end() ? nullptr : found->second.get();
+}
+
+} // namespace buckthornrail::routing
--- /dev/null
+++ b/src/buckthornrail/routing/selection_strategy.cpp
@@ -0,0 +1,106 @@
+/// @file
+/// @brief The strategies.
+#include "buckthornrail/routing/selection_strategy.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::routing {
+namespace {
+
+class random_strategy : public selection_strategy {
+public:
+    selection select(std::span<const candidate> candidates, std::mt19937_64& random) override
+    {
+        std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
+        return { draw(random), "random" };
+    }
+};
+
+class round_robin_strategy : public selection_strategy {
+public:
+    selection select(std::span<const candidate> candidates, std::mt19937_64& /*random*/) override
+    {
+        return { m_next++ % candidates.size(), "round_robin" };
+    }
+
+private:
+    std::size_t m_next = 0;
+};
+
+class least_outstanding_strategy : public selection_strategy {
+public:
+    selection select(std::span<const candidate> candidates, std::mt19937_64& random) override
+    {
+        std::size_t best = 0;
+        std::size_t ties = 1;
+        for (std::size_t at = 1; at < candidates.size(); ++at) {
+            if (candidates[at].outstanding > candidates[best].outstanding)
+                continue;
+            if (candidates[at].outstanding < candidates[best].outstanding) {
+                best = at;
+                ties = 1;
+                continue;
+            }
+            ++ties;
+            if (std::uniform_int_distribution<std::size_t>(0, ties - 1)(random) == 0)
+                best = at;
+        }
+        return { best, "least_outstanding" };
+    }
+};
+
+/// Two draws weighted by rate, of which the earlier finish wins; affinity first while its target has a free slot.
+class finish_estimate_strategy : public selection_strategy {
+public:
+    selection select(std::span<const candidate> candidates, std::mt19937_64& random) override
+    {
+        const auto preferred = std::max_element(candidates.begin(), candidates.end(),
+            [](const candidate& a, const candidate& b) { return a.affinity < b.affinity; });
+        const double soonest = std::min_element(candidates.begin(), candidates.end(), finishesEarlier)->finishMs;
+        if (preferred->affinity != 0 && preferred->waitMs <= 0 && preferred->finishMs <= affinityTolerance * soonest)
+            return { static_cast<std::size_t>(preferred - candidates.begin()), "prefix_affinity" };
+        const std::size_t first = drawByRate(candidates, random);
+        const std::size_t second = drawByRate(candidates, random);
+        const bool secondIsBetter = finishesEarlier(candidates[second], candidates[first]);
+        return { secondIsBetter ? second : first, "earliest_of_two" };
+    }
+
+private:
+    /// A cached prefix is worth at most this factor in the rest of the service time.
+    static constexpr double affinityTolerance = 2.0;
+
+    static bool finishesEarlier(const candidate& a, const candidate& b) { return a.finishMs < b.finishMs; }
+
+    static std::size_t drawByRate(std::span<const candidate> candidates, std::mt19937_64& random)
+    {
+        double total = 0;
+        for (const auto& one : candidates)
+            total += one.rate;
+        double point = std::uniform_real_distribution<double>(0, total)(random);
+        for (std::size_t at = 0; at < candidates.size(); ++at) {
+            point -= candidates[at].rate;
+            if (point < 0)
+                return at;
+        }
+        return candidates.size() - 1;
+    }
+};
+
+} // namespace
+
+std::unique_ptr<selection_strategy> makeStrategy(strategy_kind kind)
+{
+    switch (kind) {
+    case strategy_kind::Random:
+        return std::make_unique<random_strategy>();
+    case strategy_kind::RoundRobin:
+        return std::make_unique<round_robin_strategy>();
+    case strategy_kind::LeastOutstanding:
+        return std::make_unique<least_outstanding_strategy>();
+    case strategy_kind::FinishEstimate:
+        break;
+    }
+    return std::make_unique<finish_estimate_strategy>();
+}
+
+} // namespace buckthornrail::routing
--- /dev/null
+++ b/src/buckthornrail/settings/settings.cpp
@@ -0,0 +1,271 @@
+/// @file
+/// @brief Table of settings and the INI reader behind it.
+#include "buckthornrail/settings/settings.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <ini.h>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace buckthornrail::settings {
+namespace {
+
+constexpr std::uint8_t onEntry = static_cast<std::uint8_t>(process_role::Entry);
+constexpr std::uint8_t onSidecar = static_cast<std::uint8_t>(process_role::Sidecar);
+constexpr std::uint8_t onController = static_cast<std::uint8_t>(process_role::Controller);
+constexpr std::uint8_t onDaemons = onEntry | onSidecar;
+constexpr std::uint8_t onAll = onDaemons | onController;
+constexpr std::uint32_t maxPort = 65535;
+constexpr std::uint32_t hour = 3'600'000;
+
+using form = value_form;
+
+constexpr std::array rules {
+    setting_rule { "instance", "id", onAll, onAll, form::Text, &settings::id, 0, 0, "", "Unique name." },
+    setting_rule { "instance", "failure_domain", onAll, onAll, form::Text, &settings::failureDomain, 0, 0, "",
+        "Failure domain that the instance stands in." },
+    setting_rule { "instance", "log_level", onAll, 0, form::Choice, &settings::logLevel, 0, 0, "info|warning|error",
+        "Least severe log lines that are written." },
+    setting_rule { "link", "address", onSidecar | onController, onSidecar | onController, form::Address,
+        &settings::linkAddress, 0, 0, "", "Where other processes reach this one." },
+    setting_rule { "http", "address", onAll, onAll, form::Address, &settings::httpAddress, 0, 0, "",
+        "Callers (entry), operators (controller), health and metrics (all)." },
+    setting_rule {
+        "http", "threads", onAll, 0, form::Number, &settings::httpThreads, 2, 4096, "", "HTTP calls served at once." },
+    setting_rule { "http", "token_file", onAll, 0, form::Text, &settings::tokenFile, 0, 0, "",
+        "File with the operators' token; without one only loopback may operate." },
+    setting_rule { "controllers", "addresses", onAll, onAll, form::AddressList, &settings::controllers, 0, 0, "",
+        "Link addresses of all controllers, parted by commas." },
+    setting_rule { "controllers", "heartbeat_ms", onDaemons, 0, form::Number, &settings::heartbeatMs, 50, 10000, "",
+        "Period of heartbeats to a controller." },
+    setting_rule { "controllers", "lease_ms", onAll, 0, form::Number, &settings::leaseMs, 500, 60000, "",
+        "Without a confirmed heartbeat for so long a daemon takes no new work and counts as lost." },
+    setting_rule { "entry", "strategy", onEntry, 0, form::Choice, &settings::strategy, 0, 0,
+        "random|round_robin|least_outstanding|finish_estimate", "How one of several targets is picked." },
+    setting_rule { "entry", "default_timeout_ms", onEntry, 0, form::Number, &settings::defaultTimeoutMs, 1, hour, "",
+        "For requests that name no timeout." },
+    setting_rule { "entry", "max_timeout_ms", onEntry, 0, form::Number, &settings::maxTimeoutMs, 1, 480000, "",
+        "Longest timeout that a request may name." },
+    setting_rule { "entry", "max_body_bytes", onEntry, 0, form::Number, &settings::maxBodyBytes, 1, 16U << 20U, "",
+        "Largest request body." },
+    setting_rule { "entry", "body_timeout_ms", onEntry, 0, form::Number, &settings::bodyTimeoutMs, 100, hour, "",
+        "Longest time for a request body to arrive." },
+    setting_rule { "entry", "progress_timeout_ms", onEntry, 0, form::Number, &settings::progressTimeoutMs, 100, hour,
+        "", "A started answer silent for so long is taken up by another target." },
+    setting_rule { "entry", "claim_retention_s", onEntry, 0, form::Number, &settings::claimRetentionSeconds, 60, 3600,
+        "", "How long an Idempotency-Key stands." },
+    setting_rule { "target", "kind", onSidecar, onSidecar, form::Choice, &settings::targetKind, 0, 0,
+        "openai|kserve|layer_range|plain_service", "Dialect of the target." },
+    setting_rule { "target", "address", onSidecar, onSidecar, form::Address, &settings::targetAddress, 0, 0, "",
+        "HTTP address of the target." },
+    setting_rule { "target", "model", onSidecar, 0, form::Text, &settings::model, 0, 0, "",
+        "Model that it serves; not for a plain service." },
+    setting_rule {
+        "target", "version", onSidecar, 0, form::Text, &settings::version, 0, 0, "", "Version of the model." },
+    setting_rule {
+        "target", "service", onSidecar, 0, form::Text, &settings::service, 0, 0, "", "Name of a plain service." },
+    setting_rule { "target", "pool", onSidecar, 0, form::Text, &settings::pool, 0, 0, "",
+        "Label that pipelines share work out by." },
+    setting_rule { "target", "accelerator", onSidecar, 0, form::Text, &settings::accelerator, 0, 0, "",
+        "Kind of accelerator, for people." },
+    setting_rule { "target", "first_layer", onSidecar, 0, form::Number, &settings::firstLayer, 0, 999, "",
+        "First layer of a layer_range target." },
+    setting_rule { "target", "end_layer", onSidecar, 0, form::Number, &settings::endLayer, 0, 1000, "",
+        "One after its last layer." },
+    setting_rule { "target", "slots", onSidecar, 0, form::Number, &settings::slots, 1, 1024, "",
+        "Requests that the target runs at once." },
+    setting_rule { "target", "queue_limit", onSidecar, 0, form::Number, &settings::queueLimit, 0, 4096, "",
+        "Requests that wait at the sidecar." },
+    setting_rule { "target", "probe_ms", onSidecar, 0, form::Number, &settings::probeMs, 50, 60000, "",
+        "Period of readiness probes." },
+    setting_rule { "target", "answer_keep_bytes", onSidecar, 0, form::Number, &settings::answerKeepBytes, 0,
+        256U << 20U, "", "Memory for answers of non-idempotent requests that may be asked for again." },
+    setting_rule { "storage", "folder", onController, onController, form::Text, &settings::dataFolder, 0, 0, "",
+        "Data folder; belongs to this controller alone." },
+    setting_rule { "storage", "snapshot_entries", onController, 0, form::Number, &settings::snapshotEntries, 10,
+        1'000'000, "", "Log entries after which a snapshot is saved." },
+    setting_rule { "storage", "election_timeout_ms", onController, 0, form::Number, &settings::electionTimeoutMs, 100,
+        60000, "", "Least time without a leader before an election; the most is twice as long." },
+};
+
+struct raw_value {
+    std::string section;
+    std::string key;
+    std::string value;
+};
+
+int collect(void* user, const char* section, const char* key, const char* value)
+{
+    static_cast<std::vector<raw_value>*>(user)->push_back({ section, key, value });
+    return 1;
+}
+
+std::vector<std::string> splitList(std::string_view text, char separator)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream { std::string(text) };
+    for (std::string part; std::getline(stream, part, separator);) {
+        const auto first = part.find_first_not_of(' ');
+        const auto last = part.find_last_not_of(' ');
+        parts.push_back(first == std::string::npos ? "" : part.substr(first, last - first + 1));
+    }
+    return parts;
+}
+
+tl::expected<std::uint32_t, std::string> readNumber(const setting_rule& rule, const std::string& text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+        return tl::make_unexpected("'" + text + "' is not a whole number");
+    if (number < rule.low || number > rule.high)
+        return tl::make_unexpected(
+            text + " is out of range " + std::to_string(rule.low) + " to " + std::to_string(rule.high));
+    return static_cast<std::uint32_t>(number);
+}
+
+tl::expected<void, std::string> store(const setting_rule& rule, const std::string& text, settings& out)
+{
+    switch (rule.form) {
+    case form::Number: {
+        const auto number = readNumber(rule, text);
+        if (!number)
+            return tl::make_unexpected(number.error());
+        out.*std::get<std::uint32_t settings::*>(rule.member) = *number;
+        return {};
+    }
+    case form::AddressList: {
+        auto parts = splitList(text, ',');
+        for (const auto& part : parts) {
+            if (auto valid = checkAddress(part); !valid)
+                return valid;
+        }
+        out.*std::get<std::vector<std::string> settings::*>(rule.member) = std::move(parts);
+        return {};
+    }
+    case form::Address:
+        if (auto valid = checkAddress(text); !valid)
+            return valid;
+        break;
+    case form::Choice: {
+        const auto choices = splitList(rule.choices, '|');
+        if (std::find(choices.begin(), choices.end(), text) == choices.end())
+            return tl::make_unexpected("'" + text + "' is not one of " + std::string(rule.choices));
+        break;
+    }
+    case form::Text:
+        if (text.empty())
+            return tl::make_unexpected("must not be empty");
+        break;
+    }
+    out.*std::get<std::string settings::*>(rule.member) = text;
+    return {};
+}
+
+/// Faults that lie between two keys.
+void checkTogether(
+    const settings& values, process_role role, const std::string& file, std::vector<settings_fault>& faults)
+{
+    if (role == process_role::Entry && values.defaultTimeoutMs > values.maxTimeoutMs)
+        faults.push_back({ file, "entry", "default_timeout_ms", "is above max_timeout_ms" });
+    if (role != process_role::Controller && values.heartbeatMs * 2 > values.leaseMs)
+        faults.push_back({ file, "controllers", "heartbeat_ms", "is above half of lease_ms" });
+    if (role != process_role::Sidecar)
+        return;
+    const bool isService = values.targetKind == "plain_service";
+    if (isService && values.service.empty())
+        faults.push_back({ file, "target", "service", "is missing for kind plain_service" });
+    if (!isService && values.model.empty())
+        faults.push_back({ file, "target", "model", "is missing for this kind" });
+    if (!isService && values.version.empty())
+        faults.push_back({ file, "target", "version", "is missing for this kind" });
+    if (isService && !values.model.empty())
+        faults.push_back({ file, "target", "model", "is not for kind plain_service" });
+    if (values.targetKind == "layer_range" && values.endLayer <= values.firstLayer)
+        faults.push_back({ file, "target", "end_layer", "must be above first_layer" });
+}
+
+} // namespace
+
+std::span<const setting_rule> settingRules() { return rules; }
+
+std::string toString(const settings_fault& fault)
+{
+    std::string text = fault.file + ": ";
+    if (!fault.section.empty())
+        text += "[" + fault.section + "] ";
+    if (!fault.key.empty())
+        text += fault.key + ": ";
+    return text + fault.reason;
+}
+
+tl::expected<settings, std::vector<settings_fault>> parseSettings(
+    const std::string& text, const std::string& file, process_role role)
+{
+    std::vector<settings_fault> faults;
+    std::vector<raw_value> raw;
+    const int badLine = ini_parse_string(text.c_str(), collect, &raw);
+    if (badLine != 0)
+        faults.push_back({ file, "", "", "line " + std::to_string(badLine) + " can't be read" });
+    settings values;
+    std::set<std::pair<std::string, std::string>> seen;
+    for (const auto& item : raw) {
+        const auto rule = std::find_if(rules.begin(), rules.end(), [&](const setting_rule& one) {
+            return one.section == item.section && one.key == item.key
+                && (one.roles & static_cast<std::uint8_t>(role)) != 0;
+        });
+        if (rule == rules.end()) {
+            faults.push_back({ file, item.section, item.key,
+                "is not a known key of role " + std::string(nameIn(processRoleNames, role)) });
+            continue;
+        }
+        if (!seen.emplace(item.section, item.key).second) {
+            faults.push_back({ file, item.section, item.key, "stands twice" });
+            continue;
+        }
+        if (auto stored = store(*rule, item.value, values); !stored)
+            faults.push_back({ file, item.section, item.key, stored.error() });
+    }
+    for (const auto& rule : rules) {
+        const bool needed = (rule.requiredBy & static_cast<std::uint8_t>(role)) != 0;
+        if (needed && !seen.contains({ std::string(rule.section), std::string(rule.key) }))
+            faults.push_back({ file, std::string(rule.section), std::string(rule.key), "is missing" });
+    }
+    checkTogether(values, role, file, faults);
+    if (!faults.empty())
+        return tl::make_unexpected(std::move(faults));
+    return values;
+}
+
+tl::expected<settings, std::vector<settings_fault>> loadSettings(const std::string& file, process_role role)
+{
+    std::ifstream stream(file);
+    if (!stream)
+        return tl::make_unexpected(std::vector<settings_fault> { { file, "", "", "can't be opened" } });
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return parseSettings(text.str(), file, role);
+}
+
+tl::expected<void, std::string> checkAddress(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return tl::make_unexpected("'" + address + "' is not IP:port");
+    in_addr parsed {};
+    if (inet_pton(AF_INET, address.substr(0, colon).c_str(), &parsed) != 1)
+        return tl::make_unexpected("'" + address.substr(0, colon) + "' is not an IPv4 number");
+    const std::string port = address.substr(colon + 1);
+    std::uint32_t number = 0;
+    const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), number);
+    if (error != std::errc() || end != port.data() + port.size() || number == 0 || number > maxPort)
+        return tl::make_unexpected("port '" + port + "' is out of range 1 to 65535");
+    return {};
+}
+
+} // namespace buckthornrail::settings
--- /dev/null
+++ b/tools/stand_in_target.cpp
@@ -0,0 +1,427 @@
+/// @file
+/// @brief Plays a target of any kind, with speed, slots, a prefix cache and faults to order.
+///
+/// It logs every execution as a line of JSON; that log is the judge in all tests of "exactly once".
+#include "stand_in_model.hpp"
+
+#include "buckthornrail/core/clock.hpp"
+#include "buckthornrail/http/http_server.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <csignal>
+#include <fcntl.h>
+#include <iostream>
+#include <list>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <tclap/CmdLine.h>
+#include <thread>
+#include <unistd.h>
+
+namespace {
+
+using buckthornrail::milliseconds;
+using buckthornrail::steady_time;
+using buckthornrail::http::http_exchange;
+using buckthornrail::http::http_request;
+using nlohmann::json;
+
+struct stand_in_options {
+    std::string address;
+    std::string name;
+    std::string logFile;
+    std::uint32_t tokenMs = 5;
+    std::uint32_t prefillUsPerByte = 0;
+    std::uint32_t slots = 4;
+    std::uint32_t layers = 8;
+    std::uint32_t cacheEntries = 64;
+    std::uint32_t reportLagMs = 0;
+    std::uint32_t serviceMs = 2;
+    std::uint32_t stallAfter = 0; ///< 0: never; else before that token
+    std::uint32_t dieAfter = 0;
+};
+
+/// Appends lines to a file; one write a line, so that several processes may share it.
+class execution_log {
+public:
+    explicit execution_log(const std::string& file)
+        : m_fd(file.empty() ? -1 : ::open(file.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644))
+    {
+    }
+    execution_log(const execution_log&) = delete;
+    execution_log& operator=(const execution_log&) = delete;
+    ~execution_log()
+    {
+        if (m_fd >= 0)
+            ::close(m_fd);
+    }
+    void add(const json& row) const
+    {
+        const std::string line = row.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+        if (m_fd >= 0 && ::write(m_fd, line.data(), line.size()) < 0)
+            std::cerr << "the execution log can't be written\n";
+    }
+
+private:
+    int m_fd;
+};
+
+/// Places for requests that run at once; the rest wait.
+class batch_slots {
+public:
+    explicit batch_slots(std::uint32_t count)
+        : m_free(count)
+    {
+    }
+    void take()
+    {
+        std::unique_lock lock(m_mutex);
+        ++m_waiting;
+        m_changed.wait(lock, [this] { return m_free > 0; });
+        --m_waiting;
+        --m_free;
+        ++m_running;
+    }
+    void give()
+    {
+        const std::scoped_lock lock(m_mutex);
+        ++m_free;
+        --m_running;
+        m_changed.notify_one();
+    }
+    std::pair<std::uint32_t, std::uint32_t> counts()
+    {
+        const std::scoped_lock lock(m_mutex);
+        return { m_running, m_waiting };
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::uint32_t m_free;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_waiting = 0;
+};
+
+/// Prompt prefixes that need no prefill, the least recently used one goes first.
+class prefix_cache {
+public:
+    explicit prefix_cache(std::uint32_t entries)
+        : m_entries(entries)
+    {
+    }
+    /// @return true when the prompt's beginning was known; it is known afterwards.
+    bool touch(const std::string& prompt)
+    {
+        const std::scoped_lock lock(m_mutex);
+        const std::uint64_t key = stand_in::embed(prompt.substr(0, prefixBytes));
+        const auto found = std::find(m_recent.begin(), m_recent.end(), key);
+        const bool known = found != m_recent.end();
+        if (known)
+            m_recent.erase(found);
+        m_recent.push_front(key);
+        if (m_recent.size() > m_entries)
+            m_recent.pop_back();
+        return known;
+    }
+
+private:
+    static constexpr std::size_t prefixBytes = 256;
+    std::mutex m_mutex;
+    std::uint32_t m_entries;
+    std::list<std::uint64_t> m_recent;
+};
+
+class stand_in_target {
+public:
+    explicit stand_in_target(stand_in_options options)
+        : m_options(std::move(options))
+        , m_log(m_options.logFile)
+        , m_slots(m_options.slots)
+        , m_cache(m_options.cacheEntries)
+    {
+    }
+
+    void serve(const http_request& request, http_exchange& exchange)
+    {
+        const auto& path = request.path;
+        if (path == "/v1/completions")
+            complete(request, exchange, "prompt", false);
+        else if (path.ends_with("/generate_stream"))
+            complete(request, exchange, "text_input", true);
+        else if (path == "/engine/step")
+            step(request, exchange);
+        else if (path == "/engine/close")
+            close(request, exchange);
+        else if (path == "/engine/state")
+            respond(exchange, 200, state());
+        else if (path == "/cancel")
+            cancel(request, exchange);
+        else if (path == "/stand_in/fault")
+            order(request, exchange);
+        else if (path == "/metrics")
+            exchange.respond(200, {}, metricsText());
+        else if (path.ends_with("/stats"))
+            respond(exchange, 200, state());
+        else if (path == "/health" || path == "/healthz" || path.ends_with("/ready"))
+            respond(exchange, m_ready ? 200 : 503, json::object());
+        else
+            service(request, exchange);
+    }
+
+private:
+    static void respond(http_exchange& exchange, int status, const json& body)
+    {
+        exchange.respond(status, { { "Content-Type", "application/json" } },
+            body.dump(-1, ' ', false, json::error_handler_t::replace));
+    }
+
+    static void wait(std::uint64_t microseconds)
+    {
+        std::this_thread::sleep_for(std::chrono::microseconds(microseconds));
+    }
+
+    /// Faults to order: {"token_ms":..,"stall_after":..,"die_after":..,"ready":..,"service_ms":..}
+    void order(const http_request& request, http_exchange& exchange)
+    {
+        const json body = json::parse(request.body, nullptr, false);
+        m_options.tokenMs = body.value("token_ms", m_options.tokenMs);
+        m_options.stallAfter = body.value("stall_after", m_options.stallAfter);
+        m_options.dieAfter = body.value("die_after", m_options.dieAfter);
+        m_options.serviceMs = body.value("service_ms", m_options.serviceMs);
+        m_ready = body.value("ready", m_ready.load());
+        respond(exchange, 200, json::object());
+    }
+
+    json state()
+    {
+        const auto [running, waiting] = reported();
+        return { { "ready", m_ready.load() }, { "running", running }, { "waiting", waiting }, { "executing", running },
+            { "pending", waiting } };
+    }
+
+    std::string metricsText()
+    {
+        const auto [running, waiting] = reported();
+        return "num_requests_running " + std::to_string(running) + "\nnum_requests_waiting " + std::to_string(waiting)
+            + "\n";
+    }
+
+    /// Load as it was when the lag began.
+    std::pair<std::uint32_t, std::uint32_t> reported()
+    {
+        const std::scoped_lock lock(m_mutex);
+        const steady_time now = std::chrono::steady_clock::now();
+        if (now >= m_reportDeadline) {
+            m_reported = m_slots.counts();
+            m_reportDeadline = now + milliseconds(m_options.reportLagMs);
+        }
+        return m_reported;
+    }
+
+    void log(json row)
+    {
+        row["target"] = m_options.name;
+        m_log.add(row);
+    }
+
+    /// Stops here, for good or for a while, when a fault was ordered for this token.
+    void applyFault(std::uint32_t token) const
+    {
+        if (m_options.dieAfter != 0 && token + 1 >= m_options.dieAfter)
+            std::raise(SIGKILL);
+        if (m_options.stallAfter != 0 && token + 1 >= m_options.stallAfter)
+            std::this_thread::sleep_for(std::chrono::seconds(30));
+    }
+
+    bool isCancelled(const std::string& request)
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_cancelled.contains(request);
+    }
+
+    void cancel(const http_request& request, http_exchange& exchange)
+    {
+        const json body = json::parse(request.body, nullptr, false);
+        const std::string key = body.value("request", "") + "/" + std::to_string(body.value("attempt", 0));
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_cancelled.insert(key);
+        }
+        log({ { "event", "cancel" }, { "request", body.value("request", "") },
+            { "attempt", body.value("attempt", 0) } });
+        respond(exchange, 200, json::object());
+    }
+
+    void complete(const http_request& request, http_exchange& exchange, const char* promptField, bool isKServe)
+    {
+        const json body = json::parse(request.body, nullptr, false);
+        if (!body.is_object() || !body.contains(promptField)) {
+            respond(exchange, 400, { { "error", "no prompt" } });
+            return;
+        }
+        std::string text = body[promptField].get<std::string>();
+        const std::uint32_t limit
+            = isKServe ? body["parameters"].value("max_tokens", 16U) : body.value("max_tokens", 16U);
+        const std::string id = request.header("X-Request-Id").value_or("");
+        const std::string attempt = request.header("X-Attempt").value_or("0");
+        m_slots.take();
+        log({ { "event", "run" }, { "request", id }, { "attempt", std::stoul(attempt) } });
+        if (!m_cache.touch(text))
+            wait(std::uint64_t { m_options.prefillUsPerByte } * text.size());
+        exchange.beginStream(200, { { "Content-Type", "text/event-stream" } });
+        bool alive = true;
+        for (std::uint32_t token = 0; token < limit && alive; ++token) {
+            applyFault(token);
+            wait(std::uint64_t { m_options.tokenMs } * 1000);
+            const std::string word = stand_in::tokenOf(stand_in::runLayers(stand_in::embed(text), 0, m_options.layers));
+            text += word;
+            const bool last = token + 1 == limit;
+            alive = exchange.writeChunk("data: " + event(word, last, isKServe).dump() + "\n\n")
+                && !isCancelled(id + "/" + attempt);
+        }
+        if (alive && !isKServe)
+            exchange.writeChunk("data: [DONE]\n\n");
+        exchange.endStream();
+        m_slots.give();
+        log({ { "event", alive ? "done" : "stopped" }, { "request", id }, { "attempt", std::stoul(attempt) } });
+    }
+
+    static json event(const std::string& word, bool last, bool isKServe)
+    {
+        const json reason = last ? json("length") : json();
+        if (isKServe)
+            return { { "text_output", word }, { "finish_reason", reason } };
+        return { { "choices", json::array({ { { "text", word }, { "finish_reason", reason } } }) } };
+    }
+
+    void step(const http_request& request, http_exchange& exchange)
+    {
+        const json body = json::parse(request.body, nullptr, false);
+        const std::string id = body.value("request", "");
+        const auto token = body.value("token", 0U);
+        const auto first = body.value("first_layer", 0U);
+        const auto end = body.value("end_layer", 0U);
+        const std::string input = body.value("input", "");
+        log({ { "event", "step" }, { "request", id }, { "generation", body.value("generation", 0U) },
+            { "token", token }, { "first_layer", first }, { "end_layer", end } });
+        applyFault(token);
+        m_slots.take();
+        wait(std::uint64_t { m_options.tokenMs } * 1000);
+        m_slots.give();
+        std::uint64_t value = 0;
+        if (first == 0) {
+            const std::scoped_lock lock(m_mutex);
+            auto& text = m_texts[id + "/" + std::to_string(body.value("generation", 0U))];
+            text = token == 0 ? input : text + input;
+            value = stand_in::embed(text);
+        } else {
+            value = std::stoull(input);
+        }
+        value = stand_in::runLayers(value, first, end);
+        if (!body.value("last_stage", false)) {
+            respond(exchange, 200, { { "output", std::to_string(value) } });
+            return;
+        }
+        const bool last = token + 1 >= body.value("max_tokens", 1U);
+        respond(exchange, 200,
+            { { "output", stand_in::tokenOf(value) }, { "last", last }, { "finish_reason", last ? "length" : "" } });
+    }
+
+    void close(const http_request& request, http_exchange& exchange)
+    {
+        const json body = json::parse(request.body, nullptr, false);
+        const std::string id = body.value("request", "") + "/";
+        const std::scoped_lock lock(m_mutex);
+        std::erase_if(m_texts, [&id](const auto& item) { return item.first.starts_with(id); });
+        respond(exchange, 200, json::object());
+    }
+
+    void service(const http_request& request, http_exchange& exchange)
+    {
+        m_slots.take();
+        log({ { "event", "call" }, { "request", request.header("X-Request-Id").value_or("") },
+            { "attempt", std::stoul(request.header("X-Attempt").value_or("0")) }, { "method", request.method },
+            { "path", request.path }, { "body", request.body } });
+        applyFault(0);
+        wait(std::uint64_t { m_options.serviceMs } * 1000);
+        m_slots.give();
+        exchange.respond(request.method == "POST" ? 201 : 200,
+            { { "Content-Type", "application/json" }, { "X-Service", m_options.name } },
+            json({ { "service", m_options.name }, { "method", request.method }, { "path", request.path },
+                     { "query", request.query }, { "number", ++m_calls }, { "body", request.body } })
+                .dump());
+    }
+
+    stand_in_options m_options;
+    execution_log m_log;
+    batch_slots m_slots;
+    prefix_cache m_cache;
+    std::mutex m_mutex;
+    std::set<std::string> m_cancelled;
+    std::map<std::string, std::string> m_texts; ///< what stage 0 has seen of each request and generation
+    std::pair<std::uint32_t, std::uint32_t> m_reported;
+    steady_time m_reportDeadline {};
+    std::atomic<bool> m_ready { true };
+    std::atomic<std::uint64_t> m_calls { 0 };
+};
+
+stand_in_options readOptions(int argc, char** argv)
+{
+    stand_in_options options;
+    TCLAP::CmdLine line("Plays a target.", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> address("", "address", "Where to listen", true, "", "IP:port", line);
+    TCLAP::ValueArg<std::string> name("", "name", "Name in the execution log", false, "target", "name", line);
+    TCLAP::ValueArg<std::string> log("", "log", "Execution log", false, "", "file", line);
+    const auto number = [&line](const char* flag, const char* meaning, std::uint32_t fallback) {
+        return std::make_unique<TCLAP::ValueArg<std::uint32_t>>("", flag, meaning, false, fallback, "number", line);
+    };
+    const auto tokenMs = number("token-ms", "Time for a token or a step", options.tokenMs);
+    const auto prefill = number("prefill-us-per-byte", "Prefill of a prompt that isn't cached", 0);
+    const auto slots = number("slots", "Requests at once", options.slots);
+    const auto layers = number("layers", "Layers of the model", options.layers);
+    const auto cache = number("cache", "Prompt prefixes kept", options.cacheEntries);
+    const auto lag = number("report-lag-ms", "Age of load reports", 0);
+    const auto serviceMs = number("service-ms", "Time for a service call", options.serviceMs);
+    line.parse(argc, argv);
+    options.address = address.getValue();
+    options.name = name.getValue();
+    options.logFile = log.getValue();
+    options.tokenMs = tokenMs->getValue();
+    options.prefillUsPerByte = prefill->getValue();
+    options.slots = slots->getValue();
+    options.layers = layers->getValue();
+    options.cacheEntries = cache->getValue();
+    options.reportLagMs = lag->getValue();
+    options.serviceMs = serviceMs->getValue();
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    sigset_t stop;
+    sigemptyset(&stop);
+    sigaddset(&stop, SIGTERM);
+    sigaddset(&stop, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &stop, nullptr);
+    const stand_in_options options = readOptions(argc, argv);
+    stand_in_target target(options);
+    buckthornrail::http::server_options server;
+    server.address = options.address;
+    server.threads = options.slots * 4 + 16;
+    const auto started = buckthornrail::http::http_server::start(
+        server, { { "/", [&target](const auto& request, auto& exchange) { target.serve(request, exchange); } } });
+    if (!started) {
+        std::cerr << started.error() << "\n";
+        return 1;
+    }
+    int signal = 0;
+    sigwait(&stop, &signal);
+    return 0;
+}
