Sidecar: keep the life of attempts in a core without I/O

Cause: what a sidecar does with offers, revocations, followers and answers stood in the wiring, where no test could reach it. Change: dispatch::sidecar_core; the wiring only carries out its effects. Found on the way: the channel of a frame was looked up after the frame had been moved from; the demo showed it as a stalled stream.

--- a/include/buckthornrail/execution/chain_run.hpp
+++ b/include/buckthornrail/execution/chain_run.hpp
@@ -89,10 +89,10 @@
     /// @brief A stage's sidecar has opened that generation.
     void stageOpened(const instance_id& instance, std::uint32_t generation, steady_time now);
     /// @brief A stage's sidecar refused, or could not be reached with, that generation.
-    void stageRefused(const instance_id& instance, std::uint32_t generation, failure why, steady_time now);
+    void stageRefused(const instance_id& instance, std::uint32_t generation, const failure& why, steady_time now);
     void stageFenced(const instance_id& instance, std::uint32_t generation, steady_time now);
     /// @brief A stage reports that `at` can't go on.
-    void stageFailed(std::uint32_t generation, std::uint32_t at, failure why, steady_time now);
+    void stageFailed(std::uint32_t generation, std::uint32_t at, const failure& why, steady_time now);
     void linkLost(const instance_id& instance, steady_time now);
     void token(const chain_token& token, steady_time now);
     void callerGone(steady_time now);
--- a/src/app/entry.cpp
+++ b/src/app/entry.cpp
@@ -296,7 +296,7 @@
     const auto workspace = document.workspaces.find(request.workspace);
     if (workspace == document.workspaces.end())
         return failure { result_code::UnknownWorkspace, "" };
-    const auto refusal = request.pipeline.empty() ? admitService(request) : admitCompletion(request, context);
+    auto refusal = request.pipeline.empty() ? admitService(request) : admitCompletion(request, context);
     if (refusal)
         return refusal;
     const auto& limits = workspace->second;
--- a/src/app/sidecar.cpp
+++ b/src/app/sidecar.cpp
@@ -49,16 +49,15 @@
     , m_metrics(metrics)
     , m_incarnation(randomNumber())
     , m_dialect(makeDialect(settings))
-    , m_gate(gateOptions(settings, m_incarnation), steadyNow())
-    , m_answers(settings.answerKeepBytes)
+    , m_core(settings.id, gateOptions(settings, m_incarnation), settings.answerKeepBytes, steadyNow())
     , m_pool(settings.slots + spareThreads)
 {
 }
 
 sidecar::~sidecar()
 {
-    for (auto& [attempt, work] : m_work)
-        work.canceller->cancel();
+    for (auto& [attempt, canceller] : m_cancellers)
+        canceller->cancel();
     m_pool.join();
 }
 
@@ -81,16 +80,16 @@
         return tl::make_unexpected(failure { result_code::BadSettings, "can't listen on " + m_settings.linkAddress });
     session_callbacks callbacks;
     callbacks.leaseRenewed
-        = [this](configuration_version version, steady_time deadline) { m_gate.renewConfiguration(version, deadline); };
+        = [this](configuration_version version, steady_time deadline) { m_core.gate().renewConfiguration(version, deadline); };
     callbacks.configurationApplied = [this](const configuration::document&, configuration_version version) {
-        m_gate.renewConfiguration(version, steady_time {});
+        m_core.gate().renewConfiguration(version, steady_time {});
     };
     callbacks.membershipChanged = [](const membership::membership_delta&) {};
     callbacks.claimAnswered = [](const link::claim_reply&) {};
     callbacks.drainRequested = [this](bool drain) {
-        if (m_draining || drain == m_gate.isDraining())
+        if (m_draining || drain == m_core.gate().isDraining())
             return;
-        m_gate.drain(drain);
+        m_core.gate().drain(drain);
         telemetry::logEvent(event_code::TargetDraining, { { "drain", drain ? "yes" : "no" }, { "by", "operator" } });
     };
     m_session = std::make_unique<session_client>(
@@ -105,7 +104,7 @@
 {
     m_draining = true;
     m_isReady = false;
-    m_gate.drain(true);
+    m_core.gate().drain(true);
     m_whenDrained = std::move(done);
     m_session->setState(membership::instance_state::Draining);
     telemetry::logEvent(event_code::TargetDraining, { { "drain", "yes" }, { "by", "signal" } });
@@ -118,9 +117,8 @@
     m_peers.erase(channel);
     m_unsent.erase(channel);
     std::erase_if(m_nextStages, [channel](const auto& item) { return item.second == channel; });
-    for (auto& [attempt, channels] : m_followers)
-        channels.erase(channel);
-    carryOut(m_gate.channelLost(channel, steadyNow()));
+    m_core.channelLost(channel, steadyNow());
+    carryOut();
 }
 
 void sidecar::onMessage(link::channel_number channel, const std::string& bytes)
@@ -143,15 +141,16 @@
     else if (const auto* offer = std::get_if<dispatch::attempt_offer>(&message))
         onOffer(channel, *offer);
     else if (const auto* revoke = std::get_if<dispatch::attempt_revoke>(&message))
-        onRevoke(channel, *revoke);
+        m_core.revoke(*revoke, channel, steadyNow());
     else if (const auto* attach = std::get_if<dispatch::answer_attach>(&message))
-        onAttach(channel, *attach);
+        m_core.attach(*attach, channel, steadyNow());
     else if (const auto* step = std::get_if<execution::stage_step>(&message))
         onStep(*step);
     else if (const auto* fence = std::get_if<link::stage_fence>(&message))
         onFence(channel, *fence);
     else if (const auto* close = std::get_if<link::stage_close>(&message))
         onStageClose(close->request);
+    carryOut();
 }
 
 void sidecar::onHello(link::channel_number channel, const link::link_hello& hello)
@@ -166,73 +165,17 @@
     }
     m_peers[channel] = { hello.instance, hello.incarnation, hello.epoch };
     send(channel, link::link_welcome { m_settings.id, m_incarnation });
-    sendLoad(channel);
+    m_core.reportLoad(channel);
     for (const auto other : superseded)
         m_hub->close(other);
 }
 
 void sidecar::onOffer(link::channel_number channel, const dispatch::attempt_offer& offer)
 {
-    const steady_time now = steadyNow();
-    if (!m_peers.contains(channel)) {
-        send(channel, dispatch::attempt_refused { offer.attempt, result_code::StaleLink, "" });
-        return;
-    }
-    open_work work;
-    work.offer = offer;
-    work.deadline = now + milliseconds(offer.finishWithinMs);
-    const auto effects = m_gate.offer(offer, channel, now);
-    if (m_gate.stateOf(offer.attempt) == dispatch::gate_state::Queued
-        || m_gate.stateOf(offer.attempt) == dispatch::gate_state::Started)
-        m_work.try_emplace(offer.attempt, std::move(work));
-    carryOut(effects);
-}
-
-void sidecar::onRevoke(link::channel_number channel, const dispatch::attempt_revoke& revoke)
-{
-    std::vector<dispatch::gate_effect> effects;
-    const auto outcome = m_gate.revoke(revoke, steadyNow(), effects);
-    if (outcome == dispatch::revoke_outcome::NotStarted)
-        m_work.erase(revoke.attempt);
-    send(channel, dispatch::revoke_reply { revoke.attempt, outcome });
-    carryOut(effects);
-}
-
-void sidecar::onAttach(link::channel_number channel, const dispatch::answer_attach& attach)
-{
-    using dispatch::attach_outcome;
-    const auto reply = [&](attach_outcome outcome) {
-        send(channel, dispatch::attach_reply { attach.attempt, outcome });
-    };
-    const auto state = m_gate.stateOf(attach.attempt);
-    if (attach.incarnation != m_incarnation) {
-        reply(attach_outcome::Unknown);
-        return;
-    }
-    if (!state || state == dispatch::gate_state::Refused) {
-        // A tombstone for an attempt that was never offered keeps it from being started later.
-        std::vector<dispatch::gate_effect> effects;
-        (void)m_gate.revoke({ attach.attempt, attach.incarnation, false }, steadyNow(), effects);
-        reply(attach_outcome::NotStarted);
-        return;
-    }
-    if (state == dispatch::gate_state::Queued) {
-        m_followers[toString(attach.attempt)].insert(channel);
-        reply(attach_outcome::Attached);
-        return;
-    }
-    const auto* answer = m_answers.find(attach.attempt);
-    if (answer == nullptr || answer->evicted) {
-        reply(attach_outcome::Gone);
-        return;
-    }
-    reply(attach_outcome::Attached);
-    for (const auto& frame : answer->frames)
-        send(channel, frame);
-    if (answer->end)
-        send(channel, *answer->end);
+    if (m_peers.contains(channel))
+        m_core.offer(offer, channel, steadyNow());
     else
-        m_followers[toString(attach.attempt)].insert(channel);
+        send(channel, dispatch::attempt_refused { offer.attempt, result_code::StaleLink, "" });
 }
 
 void sidecar::onStep(const execution::stage_step& step)
@@ -246,14 +189,13 @@
     const auto* plan = m_guard.planOf(step.request);
     if (open == m_stageWork.end() || plan == nullptr)
         return;
-    const auto work = m_work.find(open->second);
-    if (work != m_work.end())
-        runStep(step, *plan, work->second.offer.work.maxTokens);
+    if (const auto* work = m_core.workOf(open->second))
+        runStep(step, *plan, work->maxTokens);
 }
 
 void sidecar::onFence(link::channel_number channel, const link::stage_fence& fence)
 {
-    m_guard.fence(fence.request, fence.generation, steadyNow() + m_gate.options().recordRetention);
+    m_guard.fence(fence.request, fence.generation, steadyNow() + m_core.gate().options().recordRetention);
     endStage(fence.request);
     telemetry::logEvent(
         event_code::GenerationFenced, { { "request", fence.request }, { "below", std::to_string(fence.generation) } });
@@ -267,131 +209,90 @@
     asio::post(m_pool, [this, request] { m_dialect->closeStage(request); });
 }
 
-void sidecar::carryOut(const std::vector<dispatch::gate_effect>& effects)
+void sidecar::carryOut()
 {
-    for (const auto& effect : effects) {
-        if (const auto* accept = std::get_if<dispatch::gate_accept>(&effect)) {
-            send(accept->channel, dispatch::attempt_accepted { accept->attempt });
-        } else if (const auto* refuse = std::get_if<dispatch::gate_refuse>(&effect)) {
-            m_work.erase(refuse->attempt);
-            m_metrics.count("offers_refused_total", std::string(describe(refuse->why.code).name));
-            telemetry::logEvent(event_code::OfferRefused,
-                { { "attempt", toString(refuse->attempt) }, { "code", std::string(describe(refuse->why.code).name) } });
-            const dispatch::attempt_refused refused { refuse->attempt, refuse->why.code, refuse->why.reason };
-            send(refuse->channel, refused);
-            sendLoad(refuse->channel);
-            for (const auto follower : std::exchange(m_followers[toString(refuse->attempt)], {}))
-                send(follower, refused);
-            m_followers.erase(toString(refuse->attempt));
-        } else if (const auto* start = std::get_if<dispatch::gate_start>(&effect)) {
-            startWork(start->attempt);
-        } else if (const auto* cancel = std::get_if<dispatch::gate_cancel>(&effect)) {
-            cancelWork(cancel->attempt);
+    while (const auto effect = m_core.nextEffect()) {
+        if (const auto* start = std::get_if<dispatch::start_work>(&*effect)) {
+            startWork(*start);
+            continue;
         }
+        if (const auto* cancel = std::get_if<dispatch::cancel_work>(&*effect)) {
+            cancelWork(*cancel);
+            continue;
+        }
+        const auto& sent = std::get<dispatch::send_to_channel>(*effect);
+        if (const auto* refused = std::get_if<dispatch::attempt_refused>(&sent.message)) {
+            const std::string code(describe(refused->code).name);
+            m_metrics.count("offers_refused_total", code);
+            telemetry::logEvent(
+                event_code::OfferRefused, { { "attempt", toString(refused->attempt) }, { "code", code } });
+        }
+        std::visit([&](const auto& message) { send(sent.channel, message); }, sent.message);
     }
-    m_metrics.gauge("running", static_cast<double>(m_gate.running()));
-    m_metrics.gauge("queued", static_cast<double>(m_gate.queued()));
+    m_metrics.gauge("running", static_cast<double>(m_core.gate().running()));
+    m_metrics.gauge("queued", static_cast<double>(m_core.gate().queued()));
 }
 
-void sidecar::startWork(const attempt_id& attempt)
+void sidecar::startWork(const dispatch::start_work& work)
 {
-    const auto found = m_work.find(attempt);
-    if (found == m_work.end())
-        return;
-    auto& work = found->second;
-    telemetry::logEvent(event_code::WorkStarted, { { "attempt", toString(attempt) } });
-    if (work.offer.work.kind == dispatch::work_kind::Stage) {
-        startStage(attempt, work);
+    telemetry::logEvent(event_code::WorkStarted, { { "attempt", toString(work.attempt) } });
+    if (work.work.kind == dispatch::work_kind::Stage) {
+        startStage(work);
         return;
     }
-    if (work.offer.nonIdempotent)
-        m_answers.begin(attempt);
-    tellStarted(attempt, work);
-    asio::post(m_pool, [this, attempt, order = work.offer.work, deadline = work.deadline, canceller = work.canceller] {
+    auto canceller = std::make_shared<http::call_canceller>();
+    m_cancellers[work.attempt] = canceller;
+    asio::post(m_pool, [this, work, canceller] {
         const auto sink = [this](dispatch::answer_frame frame) {
-            m_loop.post([this, frame = std::move(frame)]() mutable { takeFrame(std::move(frame)); });
+            m_loop.post([this, frame = std::move(frame)]() mutable {
+                m_core.frame(std::move(frame));
+                carryOut();
+            });
         };
-        const auto outcome = m_dialect->run(attempt, order, deadline, *canceller, sink);
-        m_loop.post([this, attempt, outcome] { endWork(attempt, outcome); });
+        const auto outcome = m_dialect->run(work.attempt, work.work, work.deadline, *canceller, sink);
+        m_loop.post([this, attempt = work.attempt, outcome] { endWork(attempt, outcome); });
     });
 }
 
-void sidecar::startStage(const attempt_id& attempt, open_work& work)
+void sidecar::startStage(const dispatch::start_work& work)
 {
-    const auto& order = work.offer.work;
-    const auto opened = m_guard.open(
-        attempt.request, order.chain, order.stage, ownStage(), work.deadline + m_gate.options().recordRetention);
+    const std::string& request = work.attempt.request;
+    const auto opened = m_guard.open(request, work.work.chain, work.work.stage, ownStage(),
+        work.deadline + m_core.gate().options().recordRetention);
     if (!opened) {
-        carryOut(m_gate.notBegun(attempt, opened.error(), steadyNow()));
+        m_core.notBegun(work.attempt, opened.error(), steadyNow());
         return;
     }
-    endStage(attempt.request); // an older generation's stage gives up its slot
-    m_stageWork[attempt.request] = attempt;
-    tellStarted(attempt, work);
+    endStage(request); // an older generation's stage gives up its slot
+    m_stageWork[request] = work.attempt;
+    m_core.stageOpened(work.attempt);
 }
 
-void sidecar::cancelWork(const attempt_id& attempt)
+void sidecar::cancelWork(const dispatch::cancel_work& work)
 {
-    const auto found = m_work.find(attempt);
-    if (found == m_work.end())
-        return;
-    telemetry::logEvent(event_code::WorkCancelled, { { "attempt", toString(attempt) } });
-    if (found->second.offer.work.kind == dispatch::work_kind::Stage) {
-        m_guard.close(attempt.request);
-        endStage(attempt.request);
+    telemetry::logEvent(event_code::WorkCancelled, { { "attempt", toString(work.attempt) } });
+    if (work.kind == dispatch::work_kind::Stage) {
+        m_guard.close(work.attempt.request);
+        endStage(work.attempt.request);
         return;
     }
-    asio::post(m_pool, [this, attempt, canceller = found->second.canceller] {
+    const auto found = m_cancellers.find(work.attempt);
+    if (found == m_cancellers.end())
+        return;
+    asio::post(m_pool, [this, attempt = work.attempt, canceller = found->second] {
         canceller->cancel();
         m_dialect->cancel(attempt);
     });
 }
 
-void sidecar::takeFrame(dispatch::answer_frame frame)
+void sidecar::endWork(const attempt_id& attempt, const dispatch::work_outcome& outcome)
 {
-    const auto found = m_work.find(frame.attempt);
-    if (found == m_work.end())
-        return;
-    auto& work = found->second;
-    frame.sequence = work.nextSequence++;
-    work.digest.add(frame);
-    if (work.offer.nonIdempotent)
-        m_answers.add(frame);
-    send(m_gate.channelOf(frame.attempt), frame);
-    const auto followers = m_followers.find(toString(frame.attempt));
-    if (followers == m_followers.end())
-        return;
-    for (const auto channel : followers->second)
-        send(channel, frame);
-}
-
-void sidecar::endWork(const attempt_id& attempt, const work_outcome& outcome)
-{
-    const auto found = m_work.find(attempt);
-    if (found == m_work.end())
-        return;
-    auto& work = found->second;
-    telemetry::logEvent(event_code::WorkFinished,
-        { { "attempt", toString(attempt) }, { "code", std::string(describe(outcome.code).name) } });
-    m_metrics.count("work_total", std::string(describe(outcome.code).name));
-    if (outcome.notBegun) {
-        m_answers.drop(attempt);
-        carryOut(m_gate.notBegun(attempt, { outcome.code, outcome.reason }, steadyNow()));
-        return;
-    }
-    const dispatch::answer_end end { attempt, outcome.code, outcome.reason, work.nextSequence, work.digest.value(),
-        outcome.finishReason };
-    if (work.offer.nonIdempotent)
-        m_answers.end(end);
-    const auto channel = m_gate.channelOf(attempt);
-    send(channel, end);
-    for (const auto follower : std::exchange(m_followers[toString(attempt)], {}))
-        send(follower, end);
-    m_followers.erase(toString(attempt));
-    m_work.erase(found);
-    const auto effects = m_gate.finished(attempt, steadyNow());
-    sendLoad(channel);
-    carryOut(effects);
+    const std::string code(describe(outcome.code).name);
+    telemetry::logEvent(event_code::WorkFinished, { { "attempt", toString(attempt) }, { "code", code } });
+    m_metrics.count("work_total", code);
+    m_cancellers.erase(attempt);
+    m_core.ended(attempt, outcome, steadyNow());
+    carryOut();
 }
 
 void sidecar::endStage(const std::string& request)
@@ -401,16 +302,7 @@
         return;
     const attempt_id attempt = found->second;
     m_stageWork.erase(found);
-    m_work.erase(attempt);
-    carryOut(m_gate.finished(attempt, steadyNow()));
-}
-
-void sidecar::tellStarted(const attempt_id& attempt, open_work& work)
-{
-    if (work.toldStarted)
-        return;
-    work.toldStarted = true;
-    send(m_gate.channelOf(attempt), dispatch::attempt_started { attempt });
+    m_core.stageClosed(attempt, steadyNow());
 }
 
 void sidecar::runStep(const execution::stage_step& step, const execution::chain_plan& plan, std::uint32_t maxTokens)
@@ -465,7 +357,7 @@
 
 void sidecar::tellEntry(const std::string& request, std::uint32_t generation, const link::message& message)
 {
-    send(m_gate.channelOf({ request, generation }), message);
+    send(m_core.gate().channelOf({ request, generation }), message);
 }
 
 void sidecar::send(link::channel_number channel, const link::message& message)
@@ -474,13 +366,6 @@
         m_hub->send(channel, link::encode(message));
 }
 
-void sidecar::sendLoad(link::channel_number channel)
-{
-    send(channel,
-        dispatch::load_report { m_settings.id, static_cast<std::uint32_t>(m_gate.running()),
-            static_cast<std::uint32_t>(m_gate.queued()), static_cast<std::uint32_t>(m_gate.options().slots) });
-}
-
 void sidecar::probe()
 {
     if (m_probing)
@@ -501,7 +386,7 @@
         m_targetReady = condition.ready;
         telemetry::logEvent(event_code::TargetStateChanged, { { "ready", condition.ready ? "yes" : "no" } });
     }
-    m_gate.setReady(condition.ready);
+    m_core.gate().setReady(condition.ready);
     announceState();
 }
 
@@ -516,12 +401,13 @@
 void sidecar::tick()
 {
     const steady_time now = steadyNow();
-    carryOut(m_gate.tick(now));
+    m_core.tick(now);
     for (const auto& request : m_guard.expire(now))
         endStage(request);
+    carryOut();
     m_metrics.gauge("link_bytes_sent", static_cast<double>(m_hub->bytesSent()));
     m_metrics.gauge("link_bytes_received", static_cast<double>(m_hub->bytesReceived()));
-    if (!m_whenDrained || m_gate.running() + m_gate.queued() > 0)
+    if (!m_whenDrained || m_core.gate().running() + m_core.gate().queued() > 0)
         return;
     if (m_session->record().state != membership::instance_state::Left) {
         m_session->setState(membership::instance_state::Left);
--- a/src/app/sidecar.hpp
+++ b/src/app/sidecar.hpp
@@ -5,9 +5,7 @@
 #include "app/process.hpp"
 #include "app/session_client.hpp"
 #include "app/target_adapter.hpp"
-#include "buckthornrail/dispatch/answer.hpp"
-#include "buckthornrail/dispatch/answer_store.hpp"
-#include "buckthornrail/dispatch/target_gate.hpp"
+#include "buckthornrail/dispatch/sidecar_core.hpp"
 
 #include <asio/post.hpp>
 #include <asio/thread_pool.hpp>
@@ -28,15 +26,6 @@
     [[nodiscard]] bool isReady() const { return m_isReady; }
 
 private:
-    /// An attempt that was accepted and has not ended.
-    struct open_work {
-        dispatch::attempt_offer offer;
-        std::shared_ptr<http::call_canceller> canceller = std::make_shared<http::call_canceller>();
-        steady_time deadline {};
-        std::uint32_t nextSequence = 0;
-        dispatch::answer_digest digest;
-        bool toldStarted = false;
-    };
     struct peer {
         instance_id instance;
         incarnation_number incarnation = 0;
@@ -48,27 +37,22 @@
     void handle(link::channel_number channel, const link::message& message);
     void onHello(link::channel_number channel, const link::link_hello& hello);
     void onOffer(link::channel_number channel, const dispatch::attempt_offer& offer);
-    void onRevoke(link::channel_number channel, const dispatch::attempt_revoke& revoke);
-    void onAttach(link::channel_number channel, const dispatch::answer_attach& attach);
     void onStep(const execution::stage_step& step);
     void onFence(link::channel_number channel, const link::stage_fence& fence);
     void onStageClose(const std::string& request);
 
-    void carryOut(const std::vector<dispatch::gate_effect>& effects);
-    void startWork(const attempt_id& attempt);
-    void startStage(const attempt_id& attempt, open_work& work);
-    void cancelWork(const attempt_id& attempt);
-    void takeFrame(dispatch::answer_frame frame);
-    void endWork(const attempt_id& attempt, const work_outcome& outcome);
+    void carryOut();
+    void startWork(const dispatch::start_work& work);
+    void startStage(const dispatch::start_work& work);
+    void cancelWork(const dispatch::cancel_work& work);
+    void endWork(const attempt_id& attempt, const dispatch::work_outcome& outcome);
     void endStage(const std::string& request);
-    void tellStarted(const attempt_id& attempt, open_work& work);
     void runStep(const execution::stage_step& step, const execution::chain_plan& plan, std::uint32_t maxTokens);
     void stepDone(const execution::stage_step& step, const step_outcome& outcome);
     void passOn(const execution::stage_step& step, const execution::chain_stage& stage);
     void tellEntry(const std::string& request, std::uint32_t generation, const link::message& message);
 
     void send(link::channel_number channel, const link::message& message);
-    void sendLoad(link::channel_number channel);
     void probe();
     void takeCondition(const target_condition& condition);
     void announceState();
@@ -80,11 +64,9 @@
     telemetry::metrics& m_metrics;
     incarnation_number m_incarnation;
     std::unique_ptr<target_dialect> m_dialect;
-    dispatch::target_gate m_gate;
+    dispatch::sidecar_core m_core;
     execution::stage_guard m_guard;
-    dispatch::answer_store m_answers;
-    std::map<attempt_id, open_work> m_work;
-    std::map<std::string, std::set<link::channel_number>> m_followers; ///< of attempts, by toString(attempt)
+    std::map<attempt_id, std::shared_ptr<http::call_canceller>> m_cancellers; ///< of calls to the target
     std::map<std::string, attempt_id> m_stageWork; ///< open stage attempt of each request
     std::map<link::channel_number, peer> m_peers;
     std::map<std::string, link::channel_number> m_nextStages; ///< links dialled to other sidecars, by address
--- a/src/app/target_adapter.hpp
+++ b/src/app/target_adapter.hpp
@@ -2,7 +2,7 @@
 /// @brief Dialects of targets: how each kind is asked for readiness, load and work. Calls block.
 #pragma once
 
-#include "buckthornrail/dispatch/messages.hpp"
+#include "buckthornrail/dispatch/sidecar_core.hpp"
 #include "buckthornrail/execution/stage_guard.hpp"
 #include "buckthornrail/http/http_client.hpp"
 #include "buckthornrail/settings/settings.hpp"
@@ -18,13 +18,7 @@
     std::uint32_t waiting = 0;
 };
 
-/// How work at a target ended.
-struct work_outcome {
-    result_code code = result_code::Ok;
-    std::string reason;
-    std::string finishReason;
-    bool notBegun = false; ///< the target never got the work
-};
+using dispatch::work_outcome;
 
 /// Gets the frames of an answer as they come; sequence numbers are set by the caller.
 using frame_sink = std::function<void(dispatch::answer_frame)>;
--- /dev/null
+++ b/src/buckthornrail/dispatch/sidecar_core.cpp
@@ -0,0 +1,224 @@
+/// @file
+/// @brief Attempts at a sidecar.
+#include "buckthornrail/dispatch/sidecar_core.hpp"
+
+#include <utility>
+
+namespace buckthornrail::dispatch {
+
+sidecar_core::sidecar_core(instance_id self, gate_options options, std::size_t keepBytes, steady_time now)
+    : m_self(std::move(self))
+    , m_gate(options, now)
+    , m_answers(keepBytes)
+{
+}
+
+void sidecar_core::offer(const attempt_offer& offer, channel_number channel, steady_time now)
+{
+    const bool isKnown = m_gate.stateOf(offer.attempt).has_value();
+    const auto effects = m_gate.offer(offer, channel, now);
+    const auto state = m_gate.stateOf(offer.attempt);
+    const bool isOpen = state == gate_state::Queued || state == gate_state::Started;
+    if (!isKnown && isOpen) {
+        open_work work;
+        work.offer = offer;
+        work.deadline = now + milliseconds(offer.finishWithinMs);
+        m_work.emplace(offer.attempt, std::move(work));
+    }
+    carryOut(effects);
+}
+
+void sidecar_core::revoke(const attempt_revoke& revoke, channel_number channel, steady_time now)
+{
+    std::vector<gate_effect> effects;
+    const auto outcome = m_gate.revoke(revoke, now, effects);
+    if (outcome == revoke_outcome::NotStarted) {
+        sendToFollowers(revoke.attempt, attempt_refused { revoke.attempt, result_code::Revoked, "" });
+        forget(revoke.attempt);
+    }
+    send(channel, revoke_reply { revoke.attempt, outcome });
+    carryOut(effects);
+}
+
+void sidecar_core::attach(const answer_attach& attach, channel_number channel, steady_time now)
+{
+    const auto reply
+        = [&](attach_outcome outcome) { send(channel, attach_reply { attach.attempt, outcome }); };
+    if (attach.incarnation != m_gate.options().incarnation) {
+        reply(attach_outcome::Unknown);
+        return;
+    }
+    const auto state = m_gate.stateOf(attach.attempt);
+    if (!state || state == gate_state::Refused) {
+        // A tombstone keeps an attempt that was never offered from being started later.
+        std::vector<gate_effect> effects;
+        (void)m_gate.revoke({ attach.attempt, attach.incarnation, false }, now, effects);
+        reply(attach_outcome::NotStarted);
+        return;
+    }
+    if (state == gate_state::Queued) {
+        m_followers[attach.attempt].insert(channel);
+        reply(attach_outcome::Attached);
+        return;
+    }
+    const auto* answer = m_answers.find(attach.attempt);
+    if (answer == nullptr || answer->evicted) {
+        reply(attach_outcome::Gone);
+        return;
+    }
+    reply(attach_outcome::Attached);
+    for (const auto& frame : answer->frames)
+        send(channel, frame);
+    if (answer->end)
+        send(channel, *answer->end);
+    else
+        m_followers[attach.attempt].insert(channel);
+}
+
+void sidecar_core::channelLost(channel_number channel, steady_time now)
+{
+    for (auto& [attempt, channels] : m_followers)
+        channels.erase(channel);
+    carryOut(m_gate.channelLost(channel, now));
+}
+
+void sidecar_core::tick(steady_time now)
+{
+    carryOut(m_gate.tick(now));
+}
+
+void sidecar_core::frame(answer_frame frame)
+{
+    const auto found = m_work.find(frame.attempt);
+    if (found == m_work.end())
+        return;
+    auto& work = found->second;
+    frame.sequence = work.nextSequence++;
+    work.digest.add(frame);
+    if (work.offer.nonIdempotent)
+        m_answers.add(frame);
+    const auto channel = m_gate.channelOf(frame.attempt);
+    sendToFollowers(frame.attempt, frame);
+    send(channel, std::move(frame));
+}
+
+void sidecar_core::ended(const attempt_id& attempt, const work_outcome& outcome, steady_time now)
+{
+    const auto found = m_work.find(attempt);
+    if (found == m_work.end())
+        return;
+    if (outcome.notBegun) {
+        notBegun(attempt, { outcome.code, outcome.reason }, now);
+        return;
+    }
+    const auto& work = found->second;
+    const answer_end end { attempt, outcome.code, outcome.reason, work.nextSequence, work.digest.value(),
+        outcome.finishReason };
+    if (work.offer.nonIdempotent)
+        m_answers.end(end);
+    const auto channel = m_gate.channelOf(attempt);
+    send(channel, end);
+    sendToFollowers(attempt, end);
+    forget(attempt);
+    const auto effects = m_gate.finished(attempt, now);
+    reportLoad(channel);
+    carryOut(effects);
+}
+
+void sidecar_core::stageOpened(const attempt_id& attempt)
+{
+    send(m_gate.channelOf(attempt), attempt_started { attempt });
+}
+
+void sidecar_core::stageClosed(const attempt_id& attempt, steady_time now)
+{
+    forget(attempt);
+    carryOut(m_gate.finished(attempt, now));
+}
+
+void sidecar_core::notBegun(const attempt_id& attempt, const failure& why, steady_time now)
+{
+    m_answers.drop(attempt);
+    carryOut(m_gate.notBegun(attempt, why, now));
+}
+
+void sidecar_core::reportLoad(channel_number channel)
+{
+    send(channel,
+        load_report { m_self, static_cast<std::uint32_t>(m_gate.running()), static_cast<std::uint32_t>(m_gate.queued()),
+            static_cast<std::uint32_t>(m_gate.options().slots) });
+}
+
+std::optional<sidecar_effect> sidecar_core::nextEffect()
+{
+    if (m_effects.empty())
+        return std::nullopt;
+    sidecar_effect effect = std::move(m_effects.front());
+    m_effects.pop_front();
+    return effect;
+}
+
+const work_order* sidecar_core::workOf(const attempt_id& attempt) const
+{
+    const auto found = m_work.find(attempt);
+    return found == m_work.end() ? nullptr : &found->second.offer.work;
+}
+
+void sidecar_core::carryOut(const std::vector<gate_effect>& effects)
+{
+    for (const auto& effect : effects) {
+        if (const auto* accept = std::get_if<gate_accept>(&effect)) {
+            send(accept->channel, attempt_accepted { accept->attempt });
+        } else if (const auto* refuse = std::get_if<gate_refuse>(&effect)) {
+            const attempt_refused refused { refuse->attempt, refuse->why.code, refuse->why.reason };
+            send(refuse->channel, refused);
+            reportLoad(refuse->channel);
+            sendToFollowers(refuse->attempt, refused);
+            forget(refuse->attempt);
+        } else if (const auto* started = std::get_if<gate_start>(&effect)) {
+            start(started->attempt);
+        } else if (const auto* cancel = std::get_if<gate_cancel>(&effect)) {
+            const auto found = m_work.find(cancel->attempt);
+            if (found != m_work.end())
+                m_effects.emplace_back(cancel_work { cancel->attempt, found->second.offer.work.kind });
+        }
+    }
+}
+
+void sidecar_core::start(const attempt_id& attempt)
+{
+    const auto found = m_work.find(attempt);
+    if (found == m_work.end())
+        return;
+    const auto& work = found->second;
+    if (work.offer.nonIdempotent)
+        m_answers.begin(attempt);
+    m_effects.emplace_back(start_work { attempt, work.offer.work, work.deadline });
+    if (work.offer.work.kind != work_kind::Stage) {
+        send(m_gate.channelOf(attempt), attempt_started { attempt });
+        sendToFollowers(attempt, attempt_started { attempt });
+    }
+}
+
+void sidecar_core::send(channel_number channel, sidecar_message message)
+{
+    if (channel != 0)
+        m_effects.emplace_back(send_to_channel { channel, std::move(message) });
+}
+
+void sidecar_core::sendToFollowers(const attempt_id& attempt, const sidecar_message& message)
+{
+    const auto found = m_followers.find(attempt);
+    if (found == m_followers.end())
+        return;
+    for (const auto channel : found->second)
+        send(channel, message);
+}
+
+void sidecar_core::forget(const attempt_id& attempt)
+{
+    m_work.erase(attempt);
+    m_followers.erase(attempt);
+}
+
+} // namespace buckthornrail::dispatch
--- a/src/buckthornrail/execution/chain_run.cpp
+++ b/src/buckthornrail/execution/chain_run.cpp
@@ -65,7 +65,7 @@
     m_effects.emplace_back(begin_steps { m_plan.stages.front(), { m_request.id, m_plan.generation, 0, 0, m_text } });
 }
 
-void chain_run::stageRefused(const instance_id& instance, std::uint32_t generation, failure why, steady_time now)
+void chain_run::stageRefused(const instance_id& instance, std::uint32_t generation, const failure& why, steady_time now)
 {
     if (generation != m_plan.generation || !hasStage(instance))
         return;
@@ -84,7 +84,7 @@
         afterFence(now);
 }
 
-void chain_run::stageFailed(std::uint32_t generation, std::uint32_t at, failure why, steady_time now)
+void chain_run::stageFailed(std::uint32_t generation, std::uint32_t at, const failure& why, steady_time now)
 {
     if (m_phase != phase::Running || generation != m_plan.generation || at >= m_plan.stages.size())
         return;
--- a/tools/stand_in_target.cpp
+++ b/tools/stand_in_target.cpp
@@ -157,7 +157,7 @@
             step(request, exchange);
         else if (path == "/engine/close")
             close(request, exchange);
-        else if (path == "/engine/state")
+        else if (path == "/engine/state" || path.ends_with("/stats"))
             respond(exchange, 200, state());
         else if (path == "/cancel")
             cancel(request, exchange);
@@ -165,8 +165,6 @@
             order(request, exchange);
         else if (path == "/metrics")
             exchange.respond(200, {}, metricsText());
-        else if (path.ends_with("/stats"))
-            respond(exchange, 200, state());
         else if (path == "/health" || path == "/healthz" || path.ends_with("/ready"))
             respond(exchange, m_ready ? 200 : 503, json::object());
         else
