Chains: fault matrix and properties for split models

Change: a world of one entry and two sidecars a layer range; 7 faults at every message on every stage. Ruled out: reopening a guard without its memory as the removed protection: one repeated message alone does not make a step run twice then; not heeding the verdict does, and the checker notices.

--- /dev/null
+++ b/src/buckthornrail/execution/chain_faults_test.cpp
@@ -0,0 +1,387 @@
+/// @file
+/// @brief Split models under faults: every layer once a token and in order, whatever dies, at every step.
+#include "buckthornrail/execution/chain_run.hpp"
+#include "support/promises.hpp"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <random>
+#include <rapidcheck/catch.h>
+
+using namespace buckthornrail;
+using namespace buckthornrail::execution;
+using test_support::caller_record;
+using test_support::execution_record;
+
+namespace {
+
+constexpr std::uint32_t layerCount = 6;
+
+std::string nextToken(const std::string& text)
+{
+    return " t" + std::to_string(std::hash<std::string>()(text) % 1000);
+}
+
+std::string answerTo(std::string prompt, std::uint32_t tokens)
+{
+    std::string answer;
+    for (std::uint32_t at = 0; at < tokens; ++at) {
+        const std::string token = nextToken(prompt);
+        answer += token;
+        prompt += token;
+    }
+    return answer;
+}
+
+/// What happens to message number `step`.
+enum class chain_fault { None, Lose, Repeat, Delay, KillStage, FreezeStage, StepFails, CutFromEntry };
+
+constexpr std::array allFaults { chain_fault::Lose, chain_fault::Repeat, chain_fault::Delay, chain_fault::KillStage,
+    chain_fault::FreezeStage, chain_fault::StepFails, chain_fault::CutFromEntry };
+
+/// One entry, and two sidecars for each of several layer ranges.
+class chain_world {
+public:
+    chain_world(const std::vector<std::uint32_t>& ends, std::uint64_t seed)
+        : m_random(seed)
+        , m_now(steady_time {} + std::chrono::hours(1))
+    {
+        std::uint32_t first = 0;
+        for (const auto end : ends) {
+            for (const char* copy : { "a", "b" }) {
+                node one;
+                one.stage = { copy + std::to_string(first), "", 1, "v", first, end };
+                m_nodes.emplace(one.stage.instance, std::move(one));
+            }
+            first = end;
+        }
+    }
+
+    chain_fault fault = chain_fault::None;
+    std::size_t faultStep = 0;
+    std::string victim;
+    bool admitsAll = false; ///< the protection taken out: the guards' verdict is not heeded
+
+    caller_record ask(std::uint32_t tokens)
+    {
+        chain_request request { "r1", "m", "v", layerCount, "prompt", tokens, m_now + std::chrono::seconds(60) };
+        m_run = std::make_unique<chain_run>(request, chain_run_options {});
+        m_record = {};
+        m_record.request = "r1";
+        m_record.expected = answerTo("prompt", tokens);
+        m_maxTokens = tokens;
+        m_run->start(m_now);
+        drive();
+        const steady_time end = m_now + std::chrono::seconds(70);
+        while (m_now < end && !m_record.answered) {
+            m_now += milliseconds(10);
+            while (!m_events.empty() && m_events.begin()->first <= m_now) {
+                const auto action = std::move(m_events.begin()->second);
+                m_events.erase(m_events.begin());
+                action();
+            }
+            m_run->tick(m_now);
+            drive();
+        }
+        return m_record;
+    }
+
+    [[nodiscard]] const std::vector<execution_record>& executions() const { return m_executions; }
+    [[nodiscard]] std::size_t messages() const { return m_messages; }
+    [[nodiscard]] std::vector<std::string> instances() const
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, one] : m_nodes)
+            names.push_back(name);
+        return names;
+    }
+
+private:
+    struct node {
+        chain_stage stage;
+        stage_guard guard;
+        bool dead = false;
+        bool frozen = false;
+        bool cut = false;
+        bool failsNext = false;
+        std::string text; ///< stage 0: what it has seen in this generation
+        std::uint32_t maxTokens = 0;
+    };
+
+    /// Sends a message; `to` is empty for the entry.
+    void transport(const std::string& from, const std::string& to, const std::function<void()>& deliver)
+    {
+        const std::size_t number = m_messages++;
+        const chain_fault now = number == faultStep ? fault : chain_fault::None;
+        if (now >= chain_fault::KillStage)
+            strike(now);
+        const auto usable = [this](const std::string& name) { return name.empty() || !m_nodes.at(name).dead; };
+        const auto isCut = [this](const std::string& name, const std::string& other) {
+            return !name.empty() && other.empty() && m_nodes.at(name).cut;
+        };
+        if (now == chain_fault::Lose || !usable(from) || isCut(from, to) || isCut(to, from))
+            return;
+        const auto guarded = [this, to, deliver] {
+            if (to.empty()) {
+                deliver();
+                return;
+            }
+            auto& receiver = m_nodes.at(to);
+            if (receiver.dead)
+                return;
+            if (receiver.frozen) {
+                m_events.emplace(m_now + std::chrono::seconds(8), deliver); // wakes up late
+                return;
+            }
+            deliver();
+        };
+        m_events.emplace(m_now + milliseconds(now == chain_fault::Delay ? 6000 : m_random() % 10 + 1), guarded);
+        if (now == chain_fault::Repeat)
+            m_events.emplace(m_now + milliseconds(m_random() % 500), guarded);
+    }
+
+    void strike(chain_fault kind)
+    {
+        auto& one = m_nodes.at(victim);
+        one.dead = kind == chain_fault::KillStage;
+        one.frozen = kind == chain_fault::FreezeStage;
+        one.failsNext = kind == chain_fault::StepFails;
+        one.cut = kind == chain_fault::CutFromEntry;
+        if (one.dead) {
+            m_events.emplace(m_now + milliseconds(20), [this] {
+                m_run->linkLost(victim, m_now);
+                drive();
+            });
+        }
+    }
+
+    void drive()
+    {
+        while (const auto effect = m_run->nextEffect())
+            carryOut(*effect);
+    }
+
+    void carryOut(const chain_effect& effect)
+    {
+        if (const auto* wish = std::get_if<choose_chain>(&effect)) {
+            std::vector<stage_candidate> candidates;
+            for (const auto& [name, one] : m_nodes) {
+                if (!wish->excluded.contains(name))
+                    candidates.push_back({ one.stage, static_cast<double>(m_random() % 100) });
+            }
+            auto chain = buildChain(candidates, layerCount);
+            if (chain)
+                m_run->chainBuilt(*chain, m_now);
+            else
+                m_run->noChain(chain.error());
+        } else if (const auto* open = std::get_if<open_stage>(&effect)) {
+            const std::string name = open->plan.stages[open->stage].instance;
+            transport("", name, [this, name, order = *open] { openAt(name, order); });
+        } else if (const auto* begin = std::get_if<begin_steps>(&effect)) {
+            transport("", begin->stage.instance,
+                [this, name = begin->stage.instance, step = begin->step] { stepAt(name, step); });
+        } else if (const auto* fence = std::get_if<fence_stage>(&effect)) {
+            const std::string name = fence->stage.instance;
+            transport("", name, [this, name, generation = fence->generation] {
+                m_nodes.at(name).guard.fence("r1", generation, m_now + std::chrono::hours(1));
+                transport(name, "", [this, name, generation] {
+                    m_run->stageFenced(name, generation, m_now);
+                    drive();
+                });
+            });
+        } else if (const auto* token = std::get_if<deliver_token>(&effect)) {
+            m_record.text += token->text;
+        } else if (const auto* last = std::get_if<finish_chain>(&effect)) {
+            m_record.answered = true;
+            m_record.code = last->result.code;
+            m_record.ran = last->ran;
+        }
+    }
+
+    void openAt(const std::string& name, const open_stage& order)
+    {
+        auto& one = m_nodes.at(name);
+        const auto opened
+            = one.guard.open("r1", order.plan, order.stage, one.stage, m_now + std::chrono::hours(1));
+        one.maxTokens = order.maxTokens;
+        const auto generation = order.plan.generation;
+        transport(name, "", [this, name, generation, opened] {
+            if (opened)
+                m_run->stageOpened(name, generation, m_now);
+            else
+                m_run->stageRefused(name, generation, opened.error(), m_now);
+            drive();
+        });
+    }
+
+    void stepAt(const std::string& name, const stage_step& step)
+    {
+        auto& one = m_nodes.at(name);
+        const auto verdict = one.guard.admit(step);
+        if (verdict != step_verdict::Run && !(admitsAll && one.guard.planOf("r1") != nullptr))
+            return;
+        const auto plan = *one.guard.planOf("r1");
+        if (one.failsNext) {
+            transport(name, "", [this, step] {
+                m_run->stageFailed(step.generation, step.stage, { result_code::TargetFailed, "" }, m_now);
+                drive();
+            });
+            return;
+        }
+        execution_record execution;
+        execution.target = name;
+        execution.request = step.request;
+        execution.isStep = true;
+        execution.generation = step.generation;
+        execution.token = step.token;
+        execution.firstLayer = one.stage.firstLayer;
+        execution.endLayer = one.stage.endLayer;
+        m_executions.push_back(execution);
+        std::string output = step.input;
+        if (step.stage == 0) {
+            one.text = step.token == 0 ? step.input : one.text + step.input;
+            output = one.text;
+        }
+        if (step.stage + 1 < plan.stages.size()) {
+            pass(name, plan.stages[step.stage + 1].instance, { "r1", step.generation, step.token, step.stage + 1, output });
+            return;
+        }
+        const std::string token = nextToken(output);
+        const bool last = step.token + 1 == one.maxTokens;
+        transport(name, "", [this, step, token, last] {
+            m_run->token({ step.generation, step.token, token, last, last ? "length" : "" }, m_now);
+            drive();
+        });
+        if (!last)
+            pass(name, plan.stages.front().instance, { "r1", step.generation, step.token + 1, 0, token });
+    }
+
+    void pass(const std::string& from, const std::string& to, const stage_step& step)
+    {
+        transport(from, to, [this, to, step] { stepAt(to, step); });
+    }
+
+    std::mt19937_64 m_random;
+    steady_time m_now;
+    std::multimap<steady_time, std::function<void()>> m_events;
+    std::map<std::string, node> m_nodes;
+    std::unique_ptr<chain_run> m_run;
+    caller_record m_record;
+    std::uint32_t m_maxTokens = 0;
+    std::vector<execution_record> m_executions;
+    std::size_t m_messages = 0;
+};
+
+std::vector<std::string> violationsOf(const chain_world& world, const caller_record& caller)
+{
+    auto all = test_support::checkLayers(world.executions(), layerCount);
+    for (const auto& part :
+        { test_support::checkWhole({ caller }), test_support::checkNotRun({ caller }, world.executions()) })
+        all.insert(all.end(), part.begin(), part.end());
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("chains: fault matrix, every fault at every message, at every stage", "[chain][faults]")
+{
+    const std::vector<std::uint32_t> split { 2, 5, 6 };
+    chain_world calm(split, 1);
+    REQUIRE(violationsOf(calm, calm.ask(4)).empty());
+    std::size_t cases = 0;
+    std::size_t completed = 0;
+    for (const auto fault : allFaults) {
+        for (const auto& victim : calm.instances()) {
+            for (std::size_t step = 0; step < calm.messages() + 4; ++step) {
+                chain_world world(split, step + 1);
+                world.fault = fault;
+                world.faultStep = step;
+                world.victim = victim;
+                const auto caller = world.ask(4);
+                INFO("fault " << static_cast<int>(fault) << " at " << step << " on " << victim);
+                REQUIRE(violationsOf(world, caller).empty());
+                REQUIRE(caller.answered);
+                CHECK(caller.code == result_code::Ok);
+                completed += caller.code == result_code::Ok ? 1 : 0;
+                ++cases;
+            }
+        }
+    }
+    std::cout << "chain fault matrix: " << cases << " cases, " << completed << " answered whole\n";
+}
+
+TEST_CASE("chains: any split of the layers, any fault at any step", "[chain][property]")
+{
+    rc::prop("split", [](std::uint64_t seed) {
+        std::vector<std::uint32_t> ends;
+        for (std::uint32_t layer = 1; layer < layerCount; ++layer) {
+            if (*rc::gen::arbitrary<bool>())
+                ends.push_back(layer);
+        }
+        ends.push_back(layerCount);
+        chain_world world(ends, seed);
+        const auto names = world.instances();
+        world.fault = allFaults[*rc::gen::inRange<std::size_t>(0, allFaults.size())];
+        world.faultStep = *rc::gen::inRange<std::size_t>(0, 60);
+        world.victim = names[*rc::gen::inRange<std::size_t>(0, names.size())];
+        const auto caller = world.ask(*rc::gen::inRange<std::uint32_t>(1, 6));
+        RC_ASSERT(violationsOf(world, caller).empty());
+        RC_ASSERT(caller.answered);
+    });
+}
+
+TEST_CASE("chains: the layer checker notices when the guards are not heeded", "[chain][checker]")
+{
+    bool noticed = false;
+    for (std::size_t step = 0; step < 40 && !noticed; ++step) {
+        chain_world world({ 2, 5, 6 }, step + 1);
+        world.admitsAll = true;
+        world.fault = chain_fault::Repeat;
+        world.faultStep = step;
+        noticed = !violationsOf(world, world.ask(4)).empty();
+    }
+    CHECK(noticed);
+}
+
+TEST_CASE("chains: gaps, overlaps and wrong versions are refused when built and by each sidecar", "[chain]")
+{
+    const auto stage = [](std::uint32_t first, std::uint32_t end, const std::string& version = "v") {
+        return chain_stage { "s" + std::to_string(first), "", 1, version, first, end };
+    };
+    const auto reasonOf = [](const std::vector<chain_stage>& stages) {
+        const auto checked = checkChain({ 1, "m", "v", 6, stages });
+        return checked ? std::string() : checked.error().reason;
+    };
+    CHECK(reasonOf({ stage(0, 3), stage(3, 6) }).empty());
+    CHECK(reasonOf({ stage(0, 3), stage(4, 6) }) == "layers 3 to 4 are missing before stage s4");
+    CHECK(reasonOf({ stage(0, 3), stage(2, 6) }) == "stage s2 repeats layer 2");
+    CHECK(reasonOf({ stage(0, 3) }) == "the chain ends at layer 3 of 6");
+    CHECK(reasonOf({ stage(0, 3), stage(3, 6, "w") }) == "stage s3 has version w, not v");
+    CHECK(reasonOf({}) == "the chain has no stage");
+    stage_guard guard;
+    const chain_plan gap { 1, "m", "v", 6, { stage(0, 3), stage(4, 6) } };
+    CHECK(guard.open("r", gap, 0, stage(0, 3), {}).error().code == result_code::BadChain);
+    const chain_plan whole { 1, "m", "v", 6, { stage(0, 3), stage(3, 6) } };
+    CHECK(guard.open("r", whole, 0, stage(0, 4), {}).error().code == result_code::BadChain);
+    CHECK(guard.open("r", whole, 0, stage(0, 3), {}));
+    CHECK(guard.open("r", whole, 0, stage(0, 3), {}).error().code == result_code::FencedGeneration);
+    CHECK(buildChain(std::vector<stage_candidate> { { stage(0, 3), 1 } }, 6).error().code == result_code::NoTarget);
+}
+
+TEST_CASE("chains: the cheapest cover is built, each layer once", "[chain][property]")
+{
+    rc::prop("cover", [] {
+        std::vector<stage_candidate> candidates;
+        const auto count = *rc::gen::inRange(0, 12);
+        for (int at = 0; at < count; ++at) {
+            const auto first = *rc::gen::inRange<std::uint32_t>(0, layerCount);
+            const auto end = *rc::gen::inRange<std::uint32_t>(first + 1, layerCount + 1);
+            candidates.push_back({ { "n" + std::to_string(at), "", 1, "v", first, end }, *rc::gen::inRange(1, 9) * 1.0 });
+        }
+        const auto built = buildChain(candidates, layerCount);
+        if (built)
+            RC_ASSERT(checkChain({ 1, "m", "v", layerCount, *built }).has_value());
+    });
+}
