--- a/include/buckthornrail/settings/settings.hpp
+++ b/include/buckthornrail/settings/settings.hpp
@@ -27,6 +27,7 @@
     std::string id;
     std::string failureDomain;
     std::string linkAddress;
+    std::string announcedAddress; ///< empty: linkAddress
     std::string httpAddress;
     std::uint32_t httpThreads = 64;
     std::string tokenFile;
@@ -60,6 +61,12 @@
     std::string dataFolder;
     std::uint32_t snapshotEntries = 2000;
     std::uint32_t electionTimeoutMs = 700;
+
+    /// @brief Where others reach this process's links.
+    [[nodiscard]] const std::string& reachableAddress() const
+    {
+        return announcedAddress.empty() ? linkAddress : announcedAddress;
+    }
 };
 
 using setting_member
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds tickPeriod { 20 };
 constexpr milliseconds slowTickPeriod { 200 };
 constexpr milliseconds commandResend { 500 };
-constexpr milliseconds confirmationPatience { 1500 };
+constexpr milliseconds confirmationPatience { 400 };
 constexpr milliseconds transitionPatience { 1000 };
 constexpr milliseconds joinWishLifetime { 2000 };
 constexpr milliseconds claimPatience { 2500 };
@@ -70,9 +70,10 @@
             [this](link::channel_number channel, const std::string& bytes) { onMessage(channel, bytes); },
         });
     if (m_hub->listen(m_settings.linkAddress) == 0)
-        return tl::make_unexpected(failure { result_code::BadSettings, "can't listen on " + m_settings.linkAddress });
+        return tl::make_unexpected(
+            failure { result_code::BadSettings, "can't listen on " + m_settings.reachableAddress() });
     for (const auto& address : m_settings.controllers) {
-        if (address != m_settings.linkAddress)
+        if (address != m_settings.reachableAddress())
             m_peers[address].address = address;
     }
     dialPeers();
@@ -105,7 +106,7 @@
                 failure { result_code::AlreadyInitialized, "controller " + address + " holds a log" });
         }
     }
-    auto done = m_replica->initialize(m_settings.linkAddress, steadyNow());
+    auto done = m_replica->initialize(m_settings.reachableAddress(), steadyNow());
     scheduleFlush();
     return done;
 }
@@ -230,16 +231,16 @@
 void controller::dialPeers()
 {
     for (const auto& member : m_replica->members()) {
-        if (member.address != m_settings.linkAddress)
+        if (member.address != m_settings.reachableAddress())
             m_peers[member.address].address = member.address;
     }
     const bool isBlank = m_replica->members().empty();
     for (auto& [address, peer] : m_peers) {
         if (peer.channel == 0)
             peer.channel = m_hub->dial(address);
-        sendToPeer(address, link::controller_hello { m_replica->self(), m_settings.linkAddress, !isBlank });
+        sendToPeer(address, link::controller_hello { m_replica->self(), m_settings.reachableAddress(), !isBlank });
         if (isBlank)
-            sendToPeer(address, link::join_request { m_replica->self(), m_settings.linkAddress });
+            sendToPeer(address, link::join_request { m_replica->self(), m_settings.reachableAddress() });
     }
 }
 
@@ -419,6 +420,14 @@
 
 void controller::confirmSessions()
 {
+    if (m_replica->leader() != m_confirmedBy) {
+        // What the old leader was asked it may never answer.
+        m_confirmedBy = m_replica->leader();
+        std::erase_if(m_confirmations, [](const auto& item) { return !item.second.callback; });
+        m_sessions.forgetConfirmations();
+    }
+    if (m_confirmedBy == 0)
+        return;
     const bool isOpen = std::any_of(m_confirmations.begin(), m_confirmations.end(),
         [](const auto& item) { return !item.second.callback && item.second.index == 0; });
     if (!m_sessions.hasWaiting() || isOpen)
--- a/src/app/controller_api.cpp
+++ b/src/app/controller_api.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds confirmPatience { 2000 };
 constexpr milliseconds commitPatience { 5000 };
 constexpr milliseconds loopPatience { 6000 };
+constexpr int maxDepth = 32;
 constexpr std::string_view instancePrefix = "/v1/instances/";
 
 void respondJson(http_exchange& exchange, const json& body)
@@ -189,7 +190,11 @@
             return tl::make_unexpected(failure { result_code::MalformedRequest, reason });
         };
         try {
-            const json value = json::parse(body);
+            const json value = json::parse(body, [](int depth, json::parse_event_t, json&) {
+                if (depth > maxDepth) // writing it out again takes a stack frame for each level
+                    throw std::length_error("the body is nested too deeply");
+                return true;
+            });
             for (const auto& item : value.items()) {
                 const auto& name = item.key();
                 if (name != "base" && name != "change_id" && name != "author" && name != "document")
@@ -207,6 +212,8 @@
             return std::pair { change, value.at("document").dump() };
         } catch (const json::exception& fault) {
             return malformed(fault.what());
+        } catch (const std::length_error& fault) {
+            return malformed(fault.what());
         }
     }
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -5,6 +5,7 @@
 #include "app/entry.hpp"
 #include "app/sidecar.hpp"
 
+#include <csignal>
 #include <iostream>
 #include <tclap/CmdLine.h>
 
@@ -93,6 +94,7 @@
 
 int main(int argc, char** argv)
 {
+    std::signal(SIGPIPE, SIG_IGN);
     try {
         return runCommand({ argv, argv + argc });
     } catch (const std::exception& fault) {
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -44,7 +44,6 @@
     sigaddset(&set, SIGINT);
     sigaddset(&set, SIGUSR1); // only ends the watch
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
     m_implementation->thread = std::thread([&loop, set, onStop = std::move(onStop)] {
         while (true) {
             int signal = 0;
--- a/src/app/sidecar.cpp
+++ b/src/app/sidecar.cpp
@@ -26,7 +26,7 @@
     record.role = membership::instance_role::Sidecar;
     record.incarnation = incarnation;
     record.failureDomain = settings.failureDomain;
-    record.linkAddress = settings.linkAddress;
+    record.linkAddress = settings.reachableAddress();
     record.httpAddress = settings.httpAddress;
     auto& target = record.target;
     target.kind = valueIn(membership::targetKindNames, settings.targetKind).value_or(target.kind);
@@ -79,8 +79,9 @@
     if (m_hub->listen(m_settings.linkAddress) == 0)
         return tl::make_unexpected(failure { result_code::BadSettings, "can't listen on " + m_settings.linkAddress });
     session_callbacks callbacks;
-    callbacks.leaseRenewed
-        = [this](configuration_version version, steady_time deadline) { m_core.gate().renewConfiguration(version, deadline); };
+    callbacks.leaseRenewed = [this](configuration_version version, steady_time deadline) {
+        m_core.gate().renewConfiguration(version, deadline);
+    };
     callbacks.configurationApplied = [this](const configuration::document&, configuration_version version) {
         m_core.gate().renewConfiguration(version, steady_time {});
     };
@@ -257,8 +258,8 @@
 void sidecar::startStage(const dispatch::start_work& work)
 {
     const std::string& request = work.attempt.request;
-    const auto opened = m_guard.open(request, work.work.chain, work.work.stage, ownStage(),
-        work.deadline + m_core.gate().options().recordRetention);
+    const auto opened = m_guard.open(
+        request, work.work.chain, work.work.stage, ownStage(), work.deadline + m_core.gate().options().recordRetention);
     if (!opened) {
         m_core.notBegun(work.attempt, opened.error(), steadyNow());
         return;
@@ -420,7 +421,7 @@
 
 execution::chain_stage sidecar::ownStage() const
 {
-    return { m_settings.id, m_settings.linkAddress, m_incarnation, m_settings.version, m_settings.firstLayer,
+    return { m_settings.id, m_settings.reachableAddress(), m_incarnation, m_settings.version, m_settings.firstLayer,
         m_settings.endLayer };
 }
 
--- a/src/buckthornrail/configuration/document.cpp
+++ b/src/buckthornrail/configuration/document.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint32_t maxInFlightLimit = 1'000'000;
 constexpr std::uint32_t fullShare = 100;
 constexpr std::size_t maxNameLength = 128;
+constexpr int maxDepth = 16;
 
 /// Thrown within this file and turned into an error at its edge.
 struct invalid_field {
@@ -274,7 +275,9 @@
 {
     std::vector<std::set<std::string>> open;
     std::string repeated;
-    const auto watch = [&](int, json::parse_event_t event, json& parsed) {
+    const auto watch = [&](int depth, json::parse_event_t event, json& parsed) {
+        if (depth > maxDepth)
+            reject("", "is nested too deeply");
         if (event == json::parse_event_t::object_start)
             open.emplace_back();
         if (event == json::parse_event_t::object_end)
--- a/src/buckthornrail/dispatch/sidecar_core.cpp
+++ b/src/buckthornrail/dispatch/sidecar_core.cpp
@@ -42,8 +42,7 @@
 
 void sidecar_core::attach(const answer_attach& attach, channel_number channel, steady_time now)
 {
-    const auto reply
-        = [&](attach_outcome outcome) { send(channel, attach_reply { attach.attempt, outcome }); };
+    const auto reply = [&](attach_outcome outcome) { send(channel, attach_reply { attach.attempt, outcome }); };
     if (attach.incarnation != m_gate.options().incarnation) {
         reply(attach_outcome::Unknown);
         return;
@@ -82,10 +81,7 @@
     carryOut(m_gate.channelLost(channel, now));
 }
 
-void sidecar_core::tick(steady_time now)
-{
-    carryOut(m_gate.tick(now));
-}
+void sidecar_core::tick(steady_time now) { carryOut(m_gate.tick(now)); }
 
 void sidecar_core::frame(answer_frame frame)
 {
--- a/src/buckthornrail/execution/chain_faults_test.cpp
+++ b/src/buckthornrail/execution/chain_faults_test.cpp
@@ -19,10 +19,7 @@
 
 constexpr std::uint32_t layerCount = 6;
 
-std::string nextToken(const std::string& text)
-{
-    return " t" + std::to_string(std::hash<std::string>()(text) % 1000);
-}
+std::string nextToken(const std::string& text) { return " t" + std::to_string(std::hash<std::string>()(text) % 1000); }
 
 std::string answerTo(std::string prompt, std::uint32_t tokens)
 {
@@ -203,8 +200,7 @@
     void openAt(const std::string& name, const open_stage& order)
     {
         auto& one = m_nodes.at(name);
-        const auto opened
-            = one.guard.open("r1", order.plan, order.stage, one.stage, m_now + std::chrono::hours(1));
+        const auto opened = one.guard.open("r1", order.plan, order.stage, one.stage, m_now + std::chrono::hours(1));
         one.maxTokens = order.maxTokens;
         const auto generation = order.plan.generation;
         transport(name, "", [this, name, generation, opened] {
@@ -245,7 +241,8 @@
             output = one.text;
         }
         if (step.stage + 1 < plan.stages.size()) {
-            pass(name, plan.stages[step.stage + 1].instance, { "r1", step.generation, step.token, step.stage + 1, output });
+            pass(name, plan.stages[step.stage + 1].instance,
+                { "r1", step.generation, step.token, step.stage + 1, output });
             return;
         }
         const std::string token = nextToken(output);
@@ -378,7 +375,8 @@
         for (int at = 0; at < count; ++at) {
             const auto first = *rc::gen::inRange<std::uint32_t>(0, layerCount);
             const auto end = *rc::gen::inRange<std::uint32_t>(first + 1, layerCount + 1);
-            candidates.push_back({ { "n" + std::to_string(at), "", 1, "v", first, end }, *rc::gen::inRange(1, 9) * 1.0 });
+            candidates.push_back(
+                { { "n" + std::to_string(at), "", 1, "v", first, end }, *rc::gen::inRange(1, 9) * 1.0 });
         }
         const auto built = buildChain(candidates, layerCount);
         if (built)
--- a/src/buckthornrail/http/http_server.cpp
+++ b/src/buckthornrail/http/http_server.cpp
@@ -18,6 +18,9 @@
 constexpr const char* headerTimeoutMs = "5000";
 constexpr const char* keepAliveTimeoutMs = "2000";
 constexpr std::size_t readChunkBytes = 512; ///< small, so that a slow sender is noticed
+constexpr milliseconds lingerPeriod { 2000 };
+constexpr std::size_t discardChunkBytes = 65536;
+constexpr std::size_t maxDiscardedBytes = 64U << 20U;
 
 const char* reasonPhrase(int status) { return status < 400 ? "OK" : "Error"; }
 
@@ -88,6 +91,20 @@
     return body;
 }
 
+/// Reads on for a while after an early answer: closing at once would reset the connection and lose the answer.
+void discardRest(mg_connection* connection)
+{
+    const steady_time deadline = std::chrono::steady_clock::now() + lingerPeriod;
+    std::vector<char> chunk(discardChunkBytes); // CivetWeb's threads have small stacks
+    std::size_t discarded = 0;
+    while (discarded < maxDiscardedBytes && std::chrono::steady_clock::now() < deadline) {
+        const int count = mg_read(connection, chunk.data(), chunk.size());
+        if (count <= 0)
+            return;
+        discarded += static_cast<std::size_t>(count);
+    }
+}
+
 } // namespace
 
 std::optional<std::string> http_request::header(std::string_view name) const
@@ -122,6 +139,8 @@
         if (!body) {
             respondError(exchange, { body.error(), "" }, ran_state::No);
             mg_disable_connection_keep_alive(connection);
+            if (body.error() == result_code::BodyTooLarge)
+                discardRest(connection);
             return exchange.status();
         }
         request.body = std::move(*body);
--- a/src/buckthornrail/settings/settings.cpp
+++ b/src/buckthornrail/settings/settings.cpp
@@ -33,6 +33,8 @@
         "Least severe log lines that are written." },
     setting_rule { "link", "address", onSidecar | onController, onSidecar | onController, form::Address,
         &settings::linkAddress, 0, 0, "", "Where other processes reach this one." },
+    setting_rule { "link", "announce", onSidecar | onController, 0, form::Address, &settings::announcedAddress, 0, 0,
+        "", "The address to give to others, when it isn't the one listened on." },
     setting_rule { "http", "address", onAll, onAll, form::Address, &settings::httpAddress, 0, 0, "",
         "Callers (entry), operators (controller), health and metrics (all)." },
     setting_rule {
--- /dev/null
+++ b/tests/process_faults_test.cpp
@@ -0,0 +1,403 @@
+/// @file
+/// @brief The promises over real processes: kill -9, SIGSTOP, SIGTERM, lost disks, silent links, operator races.
+#include "support/cluster.hpp"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace test_support;
+using buckthornrail::ran_state;
+using buckthornrail::result_code;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+using timed_records = std::vector<std::pair<std::chrono::steady_clock::time_point, caller_record>>;
+
+std::vector<caller_record> recordsOf(const timed_records& timed)
+{
+    std::vector<caller_record> records;
+    for (const auto& [when, record] : timed)
+        records.push_back(record);
+    return records;
+}
+
+std::string violationsOf(const cluster& system, const std::vector<caller_record>& callers)
+{
+    std::string text;
+    const auto executions = system.executions();
+    for (const auto& part :
+        { checkWhole(callers), checkNotRun(callers, executions), checkOnce(executions), checkAttempts(executions) }) {
+        for (const auto& line : part)
+            text += line + "\n";
+    }
+    return text;
+}
+
+/// How many answers of each code were not good.
+std::string badAnswers(const std::vector<caller_record>& callers)
+{
+    std::map<std::string, int> counts;
+    for (const auto& caller : callers) {
+        if (!caller.answered || caller.code != result_code::Ok)
+            ++counts[caller.answered ? std::string(buckthornrail::describe(caller.code).name) : "no answer"];
+    }
+    std::string text;
+    for (const auto& [name, count] : counts)
+        text += name + " " + std::to_string(count) + " ";
+    return text;
+}
+
+/// Callers that stream and don't, through the given entries.
+std::function<caller_record(std::size_t, std::size_t)> traffic(const cluster& system, std::vector<std::string> entries)
+{
+    return [&system, entries = std::move(entries)](std::size_t thread, std::size_t number) {
+        const std::string prompt = "essay " + std::to_string(thread) + "-" + std::to_string(number);
+        return system.complete(entries[thread % entries.size()], prompt, 6, thread % 2 == 0);
+    };
+}
+
+std::uint64_t versionOf(const cluster& system)
+{
+    const auto answer = system.operate("GET", "/v1/config");
+    return answer.status == 200 ? answer.body["version"].get<std::uint64_t>() : 0;
+}
+
+cluster_spec twoTargets()
+{
+    cluster_spec spec;
+    spec.targets = { { "openai" }, { "kserve" } };
+    return spec;
+}
+
+} // namespace
+
+TEST_CASE("processes: a killed leader costs no request, and changes go on", "[process]")
+{
+    cluster system(twoTargets());
+    steady_callers callers(4, traffic(system, { "entry-0", "entry-1" }));
+    std::this_thread::sleep_for(milliseconds(500));
+    const std::string old = system.leader();
+    REQUIRE_FALSE(old.empty());
+    system.killHard(old);
+    json document = cluster::standardDocument();
+    document["workspaces"]["w3"] = json::object();
+    CHECK(waitUntil([&] { return system.putConfiguration(document, 1, "after-kill").status == 200; }, seconds(15)));
+    std::this_thread::sleep_for(seconds(2));
+    const auto records = recordsOf(callers.stop());
+    CHECK(badAnswers(records) == "");
+    CHECK(violationsOf(system, records) == "");
+    CHECK(records.size() > 20);
+    CHECK(versionOf(system) == 2);
+}
+
+TEST_CASE("processes: a sidecar killed and a target killed in mid-answer cost no answer", "[process]")
+{
+    cluster_spec spec = twoTargets();
+    spec.targets.push_back({ "openai" });
+    cluster system(spec);
+    steady_callers callers(6, traffic(system, { "entry-0", "entry-1" }));
+    std::this_thread::sleep_for(milliseconds(600));
+    system.killHard("sidecar-0");
+    std::this_thread::sleep_for(milliseconds(600));
+    system.killHard("target-1");
+    std::this_thread::sleep_for(milliseconds(600));
+    system.start("sidecar-0");
+    std::this_thread::sleep_for(seconds(2));
+    const auto records = recordsOf(callers.stop());
+    CHECK(badAnswers(records) == "");
+    CHECK(violationsOf(system, records) == "");
+}
+
+TEST_CASE("processes: SIGTERM of an entry and of a sidecar cuts no request", "[process]")
+{
+    cluster_spec spec = twoTargets();
+    spec.targets[0].tokenMs = 60;
+    spec.targets[1].tokenMs = 60;
+    cluster system(spec);
+    // The balancer: a caller asks an entry only while it is ready.
+    steady_callers callers(4, [&](std::size_t thread, std::size_t number) {
+        const bool first = thread % 2 == 0 && system.isReady("entry-0");
+        const std::string prompt = "p" + std::to_string(thread) + "-" + std::to_string(number);
+        return system.complete(first ? "entry-0" : "entry-1", prompt, 6, thread < 2);
+    });
+    std::this_thread::sleep_for(milliseconds(500));
+    system.signal("entry-0", SIGTERM);
+    system.signal("sidecar-0", SIGTERM);
+    CHECK(system.waitForExit("entry-0", seconds(10)) == 0);
+    CHECK(system.waitForExit("sidecar-0", seconds(10)) == 0);
+    const auto ran = system.executions();
+    std::this_thread::sleep_for(seconds(1));
+    const auto records = recordsOf(callers.stop());
+    CHECK(badAnswers(records) == "");
+    CHECK(violationsOf(system, records) == "");
+    const auto after = system.executions();
+    for (std::size_t at = ran.size(); at < after.size(); ++at)
+        CHECK(after[at].target != "target-0");
+}
+
+TEST_CASE("processes: a target that is asked to drain gets no new work within seconds", "[process]")
+{
+    cluster system(twoTargets());
+    CHECK(system.operate("POST", "/v1/instances/sidecar-0/drain").status == 200);
+    CHECK(system.operate("POST", "/v1/instances/nobody/drain").status == 404);
+    std::this_thread::sleep_for(seconds(2));
+    const auto before = system.executions().size();
+    for (int at = 0; at < 20; ++at)
+        CHECK(system.complete("entry-0", "p" + std::to_string(at), 1).code == result_code::Ok);
+    const auto after = system.executions();
+    CHECK(after.size() == before + 20);
+    for (std::size_t at = before; at < after.size(); ++at)
+        CHECK(after[at].target == "target-1");
+    CHECK(system.operate("POST", "/v1/instances/sidecar-0/undrain").status == 200);
+}
+
+TEST_CASE("processes: a sidecar frozen past its lease does no harm when it wakes", "[process]")
+{
+    cluster system(twoTargets());
+    steady_callers callers(4, traffic(system, { "entry-0", "entry-1" }));
+    std::this_thread::sleep_for(milliseconds(500));
+    system.signal("sidecar-0", SIGSTOP);
+    std::this_thread::sleep_for(seconds(4));
+    system.signal("sidecar-0", SIGCONT);
+    std::this_thread::sleep_for(seconds(2));
+    const auto records = recordsOf(callers.stop());
+    CHECK(badAnswers(records) == "");
+    CHECK(violationsOf(system, records) == "");
+    CHECK(waitUntil([&] { return system.isReady("sidecar-0"); }, seconds(10)));
+}
+
+TEST_CASE("processes: a frozen leader wakes to a newer configuration and never brings the old one back", "[process]")
+{
+    cluster system(twoTargets());
+    const std::string old = system.leader();
+    system.signal(old, SIGSTOP);
+    json document = cluster::standardDocument();
+    document["workspaces"]["w3"] = json::object();
+    const std::string other = old == "controller-0" ? "controller-1" : "controller-0";
+    const json change = { { "base", 1 }, { "change_id", "c2" }, { "author", "t" }, { "document", document } };
+    CHECK(waitUntil([&] { return system.call(other, "PUT", "/v1/config", change.dump()).status == 200; }, seconds(20)));
+    system.signal(old, SIGCONT);
+    for (int at = 0; at < 20; ++at) {
+        const auto answer = system.call(old, "GET", "/v1/config");
+        if (answer.status == 200)
+            CHECK(answer.body["version"] == 2);
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    CHECK(waitUntil([&] { return system.call(old, "GET", "/v1/config").status == 200; }, seconds(10)));
+}
+
+TEST_CASE("processes: a fresh daemon takes no configuration from controllers without a quorum", "[process]")
+{
+    cluster system(twoTargets());
+    system.killHard("entry-1");
+    system.signal("controller-1", SIGSTOP);
+    system.signal("controller-2", SIGSTOP);
+    system.start("entry-1");
+    CHECK_FALSE(waitUntil([&] { return system.isReady("entry-1"); }, seconds(4)));
+    // The old entry's lease has run out as well: it says "not run", and when to come back.
+    const auto refused = system.call(
+        "entry-0", "POST", "/v1/completions", R"({"model":"essay-summary","prompt":"x"})", { { "X-Workspace", "w1" } });
+    CHECK(refused.status == 503);
+    CHECK(refused.body["error"]["name"] == "no_configuration");
+    CHECK(refused.body["error"]["ran"] == "no");
+    CHECK_FALSE(refused.retryAfter.empty());
+    system.signal("controller-1", SIGCONT);
+    system.signal("controller-2", SIGCONT);
+    CHECK(waitUntil([&] { return system.isReady("entry-1") && system.isReady("entry-0"); }, seconds(15)));
+}
+
+TEST_CASE("processes: a lost disk is repaired, and a second controller may die right after", "[process]")
+{
+    cluster system(twoTargets());
+    system.killHard("controller-1");
+    system.loseDisk("controller-1");
+    system.start("controller-1");
+    const auto repaired = [&] {
+        const auto status = system.operate("GET", "/v1/status");
+        std::size_t voters = 0;
+        for (const auto& member : status.body["controllers"])
+            voters += member["voter"].get<bool>() ? 1 : 0;
+        return voters == 3 && status.body["controllers"].size() == 3 && system.isReady("controller-1");
+    };
+    std::this_thread::sleep_for(seconds(1));
+    REQUIRE(waitUntil(repaired, seconds(20)));
+    const std::string second = system.leader() == "controller-1" ? "controller-2" : system.leader();
+    system.killHard(second);
+    CHECK(waitUntil([&] { return versionOf(system) == 1; }, seconds(15)));
+    json document = cluster::standardDocument();
+    document["workspaces"]["w3"] = json::object();
+    CHECK(waitUntil([&] { return system.putConfiguration(document, 1, "repaired").status == 200; }, seconds(15)));
+    CHECK(waitUntil([&] { return system.complete("entry-0", "still here", 3).code == result_code::Ok; }, seconds(10)));
+}
+
+TEST_CASE("processes: a booking runs once, through whichever entry and whatever dies", "[process]")
+{
+    cluster_spec spec;
+    spec.targets = { { "plain_service", "booking" }, { "plain_service", "booking" } };
+    cluster system(spec);
+    system.orderFault("target-0", { { "service_ms", 700 } });
+    system.orderFault("target-1", { { "service_ms", 700 } });
+    std::vector<caller_record> records(6);
+    std::vector<std::thread> threads;
+    for (std::size_t at = 0; at < 4; ++at)
+        threads.emplace_back([&, at] { records[at] = system.book("entry-" + std::to_string(at % 2), "k1", "slot-1"); });
+    std::this_thread::sleep_for(milliseconds(300));
+    system.killHard("entry-0");
+    for (auto& thread : threads)
+        thread.join();
+    records[4] = system.book("entry-1", "k1", "slot-1");
+    CHECK(records[4].code == result_code::Ok);
+    CHECK(records[1].text == records[4].text);
+    CHECK(records[3].text == records[4].text);
+    CHECK(system.book("entry-1", "k1", "slot-2").code == result_code::KeyReused);
+    CHECK(system.executions().size() == 1);
+    // The sidecar that holds the answer dies: the outcome can't be known, and it is not run again.
+    const std::string holder = system.executions()[0].target == "target-0" ? "sidecar-0" : "sidecar-1";
+    system.killHard(holder);
+    records[5] = system.book("entry-1", "k1", "slot-1");
+    CHECK(records[5].code == result_code::OutcomeUnknown);
+    CHECK(records[5].ran == ran_state::Unknown);
+    CHECK(system.executions().size() == 1);
+    CHECK(violationsOf(system, records) == "");
+    CHECK(system.call("entry-1", "POST", "/services/booking/bookings", "x", { { "X-Workspace", "w1" } })
+              .body["error"]["name"]
+        == "key_required");
+}
+
+TEST_CASE("processes: racing operators, resent changes, and a controller hundreds of changes behind", "[process]")
+{
+    cluster_spec spec = twoTargets();
+    spec.snapshotEntries = 50;
+    cluster system(spec);
+    const auto with = [](const std::string& name) {
+        json document = cluster::standardDocument();
+        document["workspaces"][name] = json::object();
+        return document;
+    };
+    std::vector<http_answer> answers(6);
+    std::vector<std::thread> operators;
+    for (std::size_t at = 0; at < answers.size(); ++at) {
+        const std::string name = "race-" + std::to_string(at);
+        operators.emplace_back([&, at, name] { answers[at] = system.putConfiguration(with(name), 1, name); });
+    }
+    for (auto& one : operators)
+        one.join();
+    std::size_t won = 0;
+    for (std::size_t at = 0; at < answers.size(); ++at) {
+        CHECK((answers[at].status == 200 || answers[at].status == 409));
+        won += answers[at].status == 200 ? 1 : 0;
+        const std::string name = "race-" + std::to_string(at);
+        CHECK(system.putConfiguration(with(name), 1, name).status == answers[at].status);
+    }
+    CHECK(won == 1);
+    CHECK(versionOf(system) == 2);
+    CHECK(system.putConfiguration({ { "nonsense", 1 } }, 2, "bad").status == 422);
+    CHECK(system.putConfiguration(with("x"), 99, "future").status == 409);
+
+    const std::string behind = system.leader() == "controller-2" ? "controller-1" : "controller-2";
+    system.killHard(behind);
+    system.killHard("entry-1");
+    for (int at = 0; at < 300; ++at) {
+        const std::string name = "w-" + std::to_string(at);
+        REQUIRE(system.putConfiguration(with(name), 2 + static_cast<std::uint64_t>(at), name).status == 200);
+    }
+    system.start(behind);
+    system.start("entry-1");
+    const auto caughtUp = [&] {
+        const auto answer = system.call(behind, "GET", "/v1/config");
+        return answer.status == 200 && answer.body["version"] == 302;
+    };
+    CHECK(waitUntil(caughtUp, seconds(20)));
+    CHECK(waitUntil([&] { return system.isReady("entry-1"); }, seconds(20)));
+    CHECK(system.logOf("entry-1").find("configuration_applied version=302") != std::string::npos);
+    // In force everywhere: both entries know the last workspace, and neither the one before.
+    for (const std::string entry : { "entry-0", "entry-1" }) {
+        const auto ask = [&](const std::string& workspace) {
+            return system
+                .call(entry, "POST", "/v1/completions", R"({"model":"essay-summary","prompt":"x","max_tokens":1})",
+                    { { "X-Workspace", workspace } })
+                .status;
+        };
+        CHECK(ask("w-299") == 200);
+        CHECK(ask("w-298") == 403);
+    }
+}
+
+TEST_CASE("processes: a split model goes on when a stage dies, each layer once a token", "[process]")
+{
+    cluster_spec spec;
+    spec.targets = { { "layer_range", "hull-report", 0, 3 }, { "layer_range", "hull-report", 3, 8 },
+        { "layer_range", "hull-report", 0, 3 }, { "layer_range", "hull-report", 3, 8 } };
+    cluster system(spec);
+    steady_callers callers(3, [&](std::size_t thread, std::size_t number) {
+        const std::string prompt = "hull " + std::to_string(thread) + "-" + std::to_string(number);
+        return system.complete("entry-" + std::to_string(thread % 2), prompt, 8, thread == 0, "hull-inspection");
+    });
+    std::this_thread::sleep_for(milliseconds(700));
+    system.killHard("sidecar-0");
+    std::this_thread::sleep_for(milliseconds(1500));
+    system.killHard("target-3");
+    std::this_thread::sleep_for(seconds(3));
+    const auto records = recordsOf(callers.stop());
+    CHECK(badAnswers(records) == "");
+    CHECK(violationsOf(system, records) == "");
+    std::string layers;
+    for (const auto& line : checkLayers(system.executions(), 8))
+        layers += line + "\n";
+    CHECK(layers == "");
+    CHECK(records.size() > 5);
+}
+
+TEST_CASE("processes: a link that goes silent, with a second fault beside it", "[process]")
+{
+    cluster_spec spec = twoTargets();
+    spec.targets.push_back({ "openai" });
+    spec.targets[0].viaRelay = true;
+    cluster system(spec);
+    steady_callers callers(4, traffic(system, { "entry-0", "entry-1" }));
+    std::this_thread::sleep_for(milliseconds(600));
+    system.setSilent("sidecar-0", true);
+    std::this_thread::sleep_for(milliseconds(300));
+    system.killHard("sidecar-1");
+    std::this_thread::sleep_for(seconds(4));
+    system.setSilent("sidecar-0", false);
+    std::this_thread::sleep_for(seconds(1));
+    const auto records = recordsOf(callers.stop());
+    CHECK(badAnswers(records) == "");
+    CHECK(violationsOf(system, records) == "");
+}
+
+TEST_CASE("processes: bad input gets a clear answer and runs nowhere", "[process]")
+{
+    cluster system(twoTargets());
+    const std::map<std::string, std::string> workspace { { "X-Workspace", "w1" } };
+    const auto nameOf
+        = [&](const std::string& path, const std::string& body, std::map<std::string, std::string> headers) {
+              const auto answer = system.call("entry-0", "POST", path, body, headers);
+              CHECK(answer.status >= 400);
+              CHECK(answer.status < 500);
+              CHECK(answer.body["error"]["ran"] == "no");
+              return answer.body["error"]["name"].get<std::string>();
+          };
+    const std::string good = R"({"model":"essay-summary","prompt":"x"})";
+    CHECK(nameOf("/v1/completions", "{", workspace) == "malformed_request");
+    CHECK(nameOf("/v1/completions", R"({"model":"essay-summary"})", workspace) == "malformed_request");
+    CHECK(nameOf("/v1/completions", R"({"model":"x","prompt":"x"})", workspace) == "unknown_model");
+    CHECK(nameOf("/v1/completions", R"({"model":"essay-summary","prompt":"x","max_tokens":0})", workspace)
+        == "malformed_request");
+    CHECK(nameOf("/v1/completions", good, {}) == "bad_header");
+    CHECK(nameOf("/v1/completions", good, { { "X-Workspace", "nobody" } }) == "unknown_workspace");
+    CHECK(nameOf("/v1/completions", good, { { "X-Workspace", "w1" }, { "X-Timeout-Ms", "soon" } }) == "bad_header");
+    CHECK(nameOf("/v1/completions", good, { { "X-Workspace", "w1" }, { "X-Priority", "urgent" } }) == "bad_header");
+    CHECK(nameOf("/v1/completions", std::string((4U << 20U) + 1, 'x'), workspace) == "body_too_large");
+    CHECK(nameOf("/services/nothing/x", "", workspace) == "unknown_service");
+    CHECK(nameOf("/nowhere", "", workspace) == "not_found");
+    const std::string deep(200000, '[');
+    CHECK(nameOf("/v1/completions", deep, workspace) == "malformed_request");
+    CHECK(system.operate("POST", "/v1/config/check", deep).status == 422);
+    CHECK(system.operate("PUT", "/v1/config", R"({"base":1,"change_id":"d","document":)" + deep).status == 400);
+    CHECK(system.executions().empty());
+}
--- a/tests/request_faults_test.cpp
+++ b/tests/request_faults_test.cpp
@@ -28,13 +28,23 @@
     fault_row { "message lost", [](request_world&) { return fate::Lose; } },
     fault_row { "message repeated", [](request_world&) { return fate::Repeat; } },
     fault_row { "message late", [](request_world&) { return fate::Delay; } },
-    fault_row { "sidecar 0 killed", [](request_world& w) { return deliver([](request_world& x) { x.killSidecar(0); }, w); } },
+    fault_row {
+        "sidecar 0 killed", [](request_world& w) { return deliver([](request_world& x) { x.killSidecar(0); }, w); } },
     fault_row { "both sidecars killed",
-        [](request_world& w) { return deliver([](request_world& x) { x.killSidecar(0); x.killSidecar(1); }, w); } },
+        [](request_world& w) {
+            return deliver(
+                [](request_world& x) {
+                    x.killSidecar(0);
+                    x.killSidecar(1);
+                },
+                w);
+        } },
     fault_row { "sidecar 0 frozen",
         [](request_world& w) { return deliver([](request_world& x) { x.freezeSidecar(0, true); }, w); } },
-    fault_row { "entry 0 killed", [](request_world& w) { return deliver([](request_world& x) { x.killEntry(0); }, w); } },
-    fault_row { "link closed", [](request_world& w) { return deliver([](request_world& x) { x.closeLink(0, 0); }, w); } },
+    fault_row {
+        "entry 0 killed", [](request_world& w) { return deliver([](request_world& x) { x.killEntry(0); }, w); } },
+    fault_row {
+        "link closed", [](request_world& w) { return deliver([](request_world& x) { x.closeLink(0, 0); }, w); } },
     fault_row { "link cut in silence",
         [](request_world& w) { return deliver([](request_world& x) { x.cutLink(0, 0, true); }, w); } },
     fault_row { "target 0 dies",
@@ -43,9 +53,10 @@
         [](request_world& w) { return deliver([](request_world& x) { x.setMode(0, target_mode::Stalls); }, w); } },
     fault_row { "target 0 refuses connections",
         [](request_world& w) { return deliver([](request_world& x) { x.setMode(0, target_mode::Refuses); }, w); } },
-    fault_row { "sidecar 0 drains",
-        [](request_world& w) { return deliver([](request_world& x) { x.drainSidecar(0); }, w); } },
-    fault_row { "claims lost", [](request_world& w) { return deliver([](request_world& x) { x.loseClaims(true); }, w); } },
+    fault_row {
+        "sidecar 0 drains", [](request_world& w) { return deliver([](request_world& x) { x.drainSidecar(0); }, w); } },
+    fault_row {
+        "claims lost", [](request_world& w) { return deliver([](request_world& x) { x.loseClaims(true); }, w); } },
     fault_row { "new configuration",
         [](request_world& w) { return deliver([](request_world& x) { x.newConfiguration(); }, w); } },
 };
@@ -158,7 +169,8 @@
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
             for (std::size_t step = 0; step < calm.messages() + 10; ++step) {
                 request_world world(2, 2, seed);
-                world.onMessage = [&](std::size_t number) { return number == step ? fault.apply(world) : fate::Deliver; };
+                world.onMessage
+                    = [&](std::size_t number) { return number == step ? fault.apply(world) : fate::Deliver; };
                 sendTraffic(world);
                 endFaults(world);
                 world.run(milliseconds(7000));
--- /dev/null
+++ b/tests/support/cluster.cpp
@@ -0,0 +1,444 @@
+/// @file
+/// @brief Starting, harming and asking real processes.
+#include "support/cluster.hpp"
+
+#include "buckthornrail/http/http_client.hpp"
+#include "stand_in_model.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <netinet/in.h>
+#include <set>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace test_support {
+namespace {
+
+using namespace buckthornrail;
+using nlohmann::json;
+
+constexpr std::uint32_t layers = 8;
+constexpr milliseconds callPatience { 30000 };
+
+/// A port that was free a moment ago; each is given out once.
+std::string freeAddress()
+{
+    static std::set<std::uint16_t> given;
+    while (true) {
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        const bool bound = ::bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0
+            && ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+        ::close(fd);
+        const std::uint16_t port = ntohs(address.sin_port);
+        if (bound && given.insert(port).second)
+            return "127.0.0.1:" + std::to_string(port);
+    }
+}
+
+std::string binaryPath(const std::string& name) { return std::string(BUCKTHORNRAIL_BUILD_DIR) + "/" + name; }
+
+pid_t spawn(const std::vector<std::string>& command, const std::string& log)
+{
+    std::vector<char*> arguments;
+    for (const auto& word : command)
+        arguments.push_back(const_cast<char*>(word.c_str()));
+    arguments.push_back(nullptr);
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&files, 2, 1);
+    pid_t pid = 0;
+    if (posix_spawn(&pid, command.front().c_str(), &files, nullptr, arguments.data(), environ) != 0)
+        throw std::runtime_error("can't start " + command.front());
+    posix_spawn_file_actions_destroy(&files);
+    return pid;
+}
+
+std::string readAll(const std::string& file)
+{
+    std::ifstream stream(file);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+ran_state ranOf(const json& error)
+{
+    const std::string word = error.value("ran", "unknown");
+    return word == "no" ? ran_state::No : word == "yes" ? ran_state::Yes : ran_state::Unknown;
+}
+
+void takeError(const json& body, caller_record& record)
+{
+    const json error = body.is_object() ? body.value("error", json::object()) : json::object();
+    record.code = resultFromNumber(error.value("code", std::uint16_t { 4004 })).value_or(result_code::OutcomeUnknown);
+    record.ran = ranOf(error);
+}
+
+} // namespace
+
+cluster::cluster(const cluster_spec& spec)
+{
+    auto pattern = (std::filesystem::temp_directory_path() / "buckthornrail-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr)
+        throw std::runtime_error("no folder for the cluster");
+    m_folder = pattern;
+    std::signal(SIGPIPE, SIG_IGN);
+    writeSettings(spec);
+    for (const auto& name : m_order)
+        start(name);
+    const auto formed = [&] { return call("controller-0", "POST", "/v1/cluster/init", "{}").status == 200; };
+    const auto whole = [&] {
+        const auto status = operate("GET", "/v1/status");
+        if (status.status != 200)
+            return false;
+        std::size_t voters = 0;
+        for (const auto& member : status.body["controllers"])
+            voters += member["voter"].get<bool>() ? 1 : 0;
+        return voters == spec.controllers;
+    };
+    const auto configured = [&] { return putConfiguration(standardDocument(), 0, "first").status == 200; };
+    const auto ready = [&] {
+        return allReady()
+            && operate("GET", "/v1/status").body["instances"].size() == spec.entries + spec.targets.size();
+    };
+    using std::chrono::seconds;
+    if (!waitUntil(formed, seconds(20)) || !waitUntil(whole, seconds(20)) || !waitUntil(configured, seconds(20))
+        || !waitUntil(ready, seconds(20))) {
+        for (const auto& name : m_order)
+            std::cerr << "== " << name << "\n" << logOf(name);
+        throw std::runtime_error("the cluster did not come up");
+    }
+}
+
+cluster::~cluster()
+{
+    for (const auto& [name, pid] : m_pids) {
+        ::kill(pid, SIGCONT);
+        ::kill(pid, SIGKILL);
+        ::waitpid(pid, nullptr, 0);
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+void cluster::writeSettings(const cluster_spec& spec)
+{
+    std::string controllers;
+    std::vector<std::string> links;
+    for (std::size_t at = 0; at < spec.controllers; ++at) {
+        links.push_back(freeAddress());
+        controllers += (at == 0 ? "" : ",") + links.back();
+    }
+    const auto common = [&](const std::string& name, const std::string& domain) {
+        m_http[name] = freeAddress();
+        return "[instance]\nid = " + name + "\nfailure_domain = " + domain + "\n[http]\naddress = " + m_http[name]
+            + "\n[controllers]\naddresses = " + controllers + "\nlease_ms = 1500\n";
+    };
+    const auto add = [&](const std::string& name, const std::string& role, const std::string& text) {
+        const std::string file = m_folder + "/" + name + ".ini";
+        std::ofstream(file) << text;
+        addProcess(name, { binaryPath("buckthornrail"), role, "--settings", file });
+    };
+    for (std::size_t at = 0; at < spec.controllers; ++at) {
+        const std::string name = "controller-" + std::to_string(at);
+        m_controllers.push_back(name);
+        add(name, "controller",
+            common(name, "domain-" + std::to_string(at)) + "[link]\naddress = " + links[at]
+                + "\n[storage]\nfolder = " + m_folder + "/data-" + name
+                + "\nelection_timeout_ms = 300\nsnapshot_entries = " + std::to_string(spec.snapshotEntries) + "\n");
+    }
+    for (std::size_t at = 0; at < spec.entries; ++at) {
+        const std::string name = "entry-" + std::to_string(at);
+        add(name, "entry",
+            common(name, "domain-" + std::to_string(at)) + "heartbeat_ms = 200\n[entry]\nprogress_timeout_ms = 1500\n");
+    }
+    for (std::size_t at = 0; at < spec.targets.size(); ++at) {
+        const auto& target = spec.targets[at];
+        const std::string name = "sidecar-" + std::to_string(at);
+        const std::string targetName = "target-" + std::to_string(at);
+        m_targets[targetName] = freeAddress();
+        addProcess(targetName,
+            { binaryPath("tools/stand_in_target"), "--address", m_targets[targetName], "--name", targetName, "--log",
+                m_folder + "/executions.jsonl", "--layers", std::to_string(layers), "--token-ms",
+                std::to_string(target.tokenMs), "--slots", std::to_string(target.slots) });
+        const std::string link = freeAddress();
+        std::string text
+            = common(name, "domain-" + std::to_string(at % 3)) + "heartbeat_ms = 200\n[link]\naddress = " + link + "\n";
+        if (target.viaRelay) {
+            m_relays[name] = std::make_unique<relay>(link);
+            text += "announce = " + m_relays[name]->address() + "\n";
+        }
+        text += "[target]\nkind = " + target.kind + "\naddress = " + m_targets[targetName]
+            + "\nprobe_ms = 200\nslots = " + std::to_string(target.slots) + "\n";
+        if (target.kind == "plain_service")
+            text += "service = " + target.model + "\n";
+        else
+            text += "model = " + target.model + "\nversion = " + target.version + "\n";
+        if (target.kind == "layer_range")
+            text += "first_layer = " + std::to_string(target.firstLayer)
+                + "\nend_layer = " + std::to_string(target.endLayer) + "\n";
+        add(name, "sidecar", text);
+    }
+}
+
+void cluster::addProcess(const std::string& name, const std::vector<std::string>& command)
+{
+    m_commands[name] = command;
+    m_order.push_back(name);
+}
+
+void cluster::start(const std::string& name)
+{
+    m_pids[name] = spawn(m_commands.at(name), m_folder + "/" + name + ".log");
+}
+
+void cluster::signal(const std::string& name, int number) { ::kill(m_pids.at(name), number); }
+
+int cluster::waitForExit(const std::string& name, std::chrono::milliseconds patience)
+{
+    int status = 0;
+    const pid_t pid = m_pids.at(name);
+    if (!waitUntil([&] { return ::waitpid(pid, &status, WNOHANG) == pid; }, patience))
+        return -1;
+    m_pids.erase(name);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void cluster::killHard(const std::string& name)
+{
+    signal(name, SIGKILL);
+    (void)waitForExit(name, std::chrono::seconds(5));
+}
+
+void cluster::loseDisk(const std::string& controller) { std::filesystem::remove_all(m_folder + "/data-" + controller); }
+
+void cluster::orderFault(const std::string& target, const json& fault)
+{
+    http::client_request request;
+    request.address = m_targets.at(target);
+    request.method = "POST";
+    request.path = "/stand_in/fault";
+    request.body = fault.dump();
+    request.deadline = std::chrono::steady_clock::now() + callPatience;
+    (void)http::call(request);
+}
+
+http_answer cluster::call(const std::string& process, const std::string& method, const std::string& path,
+    const std::string& body, const std::map<std::string, std::string>& headers) const
+{
+    http::client_request request;
+    request.address = m_http.at(process);
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    request.contentType = "application/json";
+    request.deadline = std::chrono::steady_clock::now() + callPatience;
+    for (const auto& [name, value] : headers)
+        request.headers.push_back({ name, value });
+    const auto response = http::call(request);
+    http_answer answer;
+    if (response.outcome != http::client_outcome::Ok)
+        return answer;
+    answer.status = response.status;
+    answer.text = response.body;
+    answer.body = json::parse(response.body, nullptr, false);
+    for (const auto& header : response.headers) {
+        if (header.name == "X-Request-Id")
+            answer.requestId = header.value;
+        if (header.name == "Retry-After")
+            answer.retryAfter = header.value;
+    }
+    return answer;
+}
+
+http_answer cluster::operate(const std::string& method, const std::string& path, const std::string& body) const
+{
+    http_answer last;
+    for (const auto& name : m_controllers) {
+        if (!m_pids.contains(name))
+            continue;
+        last = call(name, method, path, body);
+        if (last.status != 0 && last.status != 503)
+            return last;
+    }
+    return last;
+}
+
+http_answer cluster::putConfiguration(const json& document, std::uint64_t base, const std::string& changeId) const
+{
+    const json change = { { "base", base }, { "change_id", changeId }, { "author", "test" }, { "document", document } };
+    return operate("PUT", "/v1/config", change.dump());
+}
+
+caller_record cluster::complete(const std::string& entry, const std::string& prompt, std::uint32_t tokens, bool streams,
+    const std::string& pipeline) const
+{
+    const json body = { { "model", pipeline }, { "prompt", prompt }, { "max_tokens", tokens }, { "stream", streams } };
+    const auto answer
+        = call(entry, "POST", "/v1/completions", body.dump(), { { "X-Workspace", "w1" }, { "X-Timeout-Ms", "20000" } });
+    caller_record record;
+    record.request = answer.requestId;
+    record.expected = stand_in::expectedAnswer(prompt, tokens, layers);
+    record.answered = answer.status != 0;
+    record.ran = ran_state::Yes;
+    if (answer.status != 200) {
+        takeError(answer.body, record);
+        return record;
+    }
+    if (!streams) {
+        record.text = answer.body["choices"][0]["text"].get<std::string>();
+        return record;
+    }
+    record.code = result_code::AnswerIncomplete; // until the last event has come
+    std::istringstream lines(answer.text);
+    bool isError = false;
+    for (std::string line; std::getline(lines, line);) {
+        isError = isError || line == "event: error";
+        if (line == "data: [DONE]")
+            record.code = result_code::Ok;
+        if (!line.starts_with("data: {"))
+            continue;
+        const json event = json::parse(line.substr(6));
+        if (isError)
+            takeError(event, record);
+        else
+            record.text += event["choices"][0]["text"].get<std::string>();
+    }
+    return record;
+}
+
+caller_record cluster::book(const std::string& entry, const std::string& key, const std::string& body) const
+{
+    const auto answer = call(entry, "POST", "/services/booking/bookings", body,
+        { { "X-Workspace", "w1" }, { "Idempotency-Key", key }, { "X-Timeout-Ms", "15000" } });
+    caller_record record;
+    record.request = answer.requestId;
+    record.key = key;
+    record.answered = answer.status != 0;
+    record.ran = ran_state::Yes;
+    if (answer.status == 201)
+        record.text = answer.text;
+    else
+        takeError(answer.body, record);
+    record.expected = record.text;
+    return record;
+}
+
+std::vector<execution_record> cluster::executions() const
+{
+    std::vector<execution_record> records;
+    std::ifstream stream(m_folder + "/executions.jsonl");
+    for (std::string line; std::getline(stream, line);) {
+        const json row = json::parse(line, nullptr, false);
+        const std::string event = row.is_object() ? row.value("event", "") : "";
+        if (event != "run" && event != "call" && event != "step")
+            continue;
+        execution_record record;
+        record.target = row.value("target", "");
+        record.request = row.value("request", "");
+        record.attempt = row.value("attempt", 0U);
+        record.isStep = event == "step";
+        record.generation = row.value("generation", 0U);
+        record.token = row.value("token", 0U);
+        record.firstLayer = row.value("first_layer", 0U);
+        record.endLayer = row.value("end_layer", 0U);
+        if (row.value("path", "") == "/bookings")
+            record.key = row.value("body", "");
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+std::string cluster::leader() const
+{
+    for (const auto& name : m_controllers) {
+        if (!m_pids.contains(name))
+            continue;
+        const auto status = call(name, "GET", "/v1/status");
+        if (status.status == 200 && status.body["role"] == "leader")
+            return name;
+    }
+    return {};
+}
+
+bool cluster::isReady(const std::string& process) const { return call(process, "GET", "/readyz").status == 200; }
+
+bool cluster::allReady() const
+{
+    for (const auto& [name, address] : m_http) {
+        if (m_pids.contains(name) && !isReady(name))
+            return false;
+    }
+    return true;
+}
+
+json cluster::standardDocument()
+{
+    return {
+        { "workspaces", { { "w1", { { "max_priority", "high" } } }, { "w2", json::object() } } },
+        { "models", { { "essay-review", { { "layers", layers } } }, { "hull-report", { { "layers", layers } } } } },
+        { "pipelines",
+            { { "essay-summary",
+                  { { "model", "essay-review" }, { "versions", { { { "version", "1" }, { "share", 100 } } } } } },
+                { "hull-inspection",
+                    { { "model", "hull-report" }, { "versions", { { { "version", "1" }, { "share", 100 } } } } } } } },
+        { "services",
+            { { "booking", { { "non_idempotent", { { { "method", "POST" }, { "path_prefix", "/bookings" } } } } } } } }
+    };
+}
+
+std::string cluster::logOf(const std::string& name) const { return readAll(m_folder + "/" + name + ".log"); }
+
+bool waitUntil(const std::function<bool()>& condition, std::chrono::milliseconds patience)
+{
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= deadline)
+            return false;
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    return true;
+}
+
+steady_callers::steady_callers(
+    std::size_t threads, std::function<caller_record(std::size_t thread, std::size_t number)> ask)
+{
+    for (std::size_t thread = 0; thread < threads; ++thread) {
+        m_threads.emplace_back([this, thread, ask] {
+            for (std::size_t number = 0; !m_stopping; ++number) {
+                auto record = ask(thread, number);
+                const std::scoped_lock lock(m_mutex);
+                m_records.emplace_back(std::chrono::steady_clock::now(), std::move(record));
+            }
+        });
+    }
+}
+
+steady_callers::~steady_callers() { (void)stop(); }
+
+std::vector<std::pair<std::chrono::steady_clock::time_point, caller_record>> steady_callers::stop()
+{
+    m_stopping = true;
+    for (auto& thread : m_threads)
+        thread.join();
+    m_threads.clear();
+    return m_records;
+}
+
+} // namespace test_support
--- /dev/null
+++ b/tests/support/cluster.hpp
@@ -0,0 +1,122 @@
+/// @file
+/// @brief The system as real processes on loopback, with stand-in targets, for tests and measurements.
+#pragma once
+
+#include "support/promises.hpp"
+#include "support/relay.hpp"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <sys/types.h>
+#include <thread>
+#include <vector>
+
+namespace test_support {
+
+struct target_spec {
+    std::string kind = "openai";
+    std::string model = "essay-review"; ///< for a plain service, its name
+    std::uint32_t firstLayer = 0;
+    std::uint32_t endLayer = 0;
+    std::uint32_t tokenMs = 20;
+    std::uint32_t slots = 4;
+    bool viaRelay = false; ///< entries reach the sidecar through a relay
+    std::string version = "1";
+};
+
+struct cluster_spec {
+    std::size_t controllers = 3;
+    std::size_t entries = 2;
+    std::vector<target_spec> targets;
+    std::uint32_t snapshotEntries = 2000;
+};
+
+/// What one HTTP call came to; status 0: no answer.
+struct http_answer {
+    int status = 0;
+    nlohmann::json body;
+    std::string text;
+    std::string requestId;
+    std::string retryAfter;
+};
+
+/// @brief Starts everything, forms the log, submits the standard configuration. Ends its processes by id.
+class cluster {
+public:
+    explicit cluster(const cluster_spec& spec);
+    cluster(const cluster&) = delete;
+    cluster& operator=(const cluster&) = delete;
+    ~cluster();
+
+    void start(const std::string& name);
+    void signal(const std::string& name, int number);
+    /// @return the exit status, or -1 when it didn't end in time; -signal when a signal ended it.
+    int waitForExit(const std::string& name, std::chrono::milliseconds patience);
+    void killHard(const std::string& name);
+    void loseDisk(const std::string& controller);
+    void orderFault(const std::string& target, const nlohmann::json& fault);
+    void setSilent(const std::string& sidecar, bool silent) { m_relays.at(sidecar)->setSilent(silent); }
+
+    http_answer call(const std::string& process, const std::string& method, const std::string& path,
+        const std::string& body = {}, const std::map<std::string, std::string>& headers = {}) const;
+    /// @brief Asks the controllers in turn until one confirms.
+    http_answer operate(const std::string& method, const std::string& path, const std::string& body = {}) const;
+    http_answer putConfiguration(const nlohmann::json& document, std::uint64_t base, const std::string& changeId) const;
+
+    /// @brief One completion through an entry, judged later by the promises.
+    caller_record complete(const std::string& entry, const std::string& prompt, std::uint32_t tokens,
+        bool streams = false, const std::string& pipeline = "essay-summary") const;
+    /// @brief One booking.
+    caller_record book(const std::string& entry, const std::string& key, const std::string& body) const;
+
+    [[nodiscard]] std::vector<execution_record> executions() const;
+    [[nodiscard]] std::string leader() const; ///< name of the leading controller, or empty
+    [[nodiscard]] bool isReady(const std::string& process) const;
+    [[nodiscard]] static nlohmann::json standardDocument();
+    [[nodiscard]] std::string logOf(const std::string& name) const;
+    [[nodiscard]] pid_t pidOf(const std::string& name) const { return m_pids.at(name); }
+    [[nodiscard]] std::string httpAddress(const std::string& name) const { return m_http.at(name); }
+    /// @brief True when every known instance is ready.
+    [[nodiscard]] bool allReady() const;
+
+private:
+    void writeSettings(const cluster_spec& spec);
+    void addProcess(const std::string& name, const std::vector<std::string>& command);
+
+    std::string m_folder;
+    std::map<std::string, std::vector<std::string>> m_commands;
+    std::map<std::string, pid_t> m_pids;
+    std::map<std::string, std::string> m_http;
+    std::map<std::string, std::string> m_targets; ///< addresses of the stand-ins
+    std::map<std::string, std::unique_ptr<relay>> m_relays;
+    std::vector<std::string> m_order;
+    std::vector<std::string> m_controllers;
+};
+
+/// @brief Polls until a condition holds. @return false when it did not in time
+bool waitUntil(const std::function<bool()>& condition, std::chrono::milliseconds patience);
+
+/// @brief Callers that ask without pause through given entries until stopped.
+class steady_callers {
+public:
+    /// @param ask makes one request; called from several threads
+    steady_callers(std::size_t threads, std::function<caller_record(std::size_t thread, std::size_t number)> ask);
+    steady_callers(const steady_callers&) = delete;
+    steady_callers& operator=(const steady_callers&) = delete;
+    ~steady_callers();
+    /// @brief Ends and gives all records, with the time at which each ended.
+    std::vector<std::pair<std::chrono::steady_clock::time_point, caller_record>> stop();
+
+private:
+    std::atomic<bool> m_stopping { false };
+    std::mutex m_mutex;
+    std::vector<std::pair<std::chrono::steady_clock::time_point, caller_record>> m_records;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace test_support
--- a/tests/support/promises.cpp
+++ b/tests/support/promises.cpp
@@ -74,8 +74,8 @@
         const std::string place = execution.request + " generation " + std::to_string(execution.generation) + " token "
             + std::to_string(execution.token) + " layer " + std::to_string(execution.firstLayer);
         if (execution.token != token || execution.firstLayer != layer)
-            violations.push_back(place + " ran where token " + std::to_string(token) + " layer "
-                + std::to_string(layer) + " was next");
+            violations.push_back(
+                place + " ran where token " + std::to_string(token) + " layer " + std::to_string(layer) + " was next");
         layer = execution.endLayer;
         if (layer < layerCount)
             continue;
--- a/tests/support/request_world.cpp
+++ b/tests/support/request_world.cpp
@@ -9,17 +9,12 @@
 constexpr milliseconds tokenTime { 30 };
 constexpr std::uint64_t channelsPerEntry = 1'000'000;
 
-std::string nextToken(const std::string& text)
-{
-    return " t" + std::to_string(std::hash<std::string>()(text) % 1000);
-}
+std::string nextToken(const std::string& text) { return " t" + std::to_string(std::hash<std::string>()(text) % 1000); }
 
-template <typename... Visitors>
-struct overloaded : Visitors... {
+template <typename... Visitors> struct overloaded : Visitors... {
     using Visitors::operator()...;
 };
-template <typename... Visitors>
-overloaded(Visitors...) -> overloaded<Visitors...>;
+template <typename... Visitors> overloaded(Visitors...) -> overloaded<Visitors...>;
 
 } // namespace
 
@@ -151,10 +146,7 @@
         closeLink(entry, sidecar);
 }
 
-void request_world::setMode(std::size_t sidecar, target_mode mode)
-{
-    m_sidecars[sidecar].mode = mode;
-}
+void request_world::setMode(std::size_t sidecar, target_mode mode) { m_sidecars[sidecar].mode = mode; }
 
 void request_world::drainSidecar(std::size_t sidecar)
 {
@@ -191,16 +183,13 @@
 {
     std::vector<std::string> all;
     const auto told = callers();
-    for (const auto& part : { checkWhole(told), checkNotRun(told, m_executions), checkOnce(m_executions),
-             checkAttempts(m_executions) })
+    for (const auto& part :
+        { checkWhole(told), checkNotRun(told, m_executions), checkOnce(m_executions), checkAttempts(m_executions) })
         all.insert(all.end(), part.begin(), part.end());
     return all;
 }
 
-void request_world::after(milliseconds delay, event action)
-{
-    m_events.emplace(m_now + delay, std::move(action));
-}
+void request_world::after(milliseconds delay, event action) { m_events.emplace(m_now + delay, std::move(action)); }
 
 void request_world::drive(std::size_t entry, const std::string& request)
 {
@@ -220,67 +209,67 @@
 {
     auto& caller = m_callers[open.caller];
     const auto sidecarOf = [](const chosen_target& target) { return std::stoul(target.instance); };
-    std::visit(
-        overloaded {
-            [&](const choose_target& wish) {
-                std::vector<std::size_t> free;
-                for (std::size_t at = 0; at < m_sidecars.size(); ++at) {
-                    if (!wish.excluded.contains(std::to_string(at)))
-                        free.push_back(at);
-                }
-                if (free.empty()) {
-                    open.run.noTarget({ result_code::NoTarget, "" }, m_now);
-                    return;
-                }
-                const std::size_t chosen = free[m_random() % free.size()];
-                // Sometimes the entry's knowledge of the incarnation is out of date.
-                const auto known = m_sidecars[chosen].incarnation - (knowsOldLives && m_random() % 8 == 0 ? 1 : 0);
-                open.run.targetChosen({ std::to_string(chosen), known }, m_now);
-            },
-            [&](const send_claim& wish) { claim(entry, open.run.request().id, wish); },
-            [&](const send_offer& offer) {
-                attempt_offer message;
-                message.attempt = offer.attempt;
-                message.incarnation = offer.target.incarnation;
-                message.configuration = m_known[entry];
-                message.startWithinMs = 2000;
-                message.finishWithinMs = 8000;
-                message.workspace = "w";
-                message.nonIdempotent = open.run.request().nonIdempotent;
-                message.work.prompt = caller.prompt;
-                for (const auto& token : offer.tokensGiven)
-                    message.work.prompt += token;
-                message.work.maxTokens = caller.tokens - static_cast<std::uint32_t>(offer.tokensGiven.size());
-                sendToSidecar(entry, sidecarOf(offer.target), message);
-            },
-            [&](const send_revoke& revoke) {
-                if (missing == missing_protection::Tombstones) {
-                    after(milliseconds(1), [this, entry, revoke] {
-                        receive(entry, revoke_reply { revoke.attempt, revoke_outcome::NotStarted });
-                    });
-                    return;
-                }
-                sendToSidecar(entry, sidecarOf(revoke.target),
-                    attempt_revoke { revoke.attempt, revoke.target.incarnation, revoke.cancelStarted });
-            },
-            [&](const send_attach& attach) {
-                m_entries[entry].followers.emplace(attach.attempt.request, open.run.request().id);
-                sendToSidecar(
-                    entry, sidecarOf(attach.target), answer_attach { attach.attempt, attach.target.incarnation });
-            },
-            [&](const deliver_frames& frames) {
-                for (const auto& frame : frames.frames)
-                    (open.run.request().streams ? caller.record.text : open.buffered) += frame.bytes;
-            },
-            [&](const await_configuration&) {},
-            [&](const finish_run& last) {
-                caller.record.answered = true;
-                caller.record.code = last.result.code;
-                caller.record.ran = last.ran;
-                if (last.result.code == result_code::Ok)
-                    caller.record.text += open.buffered;
-            },
-        },
+    std::visit(overloaded {
+                   [&](const choose_target& wish) {
+                       std::vector<std::size_t> free;
+                       for (std::size_t at = 0; at < m_sidecars.size(); ++at) {
+                           if (!wish.excluded.contains(std::to_string(at)))
+                               free.push_back(at);
+                       }
+                       if (free.empty()) {
+                           open.run.noTarget({ result_code::NoTarget, "" }, m_now);
+                           return;
+                       }
+                       const std::size_t chosen = free[m_random() % free.size()];
+                       // Sometimes the entry's knowledge of the incarnation is out of date.
+                       const auto known
+                           = m_sidecars[chosen].incarnation - (knowsOldLives && m_random() % 8 == 0 ? 1 : 0);
+                       open.run.targetChosen({ std::to_string(chosen), known }, m_now);
+                   },
+                   [&](const send_claim& wish) { claim(entry, open.run.request().id, wish); },
+                   [&](const send_offer& offer) {
+                       attempt_offer message;
+                       message.attempt = offer.attempt;
+                       message.incarnation = offer.target.incarnation;
+                       message.configuration = m_known[entry];
+                       message.startWithinMs = 2000;
+                       message.finishWithinMs = 8000;
+                       message.workspace = "w";
+                       message.nonIdempotent = open.run.request().nonIdempotent;
+                       message.work.prompt = caller.prompt;
+                       for (const auto& token : offer.tokensGiven)
+                           message.work.prompt += token;
+                       message.work.maxTokens = caller.tokens - static_cast<std::uint32_t>(offer.tokensGiven.size());
+                       sendToSidecar(entry, sidecarOf(offer.target), message);
+                   },
+                   [&](const send_revoke& revoke) {
+                       if (missing == missing_protection::Tombstones) {
+                           after(milliseconds(1), [this, entry, revoke] {
+                               receive(entry, revoke_reply { revoke.attempt, revoke_outcome::NotStarted });
+                           });
+                           return;
+                       }
+                       sendToSidecar(entry, sidecarOf(revoke.target),
+                           attempt_revoke { revoke.attempt, revoke.target.incarnation, revoke.cancelStarted });
+                   },
+                   [&](const send_attach& attach) {
+                       m_entries[entry].followers.emplace(attach.attempt.request, open.run.request().id);
+                       sendToSidecar(entry, sidecarOf(attach.target),
+                           answer_attach { attach.attempt, attach.target.incarnation });
+                   },
+                   [&](const deliver_frames& frames) {
+                       for (const auto& frame : frames.frames)
+                           (open.run.request().streams ? caller.record.text : open.buffered) += frame.bytes;
+                   },
+                   [&](const await_configuration&) {},
+                   [&](const finish_run& last) {
+                       caller.record.answered = true;
+                       caller.record.code = last.result.code;
+                       caller.record.ran = last.ran;
+                       if (last.result.code == result_code::Ok)
+                           caller.record.text += open.buffered;
+                   },
+               },
         effect);
 }
 
@@ -363,21 +352,20 @@
     const auto known = [&](incarnation_number named) {
         return missing == missing_protection::Incarnations ? m_sidecars[sidecar].incarnation : named;
     };
-    std::visit(
-        overloaded {
-            [&](attempt_offer offer) {
-                offer.incarnation = known(offer.incarnation);
-                core.offer(offer, channel, m_now);
-            },
-            [&](attempt_revoke revoke) {
-                revoke.incarnation = known(revoke.incarnation);
-                core.revoke(revoke, channel, m_now);
-            },
-            [&](answer_attach attach) {
-                attach.incarnation = known(attach.incarnation);
-                core.attach(attach, channel, m_now);
-            },
-        },
+    std::visit(overloaded {
+                   [&](attempt_offer offer) {
+                       offer.incarnation = known(offer.incarnation);
+                       core.offer(offer, channel, m_now);
+                   },
+                   [&](attempt_revoke revoke) {
+                       revoke.incarnation = known(revoke.incarnation);
+                       core.revoke(revoke, channel, m_now);
+                   },
+                   [&](answer_attach attach) {
+                       attach.incarnation = known(attach.incarnation);
+                       core.attach(attach, channel, m_now);
+                   },
+               },
         message);
 }
 
@@ -391,46 +379,45 @@
 
 void request_world::receive(std::size_t entry, const sidecar_message& message)
 {
-    std::visit(
-        overloaded {
-            [&](const attempt_accepted& one) {
-                withAttempt(entry, one.attempt, [&](request_run& run) { run.accepted(one.attempt, m_now); });
-            },
-            [&](const attempt_refused& one) {
-                withAttempt(entry, one.attempt, [&](request_run& run) { run.refused(one, m_now); });
-            },
-            [&](const attempt_started& one) {
-                withAttempt(entry, one.attempt, [&](request_run& run) { run.started(one.attempt, m_now); });
-            },
-            [&](answer_frame one) {
-                if (missing == missing_protection::Ownership && !m_entries[entry].runs.empty()) {
-                    auto& open = m_entries[entry].runs.begin()->second;
-                    if (isForeign(open, one.attempt))
-                        open.buffered += one.bytes;
-                }
-                withAttempt(entry, one.attempt, [&](request_run& run) { run.frame(one, m_now); });
-            },
-            [&](const answer_end& one) {
-                auto end = one;
-                if (missing == missing_protection::Digests) {
-                    withAttempt(entry, one.attempt, [&](request_run& run) {
-                        // Claims that whatever has come is the whole answer.
-                        end.frameCount = 0;
-                        end.digest = answer_digest().value();
-                        run.ended(end, m_now);
-                    });
-                    return;
-                }
-                withAttempt(entry, one.attempt, [&](request_run& run) { run.ended(one, m_now); });
-            },
-            [&](const revoke_reply& one) {
-                withAttempt(entry, one.attempt, [&](request_run& run) { run.revokeAnswered(one, m_now); });
-            },
-            [&](const attach_reply& one) {
-                withAttempt(entry, one.attempt, [&](request_run& run) { run.attachAnswered(one, m_now); });
-            },
-            [&](const load_report&) {},
-        },
+    std::visit(overloaded {
+                   [&](const attempt_accepted& one) {
+                       withAttempt(entry, one.attempt, [&](request_run& run) { run.accepted(one.attempt, m_now); });
+                   },
+                   [&](const attempt_refused& one) {
+                       withAttempt(entry, one.attempt, [&](request_run& run) { run.refused(one, m_now); });
+                   },
+                   [&](const attempt_started& one) {
+                       withAttempt(entry, one.attempt, [&](request_run& run) { run.started(one.attempt, m_now); });
+                   },
+                   [&](answer_frame one) {
+                       if (missing == missing_protection::Ownership && !m_entries[entry].runs.empty()) {
+                           auto& open = m_entries[entry].runs.begin()->second;
+                           if (isForeign(open, one.attempt))
+                               open.buffered += one.bytes;
+                       }
+                       withAttempt(entry, one.attempt, [&](request_run& run) { run.frame(one, m_now); });
+                   },
+                   [&](const answer_end& one) {
+                       auto end = one;
+                       if (missing == missing_protection::Digests) {
+                           withAttempt(entry, one.attempt, [&](request_run& run) {
+                               // Claims that whatever has come is the whole answer.
+                               end.frameCount = 0;
+                               end.digest = answer_digest().value();
+                               run.ended(end, m_now);
+                           });
+                           return;
+                       }
+                       withAttempt(entry, one.attempt, [&](request_run& run) { run.ended(one, m_now); });
+                   },
+                   [&](const revoke_reply& one) {
+                       withAttempt(entry, one.attempt, [&](request_run& run) { run.revokeAnswered(one, m_now); });
+                   },
+                   [&](const attach_reply& one) {
+                       withAttempt(entry, one.attempt, [&](request_run& run) { run.attachAnswered(one, m_now); });
+                   },
+                   [&](const load_report&) {},
+               },
         message);
 }
 
@@ -478,7 +465,8 @@
     execution.key = m_keys[work.attempt.request];
     m_executions.push_back(execution);
     one.jobs[work.attempt] = { work.work, 0, work.work.prompt, false };
-    after(tokenTime, [this, sidecar, life = one.incarnation, attempt = work.attempt] { advance(sidecar, life, attempt); });
+    after(tokenTime,
+        [this, sidecar, life = one.incarnation, attempt = work.attempt] { advance(sidecar, life, attempt); });
 }
 
 void request_world::advance(std::size_t sidecar, incarnation_number life, const attempt_id& attempt)
@@ -488,9 +476,8 @@
         return;
     auto& job = one.jobs.at(attempt);
     const auto end = [&](const work_outcome& outcome) {
-        atSidecar(sidecar, [this, sidecar, attempt, outcome] {
-            m_sidecars[sidecar].core->ended(attempt, outcome, m_now);
-        });
+        atSidecar(
+            sidecar, [this, sidecar, attempt, outcome] { m_sidecars[sidecar].core->ended(attempt, outcome, m_now); });
     };
     if (job.cancelled) {
         end({ result_code::Cancelled, "", "", false });
