Orders to targets: fencing numbers, one at a time, never the last ready copy

Change: dispatch::order_keeper (pause work, settle, send, read back), placement_table in the controllers' state (fencing numbers, two loads at once, last copy kept), ctl order, stand-in orders that honour or ignore numbers.

--- a/include/buckthornrail/core/event_code.hpp
+++ b/include/buckthornrail/core/event_code.hpp
@@ -29,6 +29,8 @@
     OfferRefused = 303,
     TargetStateChanged = 304,
     TargetDraining = 305,
+    OrderBegun = 306,
+    OrderEnded = 307,
     LeaderElected = 400,
     LeaderLost = 401,
     MemberChanged = 402,
--- /dev/null
+++ b/include/buckthornrail/dispatch/order_keeper.hpp
@@ -0,0 +1,91 @@
+/// @file
+/// @brief A sidecar's handling of orders to its target: one at a time, fenced, without cutting work.
+///
+/// A target that checks fencing numbers refuses an old order by itself. For one that doesn't the sidecar is the fence:
+/// it sends an order only when the one before has ended, reads the state back, and after a restart first waits until
+/// whatever its earlier incarnation sent must have ended.
+#pragma once
+
+#include "buckthornrail/core/clock.hpp"
+#include "buckthornrail/core/result_code.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace buckthornrail::dispatch {
+
+/// Issued by the controllers' log, higher for each order.
+using fencing_number = std::uint64_t;
+
+/// Load this version of this model.
+struct target_order {
+    fencing_number fence = 0;
+    std::string model;
+    std::string version;
+};
+
+struct order_options {
+    bool targetChecksFences = true;
+    milliseconds orderTimeout { 10000 }; ///< no call for an order lasts longer
+    milliseconds readBackInterval { 200 };
+};
+
+/// Let no new work start; call workEnded() when none runs.
+struct pause_work {
+};
+struct resume_work {
+};
+struct send_order {
+    target_order order;
+    steady_time deadline {};
+};
+/// Ask the target what it has loaded.
+struct read_target_state {
+};
+/// The order has ended.
+struct report_order {
+    target_order order;
+    failure outcome;
+};
+using order_effect = std::variant<pause_work, resume_work, send_order, read_target_state, report_order>;
+
+/// @ingroup dispatch
+class order_keeper {
+public:
+    order_keeper(order_options options, steady_time now);
+
+    /// @brief An order from the controllers; repeated and older ones are ignored.
+    void offer(const target_order& order, steady_time now);
+    void workEnded(steady_time now);
+    /// @brief The call for an order has ended. @param refusedAsOld by the target, which knows a higher number
+    void answered(fencing_number fence, bool accepted, bool refusedAsOld, steady_time now);
+    void stateRead(const std::string& model, const std::string& version, steady_time now);
+    void tick(steady_time now);
+
+    std::optional<order_effect> nextEffect();
+    [[nodiscard]] fencing_number highest() const { return m_highest; }
+    [[nodiscard]] bool isIdle() const { return m_phase == phase::Idle; }
+
+private:
+    enum class phase { Idle, Pausing, Settling, Sending, ReadingBack };
+
+    void begin(steady_time now);
+    void sendNow(steady_time now);
+    void readBack(steady_time now);
+    void finish(failure outcome, steady_time now);
+
+    order_options m_options;
+    phase m_phase = phase::Idle;
+    fencing_number m_highest = 0;
+    std::optional<target_order> m_current;
+    std::optional<target_order> m_waiting; ///< the newest that came meanwhile
+    steady_time m_settledDeadline; ///< until then an earlier incarnation's order may still take effect
+    steady_time m_orderDeadline {};
+    steady_time m_readDeadline {};
+    std::deque<order_effect> m_effects;
+};
+
+} // namespace buckthornrail::dispatch
--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -6,6 +6,7 @@
 #include "buckthornrail/configuration/configuration_store.hpp"
 #include "buckthornrail/dispatch/claim_table.hpp"
 #include "buckthornrail/dispatch/messages.hpp"
+#include "buckthornrail/dispatch/order_keeper.hpp"
 #include "buckthornrail/execution/stage_guard.hpp"
 #include "buckthornrail/membership/membership_table.hpp"
 
@@ -50,6 +51,15 @@
     configuration_version configuration = 0;
     bool drain = false; ///< an operator wants this instance to drain
     bool known = true; ///< false: announce yourself again
+    dispatch::target_order order; ///< to carry out; fence 0: none
+};
+
+/// Sidecar to controller: an order has ended.
+struct order_report {
+    instance_id instance;
+    dispatch::fencing_number fence = 0;
+    result_code code = result_code::Ok;
+    std::string reason;
 };
 
 /// One page of a configuration update.
@@ -137,7 +147,7 @@
     join_request, controller_hello, agreement::peer_message, dispatch::attempt_offer, dispatch::attempt_accepted,
     dispatch::attempt_refused, dispatch::attempt_started, dispatch::answer_frame, dispatch::answer_end,
     dispatch::attempt_revoke, dispatch::revoke_reply, dispatch::answer_attach, dispatch::attach_reply,
-    dispatch::load_report, execution::stage_step, stage_fence, stage_fenced, stage_close, stage_token, stage_failed>;
+    dispatch::load_report, execution::stage_step, stage_fence, stage_fenced, stage_close, stage_token, stage_failed, order_report>;
 
 /// @brief A message as CBOR, with the protocol version and its type.
 std::string encode(const message& value);
--- a/include/buckthornrail/link/state_json.hpp
+++ b/include/buckthornrail/link/state_json.hpp
@@ -5,6 +5,7 @@
 #include "buckthornrail/configuration/configuration_store.hpp"
 #include "buckthornrail/dispatch/claim_table.hpp"
 #include "buckthornrail/dispatch/messages.hpp"
+#include "buckthornrail/dispatch/order_keeper.hpp"
 #include "buckthornrail/link/checked_enum.hpp"
 #include "buckthornrail/membership/membership_table.hpp"
 
@@ -59,6 +60,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_key, workspace, key)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_holder, attempt, instance, incarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_command, key, requestDigest, holder, replaces, wallSeconds, retainSeconds)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_order, fence, model, version)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_record, key, requestDigest, holder, retainUntil)
 } // namespace dispatch
 
--- a/include/buckthornrail/settings/settings.hpp
+++ b/include/buckthornrail/settings/settings.hpp
@@ -56,6 +56,8 @@
     std::uint32_t slots = 4;
     std::uint32_t queueLimit = 16;
     std::uint32_t probeMs = 500;
+    std::string targetFencing = "checked";
+    std::uint32_t orderTimeoutMs = 60000;
     std::uint32_t answerKeepBytes = 8U << 20U;
 
     std::string dataFolder;
--- a/src/app/control_shell.cpp
+++ b/src/app/control_shell.cpp
@@ -198,6 +198,14 @@
     return report(options, answer, action + " requested for " + options.words[1]);
 }
 
+int order(const shell_options& options)
+{
+    const json wish = { { "model", options.words[2] }, { "version", options.words[3] } };
+    const auto answer = callAny(options, "POST", "/v1/instances/" + options.words[1] + "/order", wish.dump());
+    const auto fence = answer.body.is_object() ? answer.body.value("fence", 0) : 0;
+    return report(options, answer, "ordered with fencing number " + std::to_string(fence));
+}
+
 int initialize(const shell_options& options)
 {
     // Only the first controller is asked: a second one must not form a log of its own.
@@ -241,6 +249,7 @@
         { { "status" }, status },
         { { "drain", "INSTANCE" }, drain },
         { { "undrain", "INSTANCE" }, drain },
+        { { "order", "INSTANCE", "MODEL", "VERSION" }, order },
         { { "cluster", "init" }, initialize },
         { { "explain", "REQUEST" }, explain },
     };
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds transitionPatience { 1000 };
 constexpr milliseconds joinWishLifetime { 2000 };
 constexpr milliseconds claimPatience { 2500 };
+constexpr milliseconds commandPatience { 10000 };
 constexpr milliseconds handOverPeriod { 300 };
 constexpr std::size_t maxJoinWishes = 16;
 
@@ -144,6 +145,8 @@
     status.version = m_state.configuration().version();
     for (const auto& [id, record] : m_state.membership().records())
         status.instances.push_back(record);
+    for (const auto& [instance, record] : m_state.placement().records())
+        status.orders.push_back(record);
     status.claims = m_state.claims().size();
     status.sessions = m_sessions.size();
     return status;
@@ -178,6 +181,9 @@
         onClaim(channel, *claim);
     } else if (const auto* report = std::get_if<link::lease_report>(&message)) {
         heard(report->instances);
+    } else if (const auto* ended = std::get_if<link::order_report>(&message)) {
+        submit(order_ended_command { ended->instance, ended->fence, ended->code, ended->reason }, [](const auto&) {},
+            commandPatience);
     } else if (const auto* join = std::get_if<link::join_request>(&message)) {
         if (m_joins.contains(join->member) || m_joins.size() < maxJoinWishes)
             m_joins[join->member] = { join->address, steadyNow() + joinWishLifetime };
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -20,6 +20,7 @@
     std::vector<agreement::member_id> reachable; ///< only known by the leader
     configuration_version version = 0;
     std::vector<membership::instance_record> instances;
+    std::vector<order_record> orders;
     std::size_t claims = 0;
     std::size_t sessions = 0;
 };
--- a/src/app/controller_api.cpp
+++ b/src/app/controller_api.cpp
@@ -55,7 +55,12 @@
     json instances = json::array();
     for (const auto& record : status.instances)
         instances.push_back(instanceToJson(record));
-    return { { "self", std::to_string(status.self) }, { "role", nameOf(status.role) }, { "term", status.term },
+    json orders = json::array();
+    for (const auto& record : status.orders)
+        orders.push_back({ { "instance", record.instance }, { "fence", record.order.fence },
+            { "model", record.order.model }, { "version", record.order.version },
+            { "state", nameIn(orderStateNames, record.state) }, { "reason", record.reason } });
+    return { { "orders", orders }, { "self", std::to_string(status.self) }, { "role", nameOf(status.role) }, { "term", status.term },
         { "commit", status.commit }, { "controllers", members }, { "reachable", status.reachable.size() },
         { "version", status.version }, { "claims", status.claims }, { "sessions", status.sessions },
         { "instances", instances } };
@@ -121,8 +126,12 @@
         const std::string rest = request.path.substr(instancePrefix.size());
         const auto slash = rest.rfind('/');
         const std::string action = slash == std::string::npos ? "" : rest.substr(slash + 1);
+        if (request.method == "POST" && action == "order") {
+            order(rest.substr(0, slash), request.body, exchange);
+            return;
+        }
         if (request.method != "POST" || (action != "drain" && action != "undrain")) {
-            refuse(exchange, { result_code::NotFound, "use POST .../drain or .../undrain" });
+            refuse(exchange, { result_code::NotFound, "use POST .../drain, .../undrain or .../order" });
             return;
         }
         const auto result = commit(drain_command { rest.substr(0, slash), action == "drain" });
@@ -134,6 +143,25 @@
     }
 
 private:
+    void order(const std::string& instance, const std::string& body, http_exchange& exchange)
+    {
+        const json wish = json::parse(body, nullptr, false);
+        const auto isText = [&wish](const char* name) {
+            return wish.is_object() && wish.contains(name) && wish[name].is_string() && !wish[name].empty();
+        };
+        if (!isText("model") || !isText("version")) {
+            refuse(exchange, { result_code::MalformedRequest, "'model' and 'version' must be texts" });
+            return;
+        }
+        const auto result = commit(
+            order_command { instance, wish["model"].get<std::string>(), wish["version"].get<std::string>() });
+        if (!result || result->outcome.code != result_code::Ok) {
+            refuse(exchange, result ? result->outcome : result.error());
+            return;
+        }
+        respondJson(exchange, { { "instance", instance }, { "fence", result->fence } });
+    }
+
     using result_or_failure = tl::expected<command_result, failure>;
 
     result_or_failure commit(command_body body)
--- a/src/app/controller_state.cpp
+++ b/src/app/controller_state.cpp
@@ -4,10 +4,21 @@
 
 #include "buckthornrail/link/state_json.hpp"
 
+namespace nlohmann {
+
+template <>
+struct adl_serializer<buckthornrail::app::order_state>
+    : buckthornrail::link::checked_enum<buckthornrail::app::order_state, buckthornrail::app::order_state::Failed> { };
+
+} // namespace nlohmann
+
 namespace buckthornrail::app {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(transition_batch, transitions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(drain_command, instance, drain)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(order_command, instance, model, version)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(order_ended_command, instance, fence, code, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(order_record, instance, order, state, reason)
 
 namespace {
 
@@ -61,17 +72,29 @@
         result.claim = m_claims.apply(*claim);
         return result;
     }
-    if (isRepeated(value.id))
-        return result;
-    if (const auto* batch = std::get_if<transition_batch>(&value.body)) {
+    if (!isRepeated(value.id))
+        result.outcome = applyOnce(value.body, result);
+    return result;
+}
+
+failure controller_state::applyOnce(const command_body& body, command_result& result)
+{
+    if (const auto* batch = std::get_if<transition_batch>(&body)) {
         for (const auto& transition : batch->transitions)
             m_membership.apply(transition);
-        return result;
+        return {};
     }
-    const auto& drain = std::get<drain_command>(value.body);
-    if (auto done = m_membership.requestDrain(drain.instance, drain.drain); !done)
-        result.outcome = done.error();
-    return result;
+    if (const auto* drain = std::get_if<drain_command>(&body)) {
+        const auto done = m_membership.requestDrain(drain->instance, drain->drain);
+        return done ? failure {} : done.error();
+    }
+    if (const auto* order = std::get_if<order_command>(&body)) {
+        const auto fence = m_placement.order(*order, m_membership, m_configuration.current());
+        result.fence = fence.value_or(0);
+        return fence ? failure {} : fence.error();
+    }
+    m_placement.ended(std::get<order_ended_command>(body));
+    return {};
 }
 
 std::string controller_state::save() const
@@ -79,7 +102,10 @@
     std::vector<membership::instance_record> records;
     for (const auto& [id, record] : m_membership.records())
         records.push_back(record);
-    const json whole = { { "configuration", m_configuration.state() }, { "instances", records },
+    std::vector<order_record> orders;
+    for (const auto& [instance, record] : m_placement.records())
+        orders.push_back(record);
+    const json whole = { { "orders", orders }, { "fence", m_placement.lastFence() }, { "configuration", m_configuration.state() }, { "instances", records },
         { "revision", m_membership.revision() }, { "pruned", m_membership.prunedRevision() },
         { "claims", m_claims.records() }, { "clock", m_claims.clock() }, { "recent", m_recentIds } };
     std::string bytes;
@@ -97,6 +123,8 @@
             whole.at("revision").get<std::uint64_t>(), whole.at("pruned").get<std::uint64_t>());
         m_claims.restore(
             whole.at("claims").get<std::vector<dispatch::claim_record>>(), whole.at("clock").get<std::uint64_t>());
+        m_placement.restore(whole.at("orders").get<std::vector<order_record>>(),
+            whole.at("fence").get<dispatch::fencing_number>());
         m_recentIds = whole.at("recent").get<std::deque<std::string>>();
         m_recentSet = std::set<std::string>(m_recentIds.begin(), m_recentIds.end());
     } catch (const json::exception& fault) {
--- a/src/app/controller_state.hpp
+++ b/src/app/controller_state.hpp
@@ -2,6 +2,7 @@
 /// @brief The replicated state machine of the controllers: configuration, membership, claims, orders to targets.
 #pragma once
 
+#include "app/placement.hpp"
 #include "buckthornrail/configuration/configuration_store.hpp"
 #include "buckthornrail/dispatch/claim_table.hpp"
 #include "buckthornrail/membership/membership_table.hpp"
@@ -23,8 +24,8 @@
     bool drain = true;
 };
 
-using command_body
-    = std::variant<configuration::change_command, transition_batch, drain_command, dispatch::claim_command>;
+using command_body = std::variant<configuration::change_command, transition_batch, drain_command,
+    dispatch::claim_command, order_command, order_ended_command>;
 
 /// One command of the log. Applying it twice has the effect of once.
 struct command {
@@ -37,6 +38,7 @@
     failure outcome; ///< Ok, or why it was refused
     configuration::change_result change; ///< for change_command
     dispatch::claim_result claim; ///< for claim_command
+    dispatch::fencing_number fence = 0; ///< for order_command
 };
 
 /// @brief A command as CBOR.
@@ -57,14 +59,17 @@
     [[nodiscard]] const configuration::configuration_store& configuration() const { return m_configuration; }
     [[nodiscard]] const membership::membership_table& membership() const { return m_membership; }
     [[nodiscard]] const dispatch::claim_table& claims() const { return m_claims; }
+    [[nodiscard]] const placement_table& placement() const { return m_placement; }
 
 private:
     bool isRepeated(const std::string& id);
+    failure applyOnce(const command_body& body, command_result& result);
 
     configuration::configuration_store m_configuration;
     membership::membership_table m_membership;
     dispatch::claim_table m_claims;
-    std::deque<std::string> m_recentIds; ///< of drain commands and transitions; a late repeat changes nothing
+    placement_table m_placement;
+    std::deque<std::string> m_recentIds; ///< of commands that are not idempotent by themselves; a late repeat changes nothing
     std::set<std::string> m_recentSet;
 };
 
--- a/src/app/entry.cpp
+++ b/src/app/entry.cpp
@@ -97,6 +97,7 @@
         for (const auto& id : all)
             withRun(id, [](auto& run, steady_time now) { run.retryNow(now); });
     };
+    callbacks.orderReceived = [](const dispatch::target_order&) {};
     callbacks.membershipChanged = [this](const membership::membership_delta& delta) { onMembership(delta); };
     callbacks.drainRequested = [this](bool drain) { m_refusing = m_refusing || drain; };
     callbacks.claimAnswered = [this](const link::claim_reply& reply) {
--- /dev/null
+++ b/src/app/placement.hpp
@@ -0,0 +1,69 @@
+/// @file
+/// @brief Replicated orders to targets: fencing numbers, a shared weight store, and the last copy of a version.
+#pragma once
+
+#include "buckthornrail/configuration/configuration_store.hpp"
+#include "buckthornrail/dispatch/order_keeper.hpp"
+#include "buckthornrail/membership/membership_table.hpp"
+
+#include <map>
+
+namespace buckthornrail::app {
+
+/// An operator's wish that an instance's target loads another version.
+struct order_command {
+    instance_id instance;
+    std::string model;
+    std::string version;
+};
+
+/// A sidecar's report that an order has ended.
+struct order_ended_command {
+    instance_id instance;
+    dispatch::fencing_number fence = 0;
+    result_code code = result_code::Ok;
+    std::string reason;
+};
+
+enum class order_state : std::uint8_t { Waiting, Released, Done, Failed };
+
+inline constexpr std::array orderStateNames {
+    enum_name<order_state> { order_state::Waiting, "waiting" },
+    enum_name<order_state> { order_state::Released, "released" },
+    enum_name<order_state> { order_state::Done, "done" },
+    enum_name<order_state> { order_state::Failed, "failed" },
+};
+
+/// The newest order of one instance.
+struct order_record {
+    instance_id instance;
+    dispatch::target_order order;
+    order_state state = order_state::Waiting;
+    std::string reason;
+};
+
+/// Loads at once; the rest wait, so that each gets a useful part of the weight store's rate.
+inline constexpr std::size_t maxLoadsAtOnce = 2;
+
+/// @brief Deterministic part of the controllers' state machine.
+class placement_table {
+public:
+    /// @return NotFound, or LastCopy when the order would take away the last ready copy of a version in use.
+    tl::expected<dispatch::fencing_number, failure> order(const order_command& command,
+        const membership::membership_table& instances, const configuration::document& document);
+    void ended(const order_ended_command& command);
+
+    /// @brief The order that an instance's sidecar should carry out, if any.
+    [[nodiscard]] const order_record* releasedFor(const instance_id& instance) const;
+    [[nodiscard]] const std::map<instance_id, order_record>& records() const { return m_records; }
+    [[nodiscard]] dispatch::fencing_number lastFence() const { return m_lastFence; }
+    void restore(std::vector<order_record> records, dispatch::fencing_number lastFence);
+
+private:
+    void releaseWaiting();
+
+    std::map<instance_id, order_record> m_records;
+    dispatch::fencing_number m_lastFence = 0;
+};
+
+} // namespace buckthornrail::app
--- a/src/app/session_client.cpp
+++ b/src/app/session_client.cpp
@@ -75,6 +75,14 @@
     beat();
 }
 
+void session_client::setModel(const std::string& model, const std::string& version)
+{
+    m_record.target.model = model;
+    m_record.target.version = version;
+    if (m_open)
+        announce();
+}
+
 bool session_client::send(const link::message& message)
 {
     return m_open && m_hub.send(m_channel, link::encode(message));
@@ -134,6 +142,8 @@
         m_callbacks.leaseRenewed(ack.configuration, m_leaseDeadline);
     }
     m_callbacks.drainRequested(ack.drain);
+    if (ack.order.fence != 0)
+        m_callbacks.orderReceived(ack.order);
 }
 
 void session_client::onPage(const link::configuration_page& page)
--- a/src/app/session_client.hpp
+++ b/src/app/session_client.hpp
@@ -16,6 +16,7 @@
     std::function<void(const membership::membership_delta&)> membershipChanged;
     std::function<void(bool drain)> drainRequested;
     std::function<void(const link::claim_reply&)> claimAnswered;
+    std::function<void(const dispatch::target_order&)> orderReceived;
 };
 
 /// @brief Lives on the loop thread. The owner's hub handlers pass on what concerns the session's channel.
@@ -31,6 +32,8 @@
 
     /// @brief Announces a change of this instance's state.
     void setState(membership::instance_state state);
+    /// @brief Announces that the target holds another version now.
+    void setModel(const std::string& model, const std::string& version);
     /// @return false when there is no open session.
     bool send(const link::message& message);
 
--- a/src/app/session_table.cpp
+++ b/src/app/session_table.cpp
@@ -61,7 +61,7 @@
     for (const auto& [channel, sequence] : channels) {
         const auto open = m_sessions.find(channel);
         if (open == m_sessions.end()) {
-            m_send(channel, link::session_ack { sequence, state.configuration().version(), false, false });
+            m_send(channel, link::session_ack { sequence, state.configuration().version(), false, false, {} });
             continue;
         }
         auto& session = open->second;
@@ -69,7 +69,10 @@
         push(channel, session, state);
         const auto* record = state.membership().find(session.record.id);
         const bool drain = record != nullptr && record->drainRequested;
-        m_send(channel, link::session_ack { sequence, state.configuration().version(), drain, true });
+        link::session_ack ack { sequence, state.configuration().version(), drain, true, {} };
+        if (const auto* released = state.placement().releasedFor(session.record.id))
+            ack.order = released->order;
+        m_send(channel, ack);
     }
 }
 
--- a/src/app/sidecar.cpp
+++ b/src/app/sidecar.cpp
@@ -19,6 +19,14 @@
     return options;
 }
 
+dispatch::order_options orderOptions(const settings::settings& settings)
+{
+    dispatch::order_options options;
+    options.targetChecksFences = settings.targetFencing == "checked";
+    options.orderTimeout = milliseconds(settings.orderTimeoutMs);
+    return options;
+}
+
 membership::instance_record makeRecord(const settings::settings& settings, incarnation_number incarnation)
 {
     membership::instance_record record;
@@ -50,6 +58,7 @@
     , m_incarnation(randomNumber())
     , m_dialect(makeDialect(settings))
     , m_core(settings.id, gateOptions(settings, m_incarnation), settings.answerKeepBytes, steadyNow())
+    , m_orders(orderOptions(settings), steadyNow())
     , m_pool(settings.slots + spareThreads)
 {
 }
@@ -87,6 +96,10 @@
     };
     callbacks.membershipChanged = [](const membership::membership_delta&) {};
     callbacks.claimAnswered = [](const link::claim_reply&) {};
+    callbacks.orderReceived = [this](const dispatch::target_order& order) {
+        m_orders.offer(order, steadyNow());
+        carryOutOrder();
+    };
     callbacks.drainRequested = [this](bool drain) {
         if (m_draining || drain == m_core.gate().isDraining())
             return;
@@ -234,6 +247,60 @@
     m_metrics.gauge("queued", static_cast<double>(m_core.gate().queued()));
 }
 
+void sidecar::carryOutOrder()
+{
+    while (const auto effect = m_orders.nextEffect()) {
+        if (std::holds_alternative<dispatch::pause_work>(*effect))
+            m_paused = true;
+        else if (std::holds_alternative<dispatch::resume_work>(*effect))
+            m_paused = false;
+        else if (const auto* sent = std::get_if<dispatch::send_order>(&*effect))
+            sendOrder(*sent);
+        else if (std::holds_alternative<dispatch::read_target_state>(*effect))
+            readLoaded();
+        else if (const auto* report = std::get_if<dispatch::report_order>(&*effect))
+            reportOrder(*report);
+    }
+    m_core.gate().setReady(m_targetReady && !m_paused);
+}
+
+void sidecar::sendOrder(const dispatch::send_order& sent)
+{
+    telemetry::logEvent(event_code::OrderBegun,
+        { { "fence", std::to_string(sent.order.fence) }, { "model", sent.order.model },
+            { "version", sent.order.version } });
+    asio::post(m_pool, [this, sent] {
+        const bool current = m_dialect->order(sent.order, sent.deadline);
+        m_loop.post([this, fence = sent.order.fence, current] {
+            m_orders.answered(fence, current, !current, steadyNow());
+            carryOutOrder();
+        });
+    });
+}
+
+void sidecar::readLoaded()
+{
+    asio::post(m_pool, [this] {
+        const auto held = m_dialect->loaded();
+        m_loop.post([this, held] {
+            m_orders.stateRead(held.first, held.second, steadyNow());
+            carryOutOrder();
+        });
+    });
+}
+
+void sidecar::reportOrder(const dispatch::report_order& report)
+{
+    const auto& order = report.order;
+    const auto& outcome = report.outcome;
+    telemetry::logEvent(event_code::OrderEnded,
+        { { "fence", std::to_string(order.fence) }, { "code", std::string(describe(outcome.code).name) },
+            { "reason", outcome.reason } });
+    if (outcome.code == result_code::Ok)
+        m_session->setModel(order.model, order.version);
+    m_session->send(link::order_report { m_settings.id, order.fence, outcome.code, outcome.reason });
+}
+
 void sidecar::startWork(const dispatch::start_work& work)
 {
     telemetry::logEvent(event_code::WorkStarted, { { "attempt", toString(work.attempt) } });
@@ -387,7 +454,7 @@
         m_targetReady = condition.ready;
         telemetry::logEvent(event_code::TargetStateChanged, { { "ready", condition.ready ? "yes" : "no" } });
     }
-    m_core.gate().setReady(condition.ready);
+    m_core.gate().setReady(condition.ready && !m_paused);
     announceState();
 }
 
@@ -395,7 +462,7 @@
 {
     if (m_draining)
         return;
-    m_session->setState(m_targetReady ? membership::instance_state::Ready : membership::instance_state::Joined);
+    m_session->setState(m_targetReady && !m_paused ? membership::instance_state::Ready : membership::instance_state::Joined);
     m_isReady = m_targetReady && m_session->hasLease();
 }
 
@@ -403,6 +470,10 @@
 {
     const steady_time now = steadyNow();
     m_core.tick(now);
+    if (m_paused && m_core.gate().running() + m_core.gate().queued() == 0)
+        m_orders.workEnded(now);
+    m_orders.tick(now);
+    carryOutOrder();
     for (const auto& request : m_guard.expire(now))
         endStage(request);
     carryOut();
--- a/src/app/sidecar.hpp
+++ b/src/app/sidecar.hpp
@@ -42,6 +42,10 @@
     void onStageClose(const std::string& request);
 
     void carryOut();
+    void carryOutOrder();
+    void sendOrder(const dispatch::send_order& sent);
+    void readLoaded();
+    void reportOrder(const dispatch::report_order& report);
     void startWork(const dispatch::start_work& work);
     void startStage(const dispatch::start_work& work);
     void cancelWork(const dispatch::cancel_work& work);
@@ -66,6 +70,8 @@
     std::unique_ptr<target_dialect> m_dialect;
     dispatch::sidecar_core m_core;
     execution::stage_guard m_guard;
+    dispatch::order_keeper m_orders;
+    bool m_paused = false; ///< an order waits for work to end, or is being carried out
     std::map<attempt_id, std::shared_ptr<http::call_canceller>> m_cancellers; ///< of calls to the target
     std::map<std::string, attempt_id> m_stageWork; ///< open stage attempt of each request
     std::map<link::channel_number, peer> m_peers;
--- a/src/app/target_adapter.cpp
+++ b/src/app/target_adapter.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds cancelPatience { 500 };
 constexpr int firstErrorStatus = 400;
 constexpr int firstServerErrorStatus = 500;
+constexpr int staleFenceStatus = 409;
 constexpr const char* jsonType = "application/json";
 constexpr const char* requestHeader = "X-Request-Id";
 constexpr const char* attemptHeader = "X-Attempt";
@@ -107,18 +108,45 @@
     std::string m_rest;
 };
 
-/// Shared by the two kinds that stream tokens as server-sent events.
-class streaming_dialect : public target_dialect {
+/// Orders go the same way to every kind that holds a model.
+class model_dialect : public target_dialect {
 public:
-    explicit streaming_dialect(std::string address)
+    explicit model_dialect(std::string address)
         : m_address(std::move(address))
     {
     }
 
+    bool order(const dispatch::target_order& order, steady_time deadline) override
+    {
+        const json body = { { "fence", order.fence }, { "model", order.model }, { "version", order.version } };
+        const auto response = http::call(makePost(m_address, "/engine/order", body, deadline));
+        return response.status != staleFenceStatus;
+    }
+
+    std::pair<std::string, std::string> loaded() override
+    {
+        const json body = json::parse(get(m_address, "/engine/loaded").body, nullptr, false);
+        if (!body.is_object())
+            return {};
+        return { body.value("model", ""), body.value("version", "") };
+    }
+
+protected:
+    [[nodiscard]] const std::string& address() const { return m_address; }
+
+private:
+    std::string m_address;
+};
+
+/// Shared by the two kinds that stream tokens as server-sent events.
+class streaming_dialect : public model_dialect {
+public:
+    using model_dialect::model_dialect;
+
     work_outcome run(const attempt_id& attempt, const dispatch::work_order& work, steady_time deadline,
         http::call_canceller& canceller, const frame_sink& sink) override
     {
-        auto request = makePost(m_address, pathFor(work), bodyFor(work), deadline);
+        auto request = makePost(address(), pathFor(work), bodyFor(work), deadline);
         addIdentity(request, attempt);
         event_splitter splitter;
         std::string finishReason;
@@ -148,7 +176,7 @@
 
     void cancel(const attempt_id& attempt) override
     {
-        auto request = makePost(m_address, "/cancel", { { "request", attempt.request }, { "attempt", attempt.number } },
+        auto request = makePost(address(), "/cancel", { { "request", attempt.request }, { "attempt", attempt.number } },
             steadyNow() + cancelPatience);
         (void)http::call(request);
     }
@@ -158,10 +186,6 @@
     [[nodiscard]] virtual json bodyFor(const dispatch::work_order& work) const = 0;
     /// @return true when the event holds a token
     virtual bool readEvent(const std::string& data, std::string& token, std::string& finishReason) const = 0;
-    [[nodiscard]] const std::string& address() const { return m_address; }
-
-private:
-    std::string m_address;
 };
 
 class openai_dialect : public streaming_dialect {
@@ -255,17 +279,14 @@
     std::string m_model; ///< path of the model's version
 };
 
-class layer_range_dialect : public target_dialect {
+class layer_range_dialect : public model_dialect {
 public:
-    explicit layer_range_dialect(std::string address)
-        : m_address(std::move(address))
-    {
-    }
+    using model_dialect::model_dialect;
 
     target_condition probe() override
     {
         target_condition condition;
-        const json body = json::parse(get(m_address, "/engine/state").body, nullptr, false);
+        const json body = json::parse(get(address(), "/engine/state").body, nullptr, false);
         if (!body.is_object())
             return condition;
         condition.ready = body.value("ready", false);
@@ -286,7 +307,7 @@
         const json body = { { "request", step.request }, { "generation", step.generation }, { "token", step.token },
             { "first_layer", order.firstLayer }, { "end_layer", order.endLayer }, { "input", step.input },
             { "last_stage", order.isLastStage }, { "max_tokens", order.maxTokens } };
-        const auto response = http::call(makePost(m_address, "/engine/step", body, deadline));
+        const auto response = http::call(makePost(address(), "/engine/step", body, deadline));
         const work_outcome outcome = outcomeOf(response);
         if (outcome.code != result_code::Ok)
             return { outcome.code, outcome.reason, "", false, "" };
@@ -302,11 +323,8 @@
     void closeStage(const std::string& request) override
     {
         (void)http::call(
-            makePost(m_address, "/engine/close", { { "request", request } }, steadyNow() + cancelPatience));
+            makePost(address(), "/engine/close", { { "request", request } }, steadyNow() + cancelPatience));
     }
-
-private:
-    std::string m_address;
 };
 
 class plain_service_dialect : public target_dialect {
@@ -356,6 +374,9 @@
         return outcomeOf(response);
     }
 
+    bool order(const dispatch::target_order& /*order*/, steady_time /*deadline*/) override { return true; }
+    std::pair<std::string, std::string> loaded() override { return {}; }
+
 private:
     std::string m_address;
 };
--- a/src/app/target_adapter.hpp
+++ b/src/app/target_adapter.hpp
@@ -2,6 +2,7 @@
 /// @brief Dialects of targets: how each kind is asked for readiness, load and work. Calls block.
 #pragma once
 
+#include "buckthornrail/dispatch/order_keeper.hpp"
 #include "buckthornrail/dispatch/sidecar_core.hpp"
 #include "buckthornrail/execution/stage_guard.hpp"
 #include "buckthornrail/http/http_client.hpp"
@@ -54,6 +55,10 @@
     /// @brief Stops what a closed connection alone might not stop.
     virtual void cancel(const attempt_id& attempt) { (void)attempt; }
     virtual step_outcome step(const step_order& order, steady_time deadline);
+    /// @brief Tells the target to load a version. @return false when it knows a higher fencing number
+    virtual bool order(const dispatch::target_order& order, steady_time deadline) = 0;
+    /// @brief What the target has loaded: model and version.
+    virtual std::pair<std::string, std::string> loaded() = 0;
     virtual void closeStage(const std::string& request) { (void)request; }
 };
 
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -28,6 +28,8 @@
     event_info { event_code::OfferRefused, "offer_refused", "A sidecar refused an offer; fields: attempt, code." },
     event_info { event_code::TargetStateChanged, "target_state_changed", "The target's readiness changed." },
     event_info { event_code::TargetDraining, "target_draining", "The sidecar takes no new work." },
+    event_info { event_code::OrderBegun, "order_begun", "Placement: the target is told to load a version; fields: fence." },
+    event_info { event_code::OrderEnded, "order_ended", "An order to the target ended; fields: fence, code, reason." },
     event_info { event_code::LeaderElected, "leader_elected", "This controller leads; field: term." },
     event_info { event_code::LeaderLost, "leader_lost", "This controller no longer leads." },
     event_info { event_code::MemberChanged, "member_changed", "The set of controllers changed." },
--- /dev/null
+++ b/src/buckthornrail/dispatch/order_keeper_test.cpp
@@ -0,0 +1,173 @@
+/// @file
+/// @brief Orders to targets that check fencing numbers, and to those that don't.
+#include "buckthornrail/dispatch/order_keeper.hpp"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <random>
+#include <rapidcheck/catch.h>
+
+using namespace buckthornrail;
+using namespace buckthornrail::dispatch;
+
+namespace {
+
+/// A target that takes its time with each order; orders overlap when several are sent at once.
+struct slow_target {
+    bool checks = true;
+    std::string version = "1";
+    fencing_number highest = 0;
+    int atWork = 0;
+    bool overlapped = false;
+};
+
+/// A sidecar's keeper that may restart, with its target.
+class order_world {
+public:
+    order_world(bool checks, std::uint64_t seed)
+        : m_random(seed)
+    {
+        target.checks = checks;
+        restart();
+    }
+
+    void offer(fencing_number fence)
+    {
+        m_keeper->offer({ fence, "m", std::to_string(fence) }, now);
+        drive();
+    }
+
+    void restart()
+    {
+        ++m_life;
+        order_options options;
+        options.targetChecksFences = target.checks;
+        options.orderTimeout = milliseconds(1000);
+        m_keeper = std::make_unique<order_keeper>(options, now);
+    }
+
+    void run(int steps)
+    {
+        for (int at = 0; at < steps; ++at) {
+            now += milliseconds(10);
+            while (!m_events.empty() && m_events.begin()->first <= now) {
+                const auto action = std::move(m_events.begin()->second);
+                m_events.erase(m_events.begin());
+                action();
+            }
+            m_keeper->tick(now);
+            drive();
+        }
+    }
+
+    slow_target target;
+    std::vector<std::pair<fencing_number, result_code>> reports;
+    steady_time now = steady_time {} + std::chrono::hours(1);
+
+private:
+    void drive()
+    {
+        while (const auto effect = m_keeper->nextEffect()) {
+            if (std::holds_alternative<pause_work>(*effect))
+                m_keeper->workEnded(now);
+            else if (const auto* sent = std::get_if<send_order>(&*effect))
+                receive(sent->order);
+            else if (std::holds_alternative<read_target_state>(*effect))
+                m_keeper->stateRead("m", target.version, now);
+            else if (const auto* report = std::get_if<report_order>(&*effect))
+                reports.emplace_back(report->order.fence, report->outcome.code);
+        }
+    }
+
+    void receive(const target_order& order)
+    {
+        const int life = m_life;
+        const bool isOld = target.checks && order.fence < target.highest;
+        target.highest = std::max(target.highest, order.fence);
+        if (!target.checks && target.atWork > 0)
+            target.overlapped = true;
+        target.atWork += isOld ? 0 : 1;
+        // Up to 900 ms of work; the order timeout is 1,000 ms.
+        m_events.emplace(now + milliseconds(m_random() % 900), [this, life, order, isOld] {
+            if (!isOld) {
+                --target.atWork;
+                if (!target.checks || order.fence >= target.highest)
+                    target.version = order.version;
+            }
+            if (life != m_life)
+                return;
+            m_keeper->answered(order.fence, !isOld, isOld, now);
+            drive();
+        });
+    }
+
+    std::mt19937_64 m_random;
+    int m_life = 0;
+    std::unique_ptr<order_keeper> m_keeper;
+    std::multimap<steady_time, std::function<void()>> m_events;
+};
+
+} // namespace
+
+TEST_CASE("orders: the highest number wins at every kind of target, across restarts", "[orders][property]")
+{
+    rc::prop("schedule", [](std::uint64_t seed, bool checks) {
+        order_world world(checks, seed);
+        fencing_number issued = 0;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 400));
+        for (const int step : steps) {
+            if (step % 8 == 0)
+                world.restart();
+            else if (step % 8 < 5)
+                world.offer(++issued);
+            else if (issued > 0)
+                world.offer(static_cast<fencing_number>(step) % issued + 1); // an old one, late
+            world.run(step / 8);
+        }
+        world.restart();
+        world.offer(++issued);
+        world.run(500);
+        RC_ASSERT(world.target.version == std::to_string(issued));
+        RC_ASSERT(!world.target.overlapped);
+    });
+}
+
+TEST_CASE("orders: work is paused first and resumed after", "[orders]")
+{
+    order_keeper keeper({}, steady_time {});
+    keeper.offer({ 1, "m", "2" }, steady_time {});
+    REQUIRE(std::holds_alternative<pause_work>(*keeper.nextEffect()));
+    CHECK_FALSE(keeper.nextEffect());
+    keeper.workEnded(steady_time {});
+    REQUIRE(std::holds_alternative<send_order>(*keeper.nextEffect()));
+    keeper.answered(1, true, false, steady_time {});
+    REQUIRE(std::holds_alternative<read_target_state>(*keeper.nextEffect()));
+    keeper.stateRead("m", "2", steady_time {});
+    CHECK(std::get<report_order>(*keeper.nextEffect()).outcome.code == result_code::Ok);
+    CHECK(std::holds_alternative<resume_work>(*keeper.nextEffect()));
+    CHECK(keeper.isIdle());
+}
+
+TEST_CASE("orders: a target that never loads the version is reported, and work goes on", "[orders]")
+{
+    order_keeper keeper({}, steady_time {});
+    keeper.offer({ 1, "m", "2" }, steady_time {});
+    keeper.workEnded(steady_time {});
+    keeper.answered(1, true, false, steady_time {});
+    result_code code = result_code::Ok;
+    bool resumed = false;
+    for (int at = 0; at < 200; ++at) {
+        const steady_time now = steady_time {} + milliseconds(at * 100);
+        keeper.tick(now);
+        while (const auto effect = keeper.nextEffect()) {
+            if (std::holds_alternative<read_target_state>(*effect))
+                keeper.stateRead("m", "1", now);
+            if (const auto* report = std::get_if<report_order>(&*effect))
+                code = report->outcome.code;
+            resumed = resumed || std::holds_alternative<resume_work>(*effect);
+        }
+    }
+    CHECK(code == result_code::TargetFailed);
+    CHECK(resumed);
+}
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -370,6 +370,36 @@
     CHECK(violationsOf(system, records) == "");
 }
 
+TEST_CASE("processes: a version is switched under traffic, and its last ready copy is never taken away", "[process]")
+{
+    cluster system(twoTargets());
+    steady_callers callers(3, traffic(system, { "entry-0", "entry-1" }));
+    const auto order = [&](const std::string& instance, const std::string& version) {
+        return system.operate("POST", "/v1/instances/" + instance + "/order",
+            json({ { "model", "essay-review" }, { "version", version } }).dump());
+    };
+    const auto serves = [&](const std::string& instance, const std::string& version) {
+        const auto status = system.operate("GET", "/v1/status");
+        for (const auto& row : status.body["instances"]) {
+            if (row["id"] == instance)
+                return row["state"] == "ready" && row["target"]["version"] == version;
+        }
+        return false;
+    };
+    CHECK(order("sidecar-0", "2").status == 200);
+    CHECK(order("sidecar-1", "2").body["error"]["name"] == "last_copy");
+    CHECK(waitUntil([&] { return serves("sidecar-0", "2"); }, seconds(15)));
+    json document = cluster::standardDocument();
+    document["pipelines"]["essay-summary"]["versions"]
+        = { { { "version", "1" }, { "share", 0 } }, { { "version", "2" }, { "share", 100 } } };
+    CHECK(system.putConfiguration(document, 1, "switch").status == 200);
+    CHECK(waitUntil([&] { return order("sidecar-1", "2").status == 200; }, seconds(5)));
+    CHECK(waitUntil([&] { return serves("sidecar-1", "2"); }, seconds(15)));
+    const auto records = recordsOf(callers.stop());
+    CHECK(badAnswers(records) == "");
+    CHECK(violationsOf(system, records) == "");
+}
+
 TEST_CASE("processes: bad input gets a clear answer and runs nowhere", "[process]")
 {
     cluster system(twoTargets());
--- a/tools/stand_in_target.cpp
+++ b/tools/stand_in_target.cpp
@@ -41,6 +41,8 @@
     std::uint32_t cacheEntries = 64;
     std::uint32_t reportLagMs = 0;
     std::uint32_t serviceMs = 2;
+    std::uint32_t loadMs = 200;
+    bool checksFences = true;
     std::uint32_t stallAfter = 0; ///< 0: never; else before that token
     std::uint32_t dieAfter = 0;
 };
@@ -159,6 +161,10 @@
             close(request, exchange);
         else if (path == "/engine/state" || path.ends_with("/stats"))
             respond(exchange, 200, state());
+        else if (path == "/engine/order")
+            load(request, exchange);
+        else if (path == "/engine/loaded")
+            respond(exchange, 200, loaded());
         else if (path == "/cancel")
             cancel(request, exchange);
         else if (path == "/stand_in/fault")
@@ -195,6 +201,34 @@
         respond(exchange, 200, json::object());
     }
 
+    /// An order to load a version; with an old fencing number it is refused, or carried out all the same.
+    void load(const http_request& request, http_exchange& exchange)
+    {
+        const json body = json::parse(request.body, nullptr, false);
+        const auto fence = body.value("fence", std::uint64_t { 0 });
+        {
+            const std::scoped_lock lock(m_mutex);
+            if (m_options.checksFences && fence < m_highestFence) {
+                respond(exchange, 409, { { "error", "old fencing number" } });
+                return;
+            }
+            m_highestFence = std::max(m_highestFence, fence);
+        }
+        log({ { "event", "load_begun" }, { "fence", fence } });
+        wait(std::uint64_t { m_options.loadMs } * 1000);
+        const std::scoped_lock lock(m_mutex);
+        m_model = body.value("model", "");
+        m_version = body.value("version", "");
+        log({ { "event", "load_done" }, { "fence", fence }, { "version", m_version } });
+        respond(exchange, 200, json::object());
+    }
+
+    json loaded()
+    {
+        const std::scoped_lock lock(m_mutex);
+        return { { "model", m_model }, { "version", m_version } };
+    }
+
     json state()
     {
         const auto [running, waiting] = reported();
@@ -364,6 +398,9 @@
     std::map<std::string, std::string> m_texts; ///< what stage 0 has seen of each request and generation
     std::pair<std::uint32_t, std::uint32_t> m_reported;
     steady_time m_reportDeadline {};
+    std::uint64_t m_highestFence = 0;
+    std::string m_model;
+    std::string m_version;
     std::atomic<bool> m_ready { true };
     std::atomic<std::uint64_t> m_calls { 0 };
 };
@@ -385,7 +422,11 @@
     const auto cache = number("cache", "Prompt prefixes kept", options.cacheEntries);
     const auto lag = number("report-lag-ms", "Age of load reports", 0);
     const auto serviceMs = number("service-ms", "Time for a service call", options.serviceMs);
+    const auto loadMs = number("load-ms", "Time to load a version", options.loadMs);
+    TCLAP::SwitchArg ignoresFences("", "ignore-fences", "Carry out orders whatever their fencing number", line);
     line.parse(argc, argv);
+    options.loadMs = loadMs->getValue();
+    options.checksFences = !ignoresFences.getValue();
     options.address = address.getValue();
     options.name = name.getValue();
     options.logFile = log.getValue();
