--- /dev/null
+++ b/src/buckthornrail/link/message_test.cpp
@@ -0,0 +1,132 @@
+/// @file
+/// @brief The codec gives back what it was given and refuses what it can't read.
+#include "app/controller_state.hpp"
+#include "buckthornrail/link/message.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace buckthornrail;
+using namespace buckthornrail::link;
+
+namespace {
+
+/// A default-made message of each type.
+template <std::size_t At = 0> std::vector<message> oneOfEach()
+{
+    if constexpr (At < std::variant_size_v<message>) {
+        auto rest = oneOfEach<At + 1>();
+        rest.insert(rest.begin(), message(std::in_place_index<At>));
+        return rest;
+    } else {
+        return {};
+    }
+}
+
+} // namespace
+
+TEST_CASE("codec: every type of message comes back as it was", "[link]")
+{
+    for (const auto& one : oneOfEach()) {
+        const auto bytes = encode(one);
+        const auto back = decode(bytes);
+        REQUIRE(back);
+        CHECK(back->index() == one.index());
+        CHECK(encode(*back) == bytes);
+    }
+    agreement::peer_message peer;
+    peer.body = agreement::append_request { 1, 2, 3, 4, { { 5, 6, agreement::entry_kind::Members, "\xff\0x", {} } } };
+    CHECK(encode(*decode(encode(peer))) == encode(peer));
+}
+
+TEST_CASE("codec: damaged bytes give an error or a message, never anything else", "[link][property]")
+{
+    const auto samples = oneOfEach();
+    rc::prop("bytes", [&samples] {
+        auto bytes = encode(samples[*rc::gen::inRange<std::size_t>(0, samples.size())]);
+        const auto place = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        bytes[place] = static_cast<char>(*rc::gen::inRange(0, 256));
+        if (*rc::gen::arbitrary<bool>())
+            bytes.resize(place);
+        const auto back = decode(bytes);
+        if (!back)
+            RC_ASSERT(back.error().code == result_code::MalformedMessage
+                || back.error().code == result_code::UnsupportedProtocol);
+    });
+}
+
+TEST_CASE("codec: another protocol version and unknown enumerators are refused", "[link]")
+{
+    using nlohmann::json;
+    json envelope = json::from_cbor(encode(dispatch::attempt_refused { { "r", 1 }, result_code::Busy, "" }));
+    const auto bytesOf = [](const json& value) {
+        std::string bytes;
+        json::to_cbor(value, bytes);
+        return bytes;
+    };
+    json changed = envelope;
+    changed["v"] = 2;
+    CHECK(decode(bytesOf(changed)).error().code == result_code::UnsupportedProtocol);
+    changed = envelope;
+    changed["b"]["code"] = 9999;
+    CHECK(decode(bytesOf(changed)).error().code == result_code::MalformedMessage);
+    changed = envelope;
+    changed["t"] = 9999;
+    CHECK(decode(bytesOf(changed)).error().code == result_code::MalformedMessage);
+}
+
+TEST_CASE("controller state: a saved state goes on as the first would have", "[state][property]")
+{
+    using namespace buckthornrail::app;
+    rc::prop("commands", [] {
+        controller_state state;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
+        const auto commandOf = [](int step, int number) {
+            command value;
+            value.id = std::to_string(step % 3 == 0 ? number : step); // some are repeated
+            membership::instance_record record;
+            record.id = "i" + std::to_string(step % 5);
+            record.role = membership::instance_role::Sidecar;
+            record.state = membership::instance_state::Ready;
+            record.target.model = "m";
+            record.target.version = "1";
+            dispatch::claim_command claim;
+            claim.key = { "w", std::to_string(step % 4) };
+            claim.holder = { { "r" + std::to_string(step), 1 }, "i", 1 };
+            claim.wallSeconds = static_cast<std::uint64_t>(number);
+            claim.retainSeconds = 20;
+            switch (step % 5) {
+            case 0:
+                value.body = transition_batch { { { record, step % 2 == 0 } } };
+                break;
+            case 1:
+                value.body = drain_command { record.id, step % 2 == 0 };
+                break;
+            case 2:
+                value.body = claim;
+                break;
+            case 3:
+                value.body = order_command { record.id, "m", "2" };
+                break;
+            default:
+                value.body = configuration::change_command { value.id, 0, "", 0,
+                    R"([{"op":"add","path":"/models/m","value":{}}])" };
+                break;
+            }
+            return value;
+        };
+        controller_state copy;
+        for (std::size_t at = 0; at < steps.size(); ++at) {
+            const auto value = commandOf(steps[at], static_cast<int>(at));
+            state.apply(*decodeCommand(encodeCommand(value)));
+            if (at == steps.size() / 2)
+                RC_ASSERT(copy.restore(state.save()).has_value());
+            else if (at > steps.size() / 2)
+                copy.apply(value);
+        }
+        if (!steps.empty())
+            RC_ASSERT(copy.save() == state.save());
+    });
+    CHECK_FALSE(controller_state().restore("nonsense"));
+}
--- /dev/null
+++ b/src/buckthornrail/membership/membership_table_test.cpp
@@ -0,0 +1,89 @@
+/// @file
+/// @brief Transitions and their copies.
+#include "buckthornrail/membership/membership_table.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace buckthornrail;
+using namespace buckthornrail::membership;
+
+namespace {
+
+instance_record recordOf(const instance_id& id, incarnation_number life, instance_state state)
+{
+    instance_record record;
+    record.id = id;
+    record.role = instance_role::Sidecar;
+    record.incarnation = life;
+    record.state = state;
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("membership: a late or repeated transition changes nothing", "[membership]")
+{
+    membership_table table;
+    CHECK(table.apply({ recordOf("a", 1, instance_state::Ready), false }));
+    CHECK_FALSE(table.apply({ recordOf("a", 1, instance_state::Ready), false }));
+    CHECK(table.apply({ recordOf("a", 1, instance_state::Draining), false }));
+    CHECK_FALSE(table.apply({ recordOf("a", 1, instance_state::Ready), false })); // a late one
+    CHECK(table.apply({ recordOf("a", 1, instance_state::Left), false }));
+    CHECK_FALSE(table.apply({ recordOf("a", 1, instance_state::Ready), false }));
+    CHECK_FALSE(table.apply({ recordOf("a", 1, instance_state::Lost), true }));
+    CHECK(table.apply({ recordOf("a", 2, instance_state::Joined), false }));
+    CHECK_FALSE(table.apply({ recordOf("a", 1, instance_state::Lost), true })); // of the earlier life
+    CHECK(table.find("a")->state == instance_state::Joined);
+    CHECK(table.apply({ recordOf("a", 2, instance_state::Lost), true }));
+    CHECK(table.apply({ recordOf("a", 2, instance_state::Ready), false })); // it was only frozen
+}
+
+TEST_CASE("membership: a wish to drain outlives the instance's own announcements", "[membership]")
+{
+    membership_table table;
+    CHECK(table.requestDrain("a", true).error().code == result_code::NotFound);
+    table.apply({ recordOf("a", 1, instance_state::Ready), false });
+    CHECK(table.requestDrain("a", true));
+    table.apply({ recordOf("a", 2, instance_state::Ready), false });
+    CHECK(table.find("a")->drainRequested);
+}
+
+TEST_CASE("membership: any copy that misses deltas ends at the table", "[membership][property]")
+{
+    rc::prop("copies", [] {
+        membership_table table;
+        membership_view view;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5 * 700 * 4));
+        for (const int step : steps) {
+            const auto id = "i" + std::to_string(step / 5 % 700);
+            const auto state = static_cast<instance_state>(step % 5);
+            table.apply({ recordOf(id, static_cast<incarnation_number>(step / 3500), state), step % 7 == 0 });
+            if (step % 3 == 0)
+                RC_ASSERT(view.apply(table.changesSince(view.revision())));
+        }
+        RC_ASSERT(view.apply(table.changesSince(view.revision())));
+        for (const auto& [id, record] : table.records())
+            RC_ASSERT(*view.find(id) == record);
+    });
+}
+
+TEST_CASE("membership: old records of gone instances are dropped, and copies learn of it", "[membership]")
+{
+    membership_table table;
+    membership_view view;
+    table.apply({ recordOf("stays", 1, instance_state::Ready), false });
+    view.apply(table.changesSince(0));
+    for (int at = 0; at < 2000; ++at) {
+        table.apply({ recordOf("g" + std::to_string(at), 1, instance_state::Ready), false });
+        table.apply({ recordOf("g" + std::to_string(at), 1, instance_state::Left), false });
+    }
+    CHECK(table.records().size() < 600);
+    const auto delta = table.changesSince(view.revision());
+    CHECK(delta.full);
+    CHECK(view.apply(delta));
+    CHECK(view.records().size() == table.records().size());
+    membership_delta old = delta;
+    old.to = 1;
+    CHECK_FALSE(view.apply(old));
+}
--- /dev/null
+++ b/src/buckthornrail/routing/route_table_test.cpp
@@ -0,0 +1,179 @@
+/// @file
+/// @brief Candidates, shares, breakers and strategies.
+#include "buckthornrail/routing/retry_budget.hpp"
+#include "buckthornrail/routing/route_table.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace buckthornrail;
+using namespace buckthornrail::routing;
+using membership::instance_record;
+using membership::instance_state;
+
+namespace {
+
+const steady_time begin = steady_time {} + std::chrono::hours(1);
+
+instance_record targetOf(const instance_id& id, const std::string& version = "1", const std::string& pool = "default")
+{
+    instance_record record;
+    record.id = id;
+    record.role = membership::instance_role::Sidecar;
+    record.incarnation = 1;
+    record.state = instance_state::Ready;
+    record.target.model = "m";
+    record.target.version = version;
+    record.target.pool = pool;
+    record.target.slots = 2;
+    return record;
+}
+
+route_query queryOf()
+{
+    route_query query;
+    query.model = "m";
+    query.version = "1";
+    query.startDeadline = begin + std::chrono::hours(1);
+    return query;
+}
+
+} // namespace
+
+TEST_CASE("routes: only ready targets of the version that aren't excluded are candidates", "[routing]")
+{
+    route_table table({}, 1);
+    CHECK(table.choose(queryOf(), begin).error().code == result_code::NoTarget);
+    table.update(targetOf("a"));
+    table.update(targetOf("b", "2"));
+    auto leaving = targetOf("c");
+    leaving.state = instance_state::Draining;
+    table.update(leaving);
+    auto asked = targetOf("d");
+    asked.drainRequested = true;
+    table.update(asked);
+    for (int at = 0; at < 20; ++at)
+        CHECK(table.choose(queryOf(), begin)->instance == "a");
+    auto query = queryOf();
+    query.excluded = { "a" };
+    CHECK_FALSE(table.choose(query, begin));
+    CHECK(table.readyVersions("m") == std::set<std::string> { "1", "2" });
+    table.remove("a");
+    CHECK_FALSE(table.choose(queryOf(), begin));
+}
+
+TEST_CASE("routes: pools take their shares, and a pool without a share gets nothing", "[routing]")
+{
+    route_table table({}, 2);
+    table.update(targetOf("x", "1", "x"));
+    table.update(targetOf("y", "1", "y"));
+    table.update(targetOf("z", "1", "z"));
+    auto query = queryOf();
+    query.pools = { { "x", 75 }, { "y", 25 }, { "z", 0 } };
+    std::map<instance_id, int> chosen;
+    for (int at = 0; at < 4000; ++at)
+        ++chosen[table.choose(query, begin)->instance];
+    CHECK(chosen["x"] == Approx(3000).margin(120));
+    CHECK(chosen["y"] == Approx(1000).margin(120));
+    CHECK(chosen["z"] == 0);
+    table.remove("x");
+    CHECK(table.choose(query, begin)->instance == "y");
+}
+
+TEST_CASE("routes: a breaker opens after failures in a row, and one trial closes it", "[routing]")
+{
+    route_table table({}, 3);
+    table.update(targetOf("a"));
+    for (int at = 0; at < 3; ++at) {
+        table.offered("a");
+        table.failed("a", begin);
+    }
+    CHECK_FALSE(table.choose(queryOf(), begin));
+    const auto later = begin + milliseconds(2500);
+    CHECK(table.choose(queryOf(), later));
+    CHECK_FALSE(table.choose(queryOf(), later)); // the trial is out
+    table.offered("a");
+    table.served("a", 10, 1);
+    CHECK(table.choose(queryOf(), later));
+}
+
+TEST_CASE("routes: faster targets get more, and full ones are passed over", "[routing]")
+{
+    route_table table({}, 4);
+    table.update(targetOf("fast"));
+    table.update(targetOf("slow"));
+    for (int at = 0; at < 20; ++at) {
+        table.served("fast", 10, 1);
+        table.served("slow", 80, 1);
+    }
+    std::map<instance_id, int> chosen;
+    for (int at = 0; at < 1000; ++at)
+        ++chosen[table.choose(queryOf(), begin)->instance];
+    CHECK(chosen["fast"] > 900);
+    for (int at = 0; at < 40; ++at)
+        table.offered("fast");
+    chosen.clear();
+    for (int at = 0; at < 1000; ++at)
+        ++chosen[table.choose(queryOf(), begin)->instance];
+    CHECK(chosen["slow"] > 200);
+    auto query = queryOf();
+    query.startDeadline = begin + milliseconds(1);
+    for (int at = 0; at < 40; ++at)
+        table.offered("slow");
+    CHECK(table.choose(query, begin).error().code == result_code::Busy);
+}
+
+TEST_CASE("routes: a prompt's beginning keeps to its target while that has a free slot", "[routing]")
+{
+    route_table table({}, 5);
+    for (const char* id : { "a", "b", "c", "d" })
+        table.update(targetOf(id));
+    auto query = queryOf();
+    query.prefixHash = hashPrefix("w", "shared instructions");
+    const auto home = table.choose(query, begin)->instance;
+    for (int at = 0; at < 50; ++at)
+        CHECK(table.choose(query, begin)->instance == home);
+    table.offered(home);
+    table.offered(home);
+    std::set<instance_id> others;
+    for (int at = 0; at < 50; ++at)
+        others.insert(table.choose(query, begin)->instance);
+    CHECK(others.size() > 1);
+    CHECK(hashPrefix("w", "a") != hashPrefix("v", "a"));
+}
+
+TEST_CASE("routes: an old load report counts for nothing", "[routing]")
+{
+    route_table table({}, 6);
+    table.update(targetOf("a"));
+    table.report({ "a", 2, 100, 2 }, begin);
+    auto query = queryOf();
+    query.startDeadline = begin + milliseconds(100);
+    CHECK_FALSE(table.choose(query, begin));
+    query.startDeadline = begin + milliseconds(5100);
+    CHECK(table.choose(query, begin + milliseconds(5000)));
+}
+
+TEST_CASE("routes: each strategy picks only from the candidates", "[routing]")
+{
+    std::mt19937_64 random(7);
+    const std::vector<candidate> candidates { { 0, 5, 1, 3, 2, 0 }, { 0, 9, 1, 1, 2, 0 }, { 0, 7, 1, 2, 2, 0 } };
+    for (const auto& row : strategyNames) {
+        const auto strategy = makeStrategy(row.value);
+        for (int at = 0; at < 100; ++at)
+            CHECK(strategy->select(candidates, random).index < candidates.size());
+    }
+    CHECK(makeStrategy(strategy_kind::LeastOutstanding)->select(candidates, random).index == 1);
+}
+
+TEST_CASE("retry budget: retries stay a part of the requests", "[routing]")
+{
+    retry_budget budget(0.1, 5);
+    int retries = 0;
+    for (int at = 0; at < 1000; ++at) {
+        budget.requestStarted();
+        retries += budget.takeRetry() ? 1 : 0;
+    }
+    CHECK(retries <= 105);
+    CHECK(retries >= 95);
+}
--- /dev/null
+++ b/src/buckthornrail/settings/settings_test.cpp
@@ -0,0 +1,65 @@
+/// @file
+/// @brief Every fault of a settings file is named.
+#include "buckthornrail/settings/settings.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace buckthornrail::settings;
+
+namespace {
+
+const std::string good = "[instance]\nid = s\nfailure_domain = d\n[link]\naddress = 127.0.0.1:7001\n"
+                         "[http]\naddress = 127.0.0.1:8001\n[controllers]\naddresses = 127.0.0.1:1, 127.0.0.1:2\n"
+                         "[target]\nkind = openai\naddress = 127.0.0.1:9001\nmodel = m\nversion = 1\n";
+
+std::string faultsOf(const std::string& text, process_role role = process_role::Sidecar)
+{
+    const auto parsed = parseSettings(text, "f.ini", role);
+    std::string all;
+    if (parsed)
+        return all;
+    for (const auto& fault : parsed.error())
+        all += toString(fault) + "\n";
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("settings: a good file is read, with defaults for the rest", "[settings]")
+{
+    const auto parsed = parseSettings(good, "f.ini", process_role::Sidecar);
+    REQUIRE(parsed);
+    CHECK(parsed->controllers == std::vector<std::string> { "127.0.0.1:1", "127.0.0.1:2" });
+    CHECK(parsed->slots == 4);
+    CHECK(parsed->reachableAddress() == "127.0.0.1:7001");
+}
+
+TEST_CASE("settings: file, section, key and reason of each fault", "[settings]")
+{
+    CHECK(faultsOf(good + "slots = many\n") == "f.ini: [target] slots: 'many' is not a whole number\n");
+    CHECK(faultsOf(good + "slots = 0\n") == "f.ini: [target] slots: 0 is out of range 1 to 1024\n");
+    CHECK(faultsOf(good + "colour = red\n") == "f.ini: [target] colour: is not a known key of role sidecar\n");
+    CHECK(faultsOf(good + "model = n\n") == "f.ini: [target] model: stands twice\n");
+    CHECK(faultsOf(good + "[http]\nthreads = 1\n") == "f.ini: [http] threads: 1 is out of range 2 to 4096\n");
+    CHECK(
+        faultsOf(good + "[storage]\nfolder = x\n") == "f.ini: [storage] folder: is not a known key of role sidecar\n");
+    CHECK(faultsOf(good + "[controllers]\nheartbeat_ms = 2000\n")
+        == "f.ini: [controllers] heartbeat_ms: is above half of lease_ms\n");
+    CHECK(faultsOf("nonsense\n").starts_with("f.ini: line 1 can't be read\n"));
+    CHECK(faultsOf("", process_role::Entry)
+        == "f.ini: [instance] id: is missing\nf.ini: [instance] failure_domain: is missing\n"
+           "f.ini: [http] address: is missing\nf.ini: [controllers] addresses: is missing\n");
+    CHECK(loadSettings("/nowhere/x.ini", process_role::Entry).error().front().reason == "can't be opened");
+}
+
+TEST_CASE("settings: addresses are IP numbers with a port in range", "[settings]")
+{
+    CHECK(checkAddress("127.0.0.1:1"));
+    CHECK(checkAddress("127.0.0.1:65535"));
+    CHECK_FALSE(checkAddress("127.0.0.1:0"));
+    CHECK_FALSE(checkAddress("127.0.0.1:65536"));
+    CHECK_FALSE(checkAddress("127.0.0.1"));
+    CHECK_FALSE(checkAddress("localhost:80"));
+    CHECK_FALSE(checkAddress("127.0.0.300:80"));
+    CHECK_FALSE(checkAddress("127.0.0.1:8o"));
+}
--- /dev/null
+++ b/tests/docs_test.cpp
@@ -0,0 +1,78 @@
+/// @file
+/// @brief The tables in the docs are those in the code.
+#include "buckthornrail/core/event_code.hpp"
+#include "buckthornrail/core/result_code.hpp"
+#include "buckthornrail/settings/settings.hpp"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace buckthornrail;
+
+namespace {
+
+std::string page(const std::string& name)
+{
+    std::ifstream stream("docs/" + name);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+std::size_t rowsOf(const std::string& text)
+{
+    std::size_t rows = 0;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);)
+        rows += line.starts_with("| ") ? 1 : 0;
+    return rows;
+}
+
+constexpr std::size_t headRows = 1;
+
+} // namespace
+
+TEST_CASE("docs: RESULT_CODES.md has every code, and no other", "[docs]")
+{
+    const auto text = page("RESULT_CODES.md");
+    std::set<result_code> seen;
+    for (const auto& row : resultTable()) {
+        std::ostringstream line;
+        line << "| " << static_cast<int>(row.code) << " | " << row.name << " | " << row.httpStatus << " | "
+             << (row.retryAfterSeconds == 0 ? "-" : std::to_string(row.retryAfterSeconds)) << " | " << row.sentence
+             << " |\n";
+        INFO(line.str());
+        CHECK(text.find(line.str()) != std::string::npos);
+        CHECK(seen.insert(row.code).second);
+    }
+    CHECK(rowsOf(text) == resultTable().size() + headRows);
+}
+
+TEST_CASE("docs: EVENTS.md has every event, and no other", "[docs]")
+{
+    const auto text = page("EVENTS.md");
+    for (const auto& row : eventTable()) {
+        std::ostringstream line;
+        line << "| " << static_cast<int>(row.code) << " | " << row.name << " | " << row.meaning << " |\n";
+        INFO(line.str());
+        CHECK(text.find(line.str()) != std::string::npos);
+    }
+    CHECK(rowsOf(text) == eventTable().size() + headRows);
+}
+
+TEST_CASE("docs: SETTINGS.md has every key, and no other", "[docs]")
+{
+    const auto text = page("SETTINGS.md");
+    for (const auto& rule : settings::settingRules()) {
+        std::ostringstream line;
+        line << "| [" << rule.section << "] " << rule.key << " | ";
+        INFO(line.str());
+        const auto at = text.find(line.str());
+        REQUIRE(at != std::string::npos);
+        const std::string row = text.substr(at, text.find('\n', at) - at);
+        CHECK(row.find(std::string(rule.meaning)) != std::string::npos);
+    }
+    CHECK(rowsOf(text) == settings::settingRules().size() + headRows);
+}
