--- a/src/buckthornrail/link/message_test.cpp
+++ b/src/buckthornrail/link/message_test.cpp
@@ -36,7 +36,7 @@
         CHECK(encode(*back) == bytes);
     }
     agreement::peer_message peer;
-    peer.body = agreement::append_request { 1, 2, 3, 4, { { 5, 6, agreement::entry_kind::Members, "\xff\0x", {} } } };
+    peer.body = agreement::append_request { 1, 2, 3, 4, { { 5, 6, agreement::entry_kind::Members, "\xff\x01x", {} } } };
     CHECK(encode(*decode(encode(peer))) == encode(peer));
 }
 
--- a/src/buckthornrail/storage/log_store_test.cpp
+++ b/src/buckthornrail/storage/log_store_test.cpp
@@ -9,7 +9,6 @@
 
 using namespace buckthornrail;
 using namespace buckthornrail::storage;
-using agreement::log_entry;
 using test_support::device_fault;
 using test_support::failing_device;
 
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -166,7 +166,7 @@
     for (std::size_t at = 0; at < spec.entries; ++at) {
         const std::string name = "entry-" + std::to_string(at);
         add(name, "entry",
-            common(name, "domain-" + std::to_string(at)) + "heartbeat_ms = 200\n[entry]\nprogress_timeout_ms = 1500\n");
+            common(name, "domain-" + std::to_string(at)) + "heartbeat_ms = 200\n[entry]\nprogress_timeout_ms = 1500\nstrategy = " + spec.strategy + "\n[http]\nthreads = 400\n");
     }
     for (std::size_t at = 0; at < spec.targets.size(); ++at) {
         const auto& target = spec.targets[at];
@@ -176,7 +176,9 @@
         addProcess(targetName,
             { binaryPath("tools/stand_in_target"), "--address", m_targets[targetName], "--name", targetName, "--log",
                 m_folder + "/executions.jsonl", "--layers", std::to_string(layers), "--token-ms",
-                std::to_string(target.tokenMs), "--slots", std::to_string(target.slots) });
+                std::to_string(target.tokenMs), "--slots", std::to_string(target.slots), "--report-lag-ms",
+                std::to_string(spec.reportLagMs), "--prefill-us-per-byte", std::to_string(spec.prefillUsPerByte),
+                "--cache", std::to_string(spec.cacheEntries) });
         const std::string link = freeAddress();
         std::string text
             = common(name, "domain-" + std::to_string(at % 3)) + "heartbeat_ms = 200\n[link]\naddress = " + link + "\n";
@@ -185,7 +187,7 @@
             text += "announce = " + m_relays[name]->address() + "\n";
         }
         text += "[target]\nkind = " + target.kind + "\naddress = " + m_targets[targetName]
-            + "\nprobe_ms = 200\nslots = " + std::to_string(target.slots) + "\n";
+            + "\nprobe_ms = 200\nslots = " + std::to_string(target.slots) + "\nqueue_limit = " + std::to_string(spec.queueLimit) + "\n";
         if (target.kind == "plain_service")
             text += "service = " + target.model + "\n";
         else
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -34,6 +34,11 @@
     std::size_t entries = 2;
     std::vector<target_spec> targets;
     std::uint32_t snapshotEntries = 2000;
+    std::string strategy = "finish_estimate";
+    std::uint32_t reportLagMs = 0; ///< of the stand-ins, as the rest
+    std::uint32_t prefillUsPerByte = 0;
+    std::uint32_t cacheEntries = 64;
+    std::uint32_t queueLimit = 16;
 };
 
 /// What one HTTP call came to; status 0: no answer.
--- /dev/null
+++ b/tools/load.cpp
@@ -0,0 +1,364 @@
+/// @file
+/// @brief Open-loop load: rates, mixes and surges from a seed; checks that each answer is whole and its own.
+///
+/// Requests are sent at their times whether or not earlier ones were answered. Memory is bounded: latencies go into
+/// histograms of fixed buckets.
+#include "stand_in_model.hpp"
+
+#include "buckthornrail/http/http_client.hpp"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+#include <tclap/CmdLine.h>
+#include <thread>
+
+namespace {
+
+using namespace buckthornrail; // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+
+constexpr std::uint32_t layers = 8;
+constexpr double firstBoundMs = 0.5;
+constexpr double bucketGrowth = 1.07;
+constexpr std::size_t bucketCount = 192; ///< up to about 200 s
+
+std::int64_t nowUs()
+{
+    const auto since = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(since).count();
+}
+
+/// Latencies in buckets that grow by 7%.
+class latency_histogram {
+public:
+    void add(double ms)
+    {
+        const double position = ms <= firstBoundMs ? 0 : std::log(ms / firstBoundMs) / std::log(bucketGrowth) + 1;
+        ++m_buckets[std::min(static_cast<std::size_t>(position), bucketCount - 1)];
+        ++m_count;
+    }
+    [[nodiscard]] double percentile(double part) const
+    {
+        const auto wanted = static_cast<std::uint64_t>(std::ceil(part * static_cast<double>(m_count)));
+        std::uint64_t seen = 0;
+        for (std::size_t at = 0; at < bucketCount; ++at) {
+            seen += m_buckets[at];
+            if (seen >= wanted && seen > 0)
+                return firstBoundMs * std::pow(bucketGrowth, static_cast<double>(at));
+        }
+        return 0;
+    }
+    [[nodiscard]] std::uint64_t count() const { return m_count; }
+
+private:
+    std::array<std::uint64_t, bucketCount> m_buckets {};
+    std::uint64_t m_count = 0;
+};
+
+struct load_options {
+    std::vector<std::string> entries;
+    double rate = 50;
+    double seconds = 10;
+    std::uint32_t threads = 200;
+    std::uint32_t tokens = 8;
+    std::uint32_t promptBytes = 200;
+    std::uint32_t prefixes = 0; ///< shared beginnings of prompts a workspace; 0: none
+    std::uint32_t prefixBytes = 400;
+    std::vector<std::string> workspaces;
+    std::string pipeline = "essay-summary";
+    std::uint32_t timeoutMs = 10000;
+    double highPart = 0; ///< part of the requests with high priority
+    std::uint64_t seed = 1;
+    std::string jsonFile;
+    bool timeline = false;
+};
+
+/// One request of the plan.
+struct planned_request {
+    std::int64_t atUs = 0;
+    std::string prompt;
+    std::string workspace;
+    bool high = false;
+};
+
+/// Counts and latencies of one class of requests.
+struct class_result {
+    std::uint64_t good = 0;
+    std::uint64_t goodTokens = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t refusedWithoutRetryAfter = 0;
+    std::uint64_t failed = 0; ///< an answer that isn't good and not a refusal
+    std::uint64_t wrong = 0; ///< not whole, or not its own
+    latency_histogram firstToken;
+    latency_histogram gaps;
+    latency_histogram whole;
+    latency_histogram refusal;
+};
+
+class load_run {
+public:
+    explicit load_run(load_options options)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+    {
+        const double gapUs = 1e6 / m_options.rate;
+        std::exponential_distribution<double> pause(1.0 / gapUs);
+        double at = 0;
+        while (at < m_options.seconds * 1e6) {
+            m_plan.push_back(plan(static_cast<std::int64_t>(at)));
+            at += pause(m_random);
+        }
+    }
+
+    json run()
+    {
+        m_beginUs = nowUs() + 200'000;
+        std::vector<std::thread> threads;
+        for (std::uint32_t at = 0; at < m_options.threads; ++at)
+            threads.emplace_back([this] { work(); });
+        for (auto& thread : threads)
+            thread.join();
+        return report();
+    }
+
+private:
+    planned_request plan(std::int64_t atUs)
+    {
+        planned_request request;
+        request.atUs = atUs;
+        request.workspace = m_options.workspaces[m_random() % m_options.workspaces.size()];
+        request.high = std::uniform_real_distribution<>(0, 1)(m_random) < m_options.highPart;
+        if (m_options.prefixes > 0) {
+            const auto number = m_random() % m_options.prefixes;
+            request.prompt = request.workspace + " shared beginning " + std::to_string(number) + " ";
+            request.prompt.resize(m_options.prefixBytes, 'p');
+        }
+        request.prompt += "essay " + std::to_string(m_random()) + " ";
+        request.prompt.resize(std::max<std::size_t>(request.prompt.size(), m_options.promptBytes), 'e');
+        return request;
+    }
+
+    void work()
+    {
+        while (true) {
+            const std::size_t number = m_next++;
+            if (number >= m_plan.size())
+                return;
+            const auto& request = m_plan[number];
+            const std::int64_t due = m_beginUs + request.atUs;
+            const std::int64_t wait = due - nowUs();
+            if (wait > 0)
+                std::this_thread::sleep_for(std::chrono::microseconds(wait));
+            else if (wait < -100'000)
+                ++m_sentLate;
+            send(request, m_options.entries[number % m_options.entries.size()]);
+        }
+    }
+
+    void send(const planned_request& request, const std::string& entry)
+    {
+        http::client_request call;
+        call.address = entry;
+        call.method = "POST";
+        call.path = "/v1/completions";
+        call.contentType = "application/json";
+        call.body = json({ { "model", m_options.pipeline }, { "prompt", request.prompt },
+                             { "max_tokens", m_options.tokens }, { "stream", true } })
+                        .dump();
+        call.headers = { { "X-Workspace", request.workspace }, { "X-Timeout-Ms", std::to_string(m_options.timeoutMs) },
+            { "X-Priority", request.high ? "high" : "normal" } };
+        call.deadline = std::chrono::steady_clock::now() + milliseconds(m_options.timeoutMs + 5000);
+        const std::int64_t sentUs = nowUs();
+        std::int64_t firstUs = 0;
+        std::int64_t lastUs = 0;
+        std::string received;
+        std::vector<double> gaps;
+        int status = 0;
+        const auto onHead = [&status](int value, const auto&) { status = value; };
+        const auto onBody = [&](const char* data, std::size_t size) {
+            const std::int64_t at = nowUs();
+            received.append(data, size);
+            if (firstUs == 0)
+                firstUs = at;
+            else
+                gaps.push_back(static_cast<double>(at - lastUs) / 1000);
+            lastUs = at;
+            return true;
+        };
+        const auto response = http::call(call, onHead, onBody);
+        note(request, response, status, received, sentUs, firstUs, gaps);
+    }
+
+    void note(const planned_request& request, const http::client_response& response, int status,
+        const std::string& received, std::int64_t sentUs, std::int64_t firstUs, const std::vector<double>& gaps)
+    {
+        const std::int64_t doneUs = nowUs();
+        const double wholeMs = static_cast<double>(doneUs - sentUs) / 1000;
+        bool finished = false;
+        const std::string text = textOf(received, finished);
+        const bool isGood = response.outcome == http::client_outcome::Ok && status == 200 && finished;
+        const bool isRefusal = status == 503 || status == 429 || status == 504;
+        const bool isOwn = !isGood || text == stand_in::expectedAnswer(request.prompt, m_options.tokens, layers);
+        const std::scoped_lock lock(m_mutex);
+        auto& result = m_results[request.high ? "high" : "normal"];
+        if (isGood && isOwn) {
+            ++result.good;
+            result.goodTokens += m_options.tokens;
+            result.firstToken.add(static_cast<double>(firstUs - sentUs) / 1000);
+            result.whole.add(wholeMs);
+            for (const double gap : gaps)
+                result.gaps.add(gap);
+            ++m_goodByWorkspace[request.workspace];
+            m_lastGoodUs = std::max(m_lastGoodUs, doneUs);
+        } else if (isGood) {
+            ++result.wrong;
+        } else if (isRefusal) {
+            ++result.refused;
+            result.refusal.add(wholeMs);
+            result.refusedWithoutRetryAfter += hasRetryAfter(response) ? 0 : 1;
+        } else {
+            ++result.failed;
+        }
+        if (m_options.timeline)
+            m_timeline.emplace_back((doneUs - m_beginUs) / 1000, isGood && isOwn);
+    }
+
+    static bool hasRetryAfter(const http::client_response& response)
+    {
+        return std::any_of(response.headers.begin(), response.headers.end(),
+            [](const auto& header) { return header.name == "Retry-After"; });
+    }
+
+    /// The tokens of a stream of events.
+    static std::string textOf(const std::string& received, bool& finished)
+    {
+        std::string text;
+        std::istringstream lines(received);
+        for (std::string line; std::getline(lines, line);) {
+            if (line == "data: [DONE]")
+                finished = true;
+            const json event = line.starts_with("data: {") ? json::parse(line.substr(6), nullptr, false) : json();
+            if (event.is_object() && event.contains("choices"))
+                text += event["choices"][0].value("text", "");
+        }
+        return text;
+    }
+
+    json report()
+    {
+        json classes = json::object();
+        std::uint64_t good = 0;
+        std::uint64_t tokens = 0;
+        for (const auto& [name, result] : m_results) {
+            classes[name] = { { "good", result.good }, { "refused", result.refused }, { "failed", result.failed },
+                { "wrong", result.wrong }, { "refused_without_retry_after", result.refusedWithoutRetryAfter },
+                { "first_token_ms", { { "p50", result.firstToken.percentile(0.5) },
+                                        { "p95", result.firstToken.percentile(0.95) } } },
+                { "gap_ms", { { "p50", result.gaps.percentile(0.5) }, { "p95", result.gaps.percentile(0.95) } } },
+                { "whole_ms", { { "p50", result.whole.percentile(0.5) }, { "p95", result.whole.percentile(0.95) } } },
+                { "refusal_ms", { { "p50", result.refusal.percentile(0.5) }, { "p95", result.refusal.percentile(0.95) } } } };
+            good += result.good;
+            tokens += result.goodTokens;
+        }
+        const double span = std::max(m_options.seconds, static_cast<double>(m_lastGoodUs - m_beginUs) / 1e6);
+        json whole = { { "planned", m_plan.size() }, { "good", good }, { "seconds", span },
+            { "good_per_second", static_cast<double>(good) / span },
+            { "tokens_per_second", static_cast<double>(tokens) / span }, { "sent_late", m_sentLate.load() },
+            { "classes", classes }, { "good_by_workspace", m_goodByWorkspace } };
+        if (m_options.timeline) {
+            std::sort(m_timeline.begin(), m_timeline.end());
+            whole["timeline"] = m_timeline;
+        }
+        return whole;
+    }
+
+    load_options m_options;
+    std::mt19937_64 m_random;
+    std::vector<planned_request> m_plan;
+    std::atomic<std::size_t> m_next { 0 };
+    std::atomic<std::uint64_t> m_sentLate { 0 };
+    std::int64_t m_beginUs = 0;
+    std::int64_t m_lastGoodUs = 0;
+    std::mutex m_mutex;
+    std::map<std::string, class_result> m_results;
+    std::map<std::string, std::uint64_t> m_goodByWorkspace;
+    std::vector<std::pair<std::int64_t, bool>> m_timeline;
+};
+
+std::vector<std::string> split(const std::string& list)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(list);
+    for (std::string part; std::getline(stream, part, ',');)
+        parts.push_back(part);
+    return parts;
+}
+
+load_options readOptions(int argc, char** argv)
+{
+    load_options options;
+    TCLAP::CmdLine line("Open-loop load on entries.", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> entries("", "entries", "Entries", true, "", "IP:port,...", line);
+    TCLAP::ValueArg<std::string> workspaces("", "workspaces", "Workspaces, drawn evenly", false, "w1", "names", line);
+    TCLAP::ValueArg<std::string> pipeline("", "pipeline", "Pipeline", false, options.pipeline, "name", line);
+    TCLAP::ValueArg<std::string> file("", "json", "Report", false, "", "file", line);
+    TCLAP::ValueArg<double> rate("", "rate", "Requests a second", false, options.rate, "number", line);
+    TCLAP::ValueArg<double> seconds("", "seconds", "How long", false, options.seconds, "number", line);
+    TCLAP::ValueArg<double> high("", "high", "Part with high priority", false, 0, "0 to 1", line);
+    const auto number = [&line](const char* flag, const char* meaning, std::uint32_t fallback) {
+        return std::make_unique<TCLAP::ValueArg<std::uint32_t>>("", flag, meaning, false, fallback, "number", line);
+    };
+    const auto threads = number("threads", "Requests open at once at most", options.threads);
+    const auto tokens = number("tokens", "Tokens of an answer", options.tokens);
+    const auto promptBytes = number("prompt-bytes", "Size of a prompt", options.promptBytes);
+    const auto prefixes = number("prefixes", "Shared beginnings a workspace", 0);
+    const auto prefixBytes = number("prefix-bytes", "Size of a shared beginning", options.prefixBytes);
+    const auto timeout = number("timeout-ms", "Timeout of a request", options.timeoutMs);
+    const auto seed = number("seed", "Seed", 1);
+    TCLAP::SwitchArg timeline("", "timeline", "Report when each request ended", line);
+    line.parse(argc, argv);
+    options.entries = split(entries.getValue());
+    options.workspaces = split(workspaces.getValue());
+    options.pipeline = pipeline.getValue();
+    options.jsonFile = file.getValue();
+    options.rate = rate.getValue();
+    options.seconds = seconds.getValue();
+    options.highPart = high.getValue();
+    options.threads = threads->getValue();
+    options.tokens = tokens->getValue();
+    options.promptBytes = promptBytes->getValue();
+    options.prefixes = prefixes->getValue();
+    options.prefixBytes = prefixBytes->getValue();
+    options.timeoutMs = timeout->getValue();
+    options.seed = seed->getValue();
+    options.timeline = timeline.getValue();
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const load_options options = readOptions(argc, argv);
+    for (const auto& entry : options.entries) {
+        if (!entry.starts_with("127.")) {
+            std::cerr << "load goes to loopback only\n";
+            return 2;
+        }
+    }
+    const json report = load_run(options).run();
+    std::cout << report.dump() << "\n";
+    if (!options.jsonFile.empty())
+        std::ofstream(options.jsonFile) << report.dump(2) << "\n";
+    return 0;
+}
--- /dev/null
+++ b/tools/measure.cpp
@@ -0,0 +1,243 @@
+/// @file
+/// @brief Runs the named cases over real processes and prints one table: each strategy against the bound.
+#include "support/cluster.hpp"
+
+#include <array>
+#include <cmath>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <sstream>
+#include <unistd.h>
+
+namespace {
+
+using namespace test_support; // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t tokens = 8;
+constexpr double loadSeconds = 8;
+
+/// One measured situation.
+struct measured_case {
+    std::string name;
+    std::vector<target_spec> targets;
+    double load = 1; ///< offered load as a part of the bound
+    std::vector<std::string> loadFlags;
+    std::function<void(cluster&)> inMidst; ///< a fault, two seconds after the beginning
+    std::uint32_t reportLagMs = 0;
+    std::uint32_t prefillUsPerByte = 0;
+    std::uint32_t cacheEntries = 64;
+};
+
+target_spec targetWith(std::uint32_t tokenMs)
+{
+    target_spec one;
+    one.tokenMs = tokenMs;
+    one.slots = 4;
+    return one;
+}
+
+/// Requests a second that the targets could serve without a pause.
+double boundOf(const measured_case& measured)
+{
+    double bound = 0;
+    for (const auto& target : measured.targets)
+        bound += target.slots * 1000.0 / (target.tokenMs * tokens);
+    return bound;
+}
+
+json runLoad(const cluster& system, double rate, double duration, const std::vector<std::string>& flags)
+{
+    const std::string file = "/tmp/buckthornrail-load-" + std::to_string(::getpid()) + ".json";
+    std::string command = std::string(BUCKTHORNRAIL_BUILD_DIR) + "/tools/load --entries "
+        + system.httpAddress("entry-0") + "," + system.httpAddress("entry-1") + " --rate " + std::to_string(rate)
+        + " --seconds " + std::to_string(duration) + " --tokens " + std::to_string(tokens) + " --json " + file;
+    for (const auto& flag : flags)
+        command += " " + flag;
+    if (std::system((command + " >/dev/null").c_str()) != 0)
+        std::cerr << "load failed\n";
+    std::ifstream stream(file);
+    json report = json::parse(stream, nullptr, false);
+    ::unlink(file.c_str());
+    return report;
+}
+
+std::vector<measured_case> cases()
+{
+    const std::vector<target_spec> mixed { targetWith(10), targetWith(20), targetWith(40), targetWith(80) };
+    const std::vector<target_spec> even { targetWith(20), targetWith(20), targetWith(20), targetWith(20) };
+    std::vector<measured_case> all;
+    all.push_back({ "mixed speeds 1:2:4:8, load 0.8", mixed, 0.8, {}, {} });
+    all.push_back({ "mixed speeds, saturated (1.2)", mixed, 1.2, {}, {} });
+    all.push_back({ "late load reports (2 s), load 0.8", mixed, 0.8, {}, {}, 2000 });
+    all.push_back({ "shared prefixes, small caches, load 0.6", even, 0.6,
+        { "--prefixes 6 --prefix-bytes 400 --prompt-bytes 440 --workspaces w1,w2" }, {}, 0, 200, 4 });
+    all.push_back({ "surge at 3x", mixed, 3, { "--high 0.05" }, {} });
+    all.push_back({ "a target 10x slower, load 0.5", even, 0.5, {},
+        [](cluster& system) { system.orderFault("target-0", { { "token_ms", 200 } }); } });
+    all.push_back(
+        { "a target dies, load 0.5", even, 0.5, {}, [](cluster& system) { system.killHard("target-0"); } });
+    return all;
+}
+
+struct case_result {
+    double good = 0;
+    double first95 = 0;
+    double high95 = 0;
+    double refusal95 = 0;
+    std::uint64_t wrong = 0;
+    std::uint64_t failed = 0;
+};
+
+case_result measure(const measured_case& measured, const std::string& strategy)
+{
+    cluster_spec spec;
+    spec.targets = measured.targets;
+    spec.strategy = strategy;
+    spec.reportLagMs = measured.reportLagMs;
+    spec.prefillUsPerByte = measured.prefillUsPerByte;
+    spec.cacheEntries = measured.cacheEntries;
+    cluster system(spec);
+    const double rate = boundOf(measured) * measured.load;
+    runLoad(system, rate / 2, 2, measured.loadFlags); // the estimates settle
+    std::thread fault;
+    if (measured.inMidst) {
+        fault = std::thread([&] {
+            std::this_thread::sleep_for(seconds(2));
+            measured.inMidst(system);
+        });
+    }
+    const json report = runLoad(system, rate, loadSeconds, measured.loadFlags);
+    if (fault.joinable())
+        fault.join();
+    case_result result;
+    result.good = report.value("good_per_second", 0.0);
+    for (const auto& [name, part] : report["classes"].items()) {
+        result.wrong += part.value("wrong", 0U);
+        result.failed += part.value("failed", 0U);
+        const double first = part["first_token_ms"].value("p95", 0.0);
+        (name == "high" ? result.high95 : result.first95) = first;
+        result.refusal95 = std::max(result.refusal95, part["refusal_ms"].value("p95", 0.0));
+    }
+    return result;
+}
+
+void measureStrategies(const std::vector<std::string>& strategies, const std::string& only)
+{
+    std::printf("%-42s %-18s %8s %8s %7s %9s %9s %10s %6s %6s\n", "case", "strategy", "bound/s", "good/s", "ratio",
+        "ttft p95", "high p95", "refuse p95", "failed", "wrong");
+    for (const auto& measured : cases()) {
+        if (measured.name.find(only) == std::string::npos)
+            continue;
+        for (const auto& strategy : strategies) {
+            const auto result = measure(measured, strategy);
+            const double offered = std::min(measured.load, 1.0) * boundOf(measured);
+            std::printf("%-42s %-18s %8.1f %8.1f %7.2f %9.1f %9.1f %10.1f %6lu %6lu\n", measured.name.c_str(),
+                strategy.c_str(), boundOf(measured), result.good, result.good / offered, result.first95, result.high95,
+                result.refusal95, result.failed, result.wrong);
+            std::fflush(stdout);
+        }
+    }
+}
+
+/// Time from a fault to the first good answer and to ten good ones in a row after the last bad or slow one.
+struct recovery {
+    double firstGoodMs = 0;
+    double settledMs = 0;
+    int bad = 0;
+};
+
+recovery measureRecovery(const std::function<void(cluster&)>& fault)
+{
+    cluster_spec spec;
+    spec.targets = { targetWith(10), targetWith(10), targetWith(10) };
+    cluster system(spec);
+    steady_callers callers(8, [&](std::size_t thread, std::size_t number) {
+        const std::string prompt = std::to_string(thread) + "-" + std::to_string(number);
+        const std::string entry = thread % 2 == 0 && system.isReady("entry-0") ? "entry-0" : "entry-1";
+        return system.complete(entry, prompt, 5);
+    });
+    std::this_thread::sleep_for(seconds(1));
+    const auto begin = std::chrono::steady_clock::now();
+    fault(system);
+    std::this_thread::sleep_for(seconds(6));
+    recovery result;
+    std::chrono::steady_clock::time_point lastBad = begin;
+    std::chrono::steady_clock::time_point previous = begin;
+    bool seenGood = false;
+    auto records = callers.stop();
+    std::sort(records.begin(), records.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    const auto ms = [&](auto when) { return std::chrono::duration<double, std::milli>(when - begin).count(); };
+    for (const auto& [when, record] : records) {
+        if (when < begin)
+            continue;
+        const bool good = record.answered && record.code == buckthornrail::result_code::Ok;
+        if (good && !seenGood)
+            result.firstGoodMs = ms(when);
+        seenGood = seenGood || good;
+        result.bad += good ? 0 : 1;
+        if (!good || when - previous > milliseconds(150))
+            lastBad = when;
+        previous = when;
+    }
+    result.settledMs = ms(lastBad);
+    return result;
+}
+
+void measureRecoveries(int runs)
+{
+    const std::vector<std::pair<std::string, std::function<void(cluster&)>>> faults {
+        { "controller leader killed", [](cluster& system) { system.killHard(system.leader()); } },
+        { "sidecar killed", [](cluster& system) { system.killHard("sidecar-0"); } },
+        { "sidecar frozen", [](cluster& system) { system.signal("sidecar-0", SIGSTOP); } },
+        { "target killed in mid-answer", [](cluster& system) { system.killHard("target-0"); } },
+        { "target stalls in mid-answer",
+            [](cluster& system) { system.orderFault("target-0", { { "stall_after", 2 } }); } },
+        { "entry drained", [](cluster& system) { system.signal("entry-0", SIGTERM); } },
+    };
+    std::printf("%-30s %5s %16s %16s %16s %16s %5s\n", "fault", "runs", "first good med", "first good max",
+        "settled med", "settled max", "bad");
+    for (const auto& [name, fault] : faults) {
+        std::vector<double> first;
+        std::vector<double> settled;
+        int bad = 0;
+        for (int run = 0; run < runs; ++run) {
+            const auto result = measureRecovery(fault);
+            first.push_back(result.firstGoodMs);
+            settled.push_back(result.settledMs);
+            bad += result.bad;
+        }
+        std::sort(first.begin(), first.end());
+        std::sort(settled.begin(), settled.end());
+        std::printf("%-30s %5d %13.0f ms %13.0f ms %13.0f ms %13.0f ms %5d\n", name.c_str(), runs,
+            first[first.size() / 2], first.back(), settled[settled.size() / 2], settled.back(), bad);
+        std::fflush(stdout);
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::string what = argc > 1 ? argv[1] : "";
+    const std::string more = argc > 2 ? argv[2] : "";
+    if (what == "policy") {
+        measureStrategies({ "random", "round_robin", "least_outstanding", "finish_estimate" }, more);
+        return 0;
+    }
+    if (what == "ours") {
+        measureStrategies({ "finish_estimate" }, more);
+        return 0;
+    }
+    if (what == "recovery") {
+        measureRecoveries(more.empty() ? 3 : std::stoi(more));
+        return 0;
+    }
+    std::cerr << "measure policy|ours [CASE] | recovery [RUNS]\n";
+    return 2;
+}
