A frozen process stays lost; changes to daemons go out in batches; answers end before the process

Cause: measure recovery: after SIGSTOP of a sidecar callers still met it 6.9 s later. Its link stays open, and its controller proposed the state it had announced before it froze each time the leader declared it lost. Ruled out: the breaker (its trial every 2 s explains single slow requests, not a target that comes back). Change: a session without a heartbeat for a lease proposes nothing. Test failing first: sessions, frozen process. Also: deltas to daemons at most each 200 ms (a mass start sent 208 MB of membership to 325 entries); a split request's look at the routes no longer uses up a breaker's trial; chains are counted at their targets; an entry waits for its HTTP threads to have written the last answers; records of kept answers are dropped with the gate's; error answers carry X-Request-Id; what overflows from a prompt's home goes to one second home.

--- a/include/buckthornrail/dispatch/target_gate.hpp
+++ b/include/buckthornrail/dispatch/target_gate.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <utility>
 #include <variant>
 
 namespace buckthornrail::dispatch {
@@ -65,6 +66,9 @@
     /// @brief Deadlines: late queued work is refused, late running work cancelled, old records dropped.
     std::vector<gate_effect> tick(steady_time now);
 
+    /// @brief Attempts whose records were dropped since the last call.
+    std::vector<attempt_id> takeForgotten() { return std::exchange(m_forgotten, {}); }
+
     /// @brief A configuration is in force until the deadline. Lower versions are ignored.
     void renewConfiguration(configuration_version version, steady_time leaseDeadline);
     void setReady(bool ready) { m_ready = ready; }
@@ -111,6 +115,7 @@
     std::set<attempt_id> m_started; ///< not yet ended
     std::deque<std::pair<steady_time, attempt_id>> m_ended; ///< with the time to forget them, in that order
     std::deque<std::pair<steady_time, attempt_id>> m_endedNonIdempotent;
+    std::vector<attempt_id> m_forgotten;
     std::map<std::string, double> m_served; ///< starts of each workspace divided by its weight
     double m_servedFloor = 0; ///< a workspace that comes back starts from here: silence earns no credit
     configuration_version m_configuration = 0;
--- a/include/buckthornrail/http/error_answer.hpp
+++ b/include/buckthornrail/http/error_answer.hpp
@@ -9,7 +9,7 @@
 /// @brief {"error":{"code":..,"name":..,"message":..,"reason":..,"ran":..}}
 std::string errorBody(const failure& why, ran_state ran);
 
-/// @brief Status, Content-Type, and Retry-After where coming back helps.
-void respondError(http_exchange& exchange, const failure& why, ran_state ran);
+/// @brief Status, Content-Type, Retry-After where coming back helps, and X-Request-Id when the request has one.
+void respondError(http_exchange& exchange, const failure& why, ran_state ran, const std::string& requestId = {});
 
 } // namespace buckthornrail::http
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds slowTickPeriod { 200 };
 constexpr milliseconds commandResend { 500 };
 constexpr milliseconds confirmationPatience { 400 };
+constexpr milliseconds pushPeriod { 200 }; ///< changes that follow each other closely go out together
 constexpr milliseconds confirmationPeriod { 100 }; ///< one quorum round answers all heartbeats that came meanwhile
 constexpr milliseconds transitionPatience { 1000 };
 constexpr milliseconds joinWishLifetime { 2000 };
@@ -38,9 +39,9 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_metrics(metrics)
-    , m_sessions([this](link::channel_number channel, const link::message& message) {
-        m_hub->send(channel, link::encode(message));
-    })
+    , m_sessions([this](link::channel_number channel,
+                     const link::message& message) { m_hub->send(channel, link::encode(message)); },
+          milliseconds(settings.leaseMs))
 {
 }
 
@@ -168,9 +169,9 @@
     if (const auto* peer = std::get_if<agreement::peer_message>(&message)) {
         m_replica->receive(*peer, steadyNow());
     } else if (const auto* heartbeat = std::get_if<link::session_heartbeat>(&message)) {
-        m_sessions.heartbeat(channel, *heartbeat);
+        m_sessions.heartbeat(channel, *heartbeat, steadyNow());
     } else if (const auto* announce = std::get_if<link::session_announce>(&message)) {
-        m_sessions.announced(channel, *announce);
+        m_sessions.announced(channel, *announce, steadyNow());
         proposeTransitions();
     } else if (const auto* forwarded = std::get_if<link::forward_command>(&message)) {
         m_replica->propose(forwarded->bytes);
@@ -265,7 +266,13 @@
 
 void controller::tick()
 {
-    m_replica->tick(steadyNow());
+    const steady_time now = steadyNow();
+    m_replica->tick(now);
+    if (m_pushNeeded && now >= m_pushDeadline) {
+        m_pushNeeded = false;
+        m_pushDeadline = now + pushPeriod;
+        m_sessions.pushAll(m_state);
+    }
     confirmSessions();
     scheduleFlush();
 }
@@ -330,7 +337,7 @@
         return false;
     }
     m_applied = effects.installed->index;
-    m_sessions.pushAll(m_state);
+    m_pushNeeded = true;
     return true;
 }
 
@@ -360,8 +367,7 @@
         m_commands.erase(waiting);
         callback(result);
     }
-    if (!entries.empty())
-        m_sessions.pushAll(m_state);
+    m_pushNeeded = m_pushNeeded || !entries.empty();
 }
 
 void controller::releaseConfirmations()
@@ -492,7 +498,7 @@
 {
     if (steadyNow() < m_transitionDeadline)
         return;
-    auto missing = m_sessions.missingTransitions(m_state);
+    auto missing = m_sessions.missingTransitions(m_state, steadyNow());
     if (missing.empty())
         return;
     m_transitionDeadline = steadyNow() + transitionPatience;
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -128,6 +128,8 @@
     std::set<instance_id> m_ownHeard;
     steady_time m_transitionDeadline {}; ///< the batch sent last is given until then
     std::string m_transitionCommand;
+    bool m_pushNeeded = false; ///< something was committed since sessions were last sent changes
+    steady_time m_pushDeadline {};
     bool m_wasLeader = false;
     bool m_flushScheduled = false;
     std::atomic<bool> m_isReady { false };
--- a/src/app/entry.cpp
+++ b/src/app/entry.cpp
@@ -244,6 +244,8 @@
             "stage " + std::to_string(failed->stage) + " of generation " + std::to_string(failed->generation)
                 + " failed: " + failed->reason);
         withChain(failed->request, [&](auto& run, steady_time now) {
+            if (failed->generation == run.generation() && failed->stage < run.plan().stages.size())
+                m_routes.failed(run.plan().stages[failed->stage].instance, now);
             run.stageFailed(failed->generation, failed->stage, { failed->code, failed->reason }, now);
         });
     }
@@ -549,6 +551,8 @@
         chooseChain(active, *wish);
     } else if (const auto* open = std::get_if<execution::open_stage>(&effect)) {
         const auto& stage = open->plan.stages[open->stage];
+        m_routes.offered(stage.instance);
+        active.outstanding.push_back(stage.instance);
         auto offer = makeOffer(context, { id, open->plan.generation }, stage.incarnation, steadyNow());
         offer.startWithinMs
             = std::min<std::uint32_t>(offer.startWithinMs, static_cast<std::uint32_t>(stageStartPatience.count()));
@@ -575,16 +579,24 @@
         frame.bytes = token->text;
         giveFrame(context, std::move(frame));
     } else if (const auto* last = std::get_if<execution::finish_chain>(&effect)) {
+        releaseStages(active);
         finish(context, last->result, last->ran, last->finishReason);
     }
 }
 
+void entry::releaseStages(active_chain& active)
+{
+    for (const auto& instance : std::exchange(active.outstanding, {}))
+        m_routes.released(instance);
+}
+
 void entry::chooseChain(active_chain& active, const execution::choose_chain& wish)
 {
     auto& context = active.context;
     const steady_time now = steadyNow();
     auto query = makeQuery(context, now);
     query.excluded = wish.excluded;
+    releaseStages(active);
     const auto candidates = m_routes.stageCandidates(query, now);
     auto chain = execution::buildChain(candidates, context.terms.layerCount);
     if (!chain) {
@@ -635,7 +647,7 @@
     m_metrics.gauge("requests_in_flight", static_cast<double>(m_runs.size() + m_chains.size()));
     m_metrics.gauge("link_bytes_sent", static_cast<double>(m_hub->bytesSent()));
     m_metrics.gauge("link_bytes_received", static_cast<double>(m_hub->bytesReceived()));
-    if (!m_whenDrained || !m_runs.empty() || !m_chains.empty())
+    if (!m_whenDrained || !m_runs.empty() || !m_chains.empty() || m_serving > 0)
         return;
     if (m_session->record().state != membership::instance_state::Left) {
         m_session->setState(membership::instance_state::Left);
--- a/src/app/entry.hpp
+++ b/src/app/entry.hpp
@@ -36,6 +36,8 @@
     /// @brief The decisions taken for a recent request, oldest first.
     [[nodiscard]] std::vector<std::string> explain(const std::string& requestId) const;
     [[nodiscard]] bool isReady() const { return m_isReady; }
+    /// @brief Counts the HTTP threads that still write an answer: the process doesn't end before them.
+    std::atomic<int>& serving() { return m_serving; }
 
 private:
     /// What both kinds of run share.
@@ -57,6 +59,7 @@
     struct active_chain {
         run_context context;
         execution::chain_run run;
+        std::vector<instance_id> outstanding; ///< the route table counts a stage at each
     };
 
     void onMessage(link::channel_number channel, const std::string& bytes);
@@ -77,6 +80,7 @@
     void carryOut(active_run& active, const dispatch::run_effect& effect);
     void carryOut(active_chain& active, const execution::chain_effect& effect);
     void chooseTarget(active_run& active, const dispatch::choose_target& wish);
+    void releaseStages(active_chain& active);
     void chooseChain(active_chain& active, const execution::choose_chain& wish);
     void sendOffer(active_run& active, const dispatch::send_offer& offer);
     [[nodiscard]] dispatch::attempt_offer makeOffer(
@@ -115,6 +119,7 @@
     steady_time m_leaveDeadline {};
     std::atomic<bool> m_isReady { false };
     std::atomic<bool> m_stopping { false };
+    std::atomic<int> m_serving { 0 };
     std::unique_ptr<link::link_hub> m_hub;
     std::unique_ptr<session_client> m_session;
     std::unique_ptr<sidecar_links> m_links;
--- a/src/app/entry_api.cpp
+++ b/src/app/entry_api.cpp
@@ -233,7 +233,7 @@
             m_exchange.endStream();
             return;
         }
-        http::respondError(m_exchange, end.result, end.ran);
+        http::respondError(m_exchange, end.result, end.ran, m_request.id);
     }
 
     const caller_request& m_request;
@@ -246,6 +246,22 @@
     std::uint32_t m_tokens = 0;
 };
 
+/// Counts while it lives.
+class serving_count {
+public:
+    explicit serving_count(std::atomic<int>& counter)
+        : m_counter(counter)
+    {
+        ++m_counter;
+    }
+    serving_count(const serving_count&) = delete;
+    serving_count& operator=(const serving_count&) = delete;
+    ~serving_count() { --m_counter; }
+
+private:
+    std::atomic<int>& m_counter;
+};
+
 /// Callers' requests, run on the HTTP server's threads.
 class caller_api {
 public:
@@ -258,6 +274,7 @@
 
     void serve(const http_request& request, http_exchange& exchange)
     {
+        const serving_count count(m_role.serving());
         const auto wanted = readCallerRequest(request, m_settings, steadyNow());
         if (!wanted) {
             http::respondError(exchange, wanted.error(), ran_state::No);
--- a/src/app/session_table.cpp
+++ b/src/app/session_table.cpp
@@ -20,12 +20,13 @@
     return pages;
 }
 
-void session_table::announced(link::channel_number channel, const link::session_announce& announce)
+void session_table::announced(link::channel_number channel, const link::session_announce& announce, steady_time now)
 {
     auto& session = m_sessions[channel];
     const bool isNew = session.record.id.empty();
     session.record = announce.record;
     session.wantsState = announce.wantsState;
+    session.leaseDeadline = now + m_lease;
     if (isNew) {
         session.configuration = announce.configuration;
         session.revision = announce.membershipRevision;
@@ -33,12 +34,14 @@
     m_heard.insert(announce.record.id);
 }
 
-void session_table::heartbeat(link::channel_number channel, const link::session_heartbeat& heartbeat)
+void session_table::heartbeat(link::channel_number channel, const link::session_heartbeat& heartbeat, steady_time now)
 {
     m_waiting[channel] = heartbeat.sequence;
     const auto found = m_sessions.find(channel);
-    if (found != m_sessions.end())
-        m_heard.insert(found->second.record.id);
+    if (found == m_sessions.end())
+        return;
+    found->second.leaseDeadline = now + m_lease;
+    m_heard.insert(found->second.record.id);
 }
 
 void session_table::closed(link::channel_number channel)
@@ -84,10 +87,14 @@
     }
 }
 
-std::vector<membership::transition> session_table::missingTransitions(const controller_state& state) const
+std::vector<membership::transition> session_table::missingTransitions(
+    const controller_state& state, steady_time now) const
 {
     std::vector<membership::transition> missing;
     for (const auto& [channel, session] : m_sessions) {
+        // A frozen process keeps its link: what it said before it froze must not undo that it was lost.
+        if (now >= session.leaseDeadline)
+            continue;
         const auto* known = state.membership().find(session.record.id);
         if (known == nullptr) {
             missing.push_back({ session.record, false });
--- a/src/app/session_table.hpp
+++ b/src/app/session_table.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "app/controller_state.hpp"
+#include "buckthornrail/core/clock.hpp"
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/link/message.hpp"
 
@@ -18,13 +19,15 @@
 /// @brief Sessions of one controller. A session is sent nothing before a quorum has confirmed the controller once.
 class session_table {
 public:
-    explicit session_table(channel_sender sender)
+    /// @param lease a session without a heartbeat for so long says nothing any more
+    session_table(channel_sender sender, milliseconds lease)
         : m_send(std::move(sender))
+        , m_lease(lease)
     {
     }
 
-    void announced(link::channel_number channel, const link::session_announce& announce);
-    void heartbeat(link::channel_number channel, const link::session_heartbeat& heartbeat);
+    void announced(link::channel_number channel, const link::session_announce& announce, steady_time now);
+    void heartbeat(link::channel_number channel, const link::session_heartbeat& heartbeat, steady_time now);
     void closed(link::channel_number channel);
 
     /// @brief True when heartbeats wait for a confirmation.
@@ -40,7 +43,8 @@
     void pushAll(const controller_state& state);
 
     /// @brief Announced records that the replicated table doesn't show yet.
-    [[nodiscard]] std::vector<membership::transition> missingTransitions(const controller_state& state) const;
+    [[nodiscard]] std::vector<membership::transition> missingTransitions(
+        const controller_state& state, steady_time now) const;
 
     /// @brief Instances heard since the last call.
     std::vector<instance_id> takeHeard();
@@ -53,11 +57,13 @@
         std::uint64_t revision = 0;
         bool wantsState = false;
         bool synced = false;
+        steady_time leaseDeadline {};
     };
 
     void push(link::channel_number channel, session_entry& session, const controller_state& state);
 
     channel_sender m_send;
+    milliseconds m_lease;
     std::map<link::channel_number, session_entry> m_sessions;
     std::map<link::channel_number, std::uint64_t> m_waiting; ///< newest heartbeat of each channel
     std::map<std::uint64_t, std::map<link::channel_number, std::uint64_t>> m_confirming; ///< by read id
--- /dev/null
+++ b/src/app/session_table_test.cpp
@@ -0,0 +1,82 @@
+/// @file
+/// @brief What sessions are sent, and when they say nothing any more.
+#include "app/session_table.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace buckthornrail;
+using namespace buckthornrail::app;
+
+namespace {
+
+constexpr milliseconds lease { 3000 };
+constexpr link::channel_number channel = 7;
+const steady_time begin = steady_time {} + std::chrono::hours(1);
+
+link::session_announce announceOf(membership::instance_state state, bool wantsState)
+{
+    link::session_announce announce;
+    announce.record.id = "s";
+    announce.record.role = membership::instance_role::Sidecar;
+    announce.record.incarnation = 1;
+    announce.record.state = state;
+    announce.wantsState = wantsState;
+    return announce;
+}
+
+controller_state configured()
+{
+    controller_state state;
+    state.apply(
+        { "c", configuration::change_command { "c", 0, "", 0, R"([{"op":"add","path":"/models/m","value":{}}])" } });
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("sessions: nothing is sent before a quorum has confirmed, then everything before the answer", "[sessions]")
+{
+    std::vector<link::message> sent;
+    session_table table([&](auto, const auto& message) { sent.push_back(message); }, lease);
+    const auto state = configured();
+    table.announced(channel, announceOf(membership::instance_state::Ready, true), begin);
+    table.heartbeat(channel, { 1 }, begin);
+    table.pushAll(state);
+    CHECK(sent.empty());
+    table.beginConfirmation(1);
+    table.heartbeat(channel, { 2 }, begin); // came after the confirmation began: not answered by it
+    table.confirmed(1, state);
+    REQUIRE(sent.size() == 2);
+    CHECK(std::get<link::configuration_page>(sent[0]).to == 1);
+    CHECK(std::get<link::session_ack>(sent[1]).sequence == 1);
+    CHECK(std::get<link::session_ack>(sent[1]).configuration == 1);
+    table.confirmed(1, state);
+    CHECK(sent.size() == 2);
+}
+
+TEST_CASE("sessions: a sidecar is told the version alone", "[sessions]")
+{
+    std::vector<link::message> sent;
+    session_table table([&](auto, const auto& message) { sent.push_back(message); }, lease);
+    table.announced(channel, announceOf(membership::instance_state::Ready, false), begin);
+    table.heartbeat(channel, { 1 }, begin);
+    table.beginConfirmation(1);
+    table.confirmed(1, configured());
+    REQUIRE(sent.size() == 1);
+    CHECK(std::get<link::session_ack>(sent[0]).configuration == 1);
+}
+
+TEST_CASE("sessions: what a frozen process said before does not undo that it was lost", "[sessions]")
+{
+    session_table table([](auto, const auto&) {}, lease);
+    controller_state state = configured();
+    const auto announce = announceOf(membership::instance_state::Ready, false);
+    table.announced(channel, announce, begin);
+    REQUIRE(table.missingTransitions(state, begin).size() == 1);
+    state.apply({ "1", transition_batch { table.missingTransitions(state, begin) } });
+    state.apply({ "2", transition_batch { { { announce.record, true } } } });
+    REQUIRE(state.membership().find("s")->state == membership::instance_state::Lost);
+    CHECK(table.missingTransitions(state, begin + lease).empty());
+    table.heartbeat(channel, { 2 }, begin + lease); // it woke up
+    CHECK(table.missingTransitions(state, begin + lease).size() == 1);
+}
--- a/src/buckthornrail/dispatch/sidecar_core.cpp
+++ b/src/buckthornrail/dispatch/sidecar_core.cpp
@@ -81,7 +81,12 @@
     carryOut(m_gate.channelLost(channel, now));
 }
 
-void sidecar_core::tick(steady_time now) { carryOut(m_gate.tick(now)); }
+void sidecar_core::tick(steady_time now)
+{
+    carryOut(m_gate.tick(now));
+    for (const auto& attempt : m_gate.takeForgotten())
+        m_answers.drop(attempt);
+}
 
 void sidecar_core::frame(answer_frame frame)
 {
--- a/src/buckthornrail/dispatch/target_gate.cpp
+++ b/src/buckthornrail/dispatch/target_gate.cpp
@@ -146,6 +146,7 @@
     for (auto* ended : { &m_ended, &m_endedNonIdempotent }) {
         while (!ended->empty() && now >= ended->front().first) {
             m_records.erase(ended->front().second);
+            m_forgotten.push_back(ended->front().second);
             ended->pop_front();
         }
     }
--- a/src/buckthornrail/dispatch/target_gate_test.cpp
+++ b/src/buckthornrail/dispatch/target_gate_test.cpp
@@ -167,6 +167,23 @@
     CHECK(gate.running() == 0);
 }
 
+TEST_CASE("gate: ended attempts are forgotten after their retention, non-idempotent ones later", "[gate]")
+{
+    auto gate = readyGate(2, 4);
+    auto booking = offerOf("booking");
+    booking.nonIdempotent = true;
+    gate.offer(offerOf("a"), entryChannel, begin);
+    gate.offer(booking, entryChannel, begin);
+    gate.finished({ "a", 1 }, begin);
+    gate.finished({ "booking", 1 }, begin);
+    gate.tick(begin + gate.options().recordRetention);
+    CHECK(gate.takeForgotten() == std::vector<attempt_id> { { "a", 1 } });
+    CHECK(gate.stateOf({ "booking", 1 }) == gate_state::Finished);
+    gate.tick(begin + gate.options().nonIdempotentRetention);
+    CHECK(gate.takeForgotten() == std::vector<attempt_id> { { "booking", 1 } });
+    CHECK(gate.takeForgotten().empty());
+}
+
 TEST_CASE("gate: a full queue gives way to work with a better claim", "[gate]")
 {
     auto gate = readyGate(1, 2);
--- a/src/buckthornrail/http/error_answer.cpp
+++ b/src/buckthornrail/http/error_answer.cpp
@@ -17,12 +17,14 @@
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-void respondError(http_exchange& exchange, const failure& why, ran_state ran)
+void respondError(http_exchange& exchange, const failure& why, ran_state ran, const std::string& requestId)
 {
     const auto& row = describe(why.code);
     std::vector<header_field> headers { { "Content-Type", "application/json" } };
     if (row.retryAfterSeconds > 0)
         headers.push_back({ "Retry-After", std::to_string(row.retryAfterSeconds) });
+    if (!requestId.empty())
+        headers.push_back({ "X-Request-Id", requestId });
     exchange.respond(row.httpStatus, headers, errorBody(why, ran) + "\n");
 }
 
--- a/src/buckthornrail/routing/route_table.cpp
+++ b/src/buckthornrail/routing/route_table.cpp
@@ -113,9 +113,7 @@
     if (candidates.empty())
         return tl::make_unexpected(failure { result_code::Busy, "no target could start before the deadline" });
     const selection picked = m_strategy->select(candidates, m_random);
-    auto& target = *inTime[picked.index];
-    if (target.failuresInRow >= m_options.breakerFailures)
-        target.probing = true;
+    const auto& target = *inTime[picked.index];
     return route_choice { target.record.id, target.record.incarnation, candidates.size(),
         candidates[picked.index].finishMs, picked.reason };
 }
@@ -143,8 +141,12 @@
 
 void route_table::offered(const instance_id& id)
 {
-    if (auto* target = findState(id))
-        ++target->ownInFlight;
+    auto* target = findState(id);
+    if (target == nullptr)
+        return;
+    ++target->ownInFlight;
+    if (target->failuresInRow >= m_options.breakerFailures)
+        target->probing = true;
 }
 
 void route_table::released(const instance_id& id)
--- a/src/buckthornrail/routing/route_table_test.cpp
+++ b/src/buckthornrail/routing/route_table_test.cpp
@@ -91,8 +91,9 @@
     CHECK_FALSE(table.choose(queryOf(), begin));
     const auto later = begin + milliseconds(2500);
     CHECK(table.choose(queryOf(), later));
-    CHECK_FALSE(table.choose(queryOf(), later)); // the trial is out
+    CHECK(table.choose(queryOf(), later)); // looking alone is no trial
     table.offered("a");
+    CHECK_FALSE(table.choose(queryOf(), later)); // the trial is out
     table.served("a", 10, 1);
     CHECK(table.choose(queryOf(), later));
 }
@@ -138,7 +139,13 @@
     std::set<instance_id> others;
     for (int at = 0; at < 50; ++at)
         others.insert(table.choose(query, begin)->instance);
-    CHECK(others.size() > 1);
+    CHECK(others.size() == 1); // what overflows goes to one and the same second
+    CHECK_FALSE(others.contains(home));
+    table.offered(*others.begin());
+    table.offered(*others.begin());
+    for (int at = 0; at < 50; ++at)
+        others.insert(table.choose(query, begin)->instance);
+    CHECK(others.size() > 2);
     CHECK(hashPrefix("w", "a") != hashPrefix("v", "a"));
 }
 
--- a/src/buckthornrail/routing/selection_strategy.cpp
+++ b/src/buckthornrail/routing/selection_strategy.cpp
@@ -3,6 +3,7 @@
 #include "buckthornrail/routing/selection_strategy.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace buckthornrail::routing {
 namespace {
@@ -49,16 +50,14 @@
     }
 };
 
-/// Two draws weighted by rate, of which the earlier finish wins; affinity first while its target has a free slot.
+/// Two draws weighted by rate, of which the earlier finish wins. Before that, the two targets that a prompt's beginning
+/// belongs to, while they have a free slot: what overflows from the first goes to one and the same second.
 class finish_estimate_strategy : public selection_strategy {
 public:
     selection select(std::span<const candidate> candidates, std::mt19937_64& random) override
     {
-        const auto preferred = std::max_element(candidates.begin(), candidates.end(),
-            [](const candidate& a, const candidate& b) { return a.affinity < b.affinity; });
-        const double soonest = std::min_element(candidates.begin(), candidates.end(), finishesEarlier)->finishMs;
-        if (preferred->affinity != 0 && preferred->waitMs <= 0 && preferred->finishMs <= affinityTolerance * soonest)
-            return { static_cast<std::size_t>(preferred - candidates.begin()), "prefix_affinity" };
+        if (const auto home = findHome(candidates))
+            return { *home, "prefix_affinity" };
         const std::size_t first = drawByRate(candidates, random);
         const std::size_t second = drawByRate(candidates, random);
         const bool secondIsBetter = finishesEarlier(candidates[second], candidates[first]);
@@ -71,6 +70,27 @@
 
     static bool finishesEarlier(const candidate& a, const candidate& b) { return a.finishMs < b.finishMs; }
 
+    /// @return the first or second target by affinity, when it is free and not much slower than the soonest
+    static std::optional<std::size_t> findHome(std::span<const candidate> candidates)
+    {
+        std::array<std::size_t, 2> homes { 0, 0 };
+        double soonest = candidates[0].finishMs;
+        for (std::size_t at = 0; at < candidates.size(); ++at) {
+            soonest = std::min(soonest, candidates[at].finishMs);
+            if (candidates[at].affinity > candidates[homes[0]].affinity)
+                homes = { at, homes[0] };
+            else if (at != homes[0]
+                && (homes[1] == homes[0] || candidates[at].affinity > candidates[homes[1]].affinity))
+                homes[1] = at;
+        }
+        for (const std::size_t home : homes) {
+            const auto& one = candidates[home];
+            if (one.affinity != 0 && one.waitMs <= 0 && one.finishMs <= affinityTolerance * soonest)
+                return home;
+        }
+        return std::nullopt;
+    }
+
     static std::size_t drawByRate(std::span<const candidate> candidates, std::mt19937_64& random)
     {
         double total = 0;
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -168,7 +168,8 @@
         const std::string name = "entry-" + std::to_string(at);
         add(name, "entry",
             common(name, "domain-" + std::to_string(at)) + "heartbeat_ms = " + std::to_string(spec.heartbeatMs)
-                + "\n[entry]\nprogress_timeout_ms = 1500\nstrategy = " + spec.strategy + "\n[http]\nthreads = 400\n");
+                + "\n[entry]\nprogress_timeout_ms = 1500\nstrategy = " + spec.strategy
+                + "\n[http]\nthreads = " + std::to_string(spec.httpThreads) + "\n");
     }
     for (std::size_t at = 0; at < spec.targets.size(); ++at) {
         const auto& target = spec.targets[at];
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -39,6 +39,7 @@
     std::uint32_t prefillUsPerByte = 0;
     std::uint32_t cacheEntries = 64;
     std::uint32_t queueLimit = 16;
+    std::uint32_t httpThreads = 400; ///< of entries
     std::uint32_t leaseMs = 1500;
     std::uint32_t heartbeatMs = 200;
     std::uint32_t electionTimeoutMs = 300;
--- a/tools/measure.cpp
+++ b/tools/measure.cpp
@@ -78,10 +78,10 @@
     all.push_back({ "shared prefixes, small caches, load 0.6", even, 0.6,
         { "--prefixes 6 --prefix-bytes 400 --prompt-bytes 440 --workspaces w1,w2" }, {}, 0, 200, 4 });
     all.push_back({ "surge at 3x", mixed, 3, { "--high 0.05" }, {} });
-    all.push_back({ "a target 10x slower, load 0.5", even, 0.5, {},
-        [](cluster& system) { system.orderFault("target-0", { { "token_ms", 200 } }); } });
-    all.push_back(
-        { "a target dies, load 0.5", even, 0.5, {}, [](cluster& system) { system.killHard("target-0"); } });
+    all.push_back({ "a target 10x slower, load 0.5", even, 0.5, {}, [](cluster& system) {
+                       system.orderFault("target-0", { { "token_ms", 200 } });
+                   } });
+    all.push_back({ "a target dies, load 0.5", even, 0.5, {}, [](cluster& system) { system.killHard("target-0"); } });
     return all;
 }
 
@@ -141,8 +141,8 @@
             const auto result = measure(measured, strategy);
             const double offered = std::min(measured.load, 1.0) * boundOf(measured);
             std::printf("%-42s %-18s %8.1f %8.1f %7.2f %9.1f %9.1f %9.1f %10.1f %6lu %6lu\n", measured.name.c_str(),
-                strategy.c_str(), boundOf(measured), result.good, result.good / offered, result.first95, result.high95,
-                result.refusal95, result.failed, result.wrong);
+                strategy.c_str(), boundOf(measured), result.good, result.good / offered, result.first50, result.first95,
+                result.high95, result.refusal95, result.failed, result.wrong);
             std::fflush(stdout);
         }
     }
@@ -200,7 +200,9 @@
         { "sidecar frozen", [](cluster& system) { system.signal("sidecar-0", SIGSTOP); } },
         { "target killed in mid-answer", [](cluster& system) { system.killHard("target-0"); } },
         { "target stalls in mid-answer",
-            [](cluster& system) { system.orderFault("target-0", { { "stall_after", 2 } }); } },
+            [](cluster& system) {
+                system.orderFault("target-0", { { "stall_after", 2 } });
+            } },
         { "entry drained", [](cluster& system) { system.signal("entry-0", SIGTERM); } },
     };
     std::printf("%-30s %5s %16s %16s %16s %16s %5s\n", "fault", "runs", "first good med", "first good max",
--- a/tools/measure_capacity.cpp
+++ b/tools/measure_capacity.cpp
@@ -135,6 +135,7 @@
     cluster_spec spec;
     spec.entries = 1;
     spec.targets = { target_spec {} };
+    spec.httpThreads = 64;
     spec.leaseMs = 3000;
     spec.heartbeatMs = 1000;
     spec.electionTimeoutMs = 700;
