Routing: expect of a new target what its accelerator shows; a bad target costs fewer callers; smaller files

Cause: a target without a sample was expected to be as fast as the mean of all. So the paper's grouping is taken, its weighting isn't. The pause now doubles with each failed trial, to 32 s. After: unit and property tests pass.

--- a/include/buckthornrail/routing/route_table.hpp
+++ b/include/buckthornrail/routing/route_table.hpp
@@ -19,7 +19,7 @@
 struct route_options {
     strategy_kind strategy = strategy_kind::FinishEstimate;
     std::uint32_t breakerFailures = 3; ///< failures in a row that open a target's breaker
-    milliseconds breakerPeriod { 2000 }; ///< then one request tries it again
+    milliseconds breakerPeriod { 2000 }; ///< then one request tries it again; doubled after each failed trial
     milliseconds reportLifetime { 3000 }; ///< an older load report counts for nothing
     double smoothing = 0.2; ///< weight of a new sample in a moving average
     std::string failureDomain; ///< of this entry
@@ -93,7 +93,9 @@
     [[nodiscard]] bool isOpen(const target_state& target, steady_time now) const;
     [[nodiscard]] candidate estimate(
         const target_state& target, const route_query& query, double fallbackUnitMs, steady_time now) const;
-    [[nodiscard]] std::vector<target_state*> matching(const route_query& query, steady_time now);
+    /// All targets of the query's model or service, ready or not.
+    [[nodiscard]] const std::vector<target_state*>& holdersOf(const route_query& query) const;
+    [[nodiscard]] std::vector<target_state*> matching(const route_query& query, steady_time now) const;
     void restrictToPool(std::vector<target_state*>& targets, const route_query& query);
     void unindex(const target_state& target);
     target_state* findState(const instance_id& id);
--- a/src/app/entry.cpp
+++ b/src/app/entry.cpp
@@ -11,7 +11,6 @@
 constexpr milliseconds tickPeriod { 20 };
 constexpr milliseconds readinessGrace { 1000 }; ///< the balancer sees readiness fail before requests are refused
 constexpr milliseconds leavePatience { 1500 };
-constexpr milliseconds stageStartPatience { 800 };
 constexpr std::size_t maxRecentRequests = 2000;
 
 routing::route_options routeOptions(const settings::settings& settings)
@@ -84,18 +83,22 @@
             [this](const attempt_id& attempt) { onUnsentOffer(attempt); },
             [this](const instance_id& instance) { onLinkLost(instance); },
         });
+    m_session = std::make_unique<session_client>(
+        m_loop, *m_hub, m_settings, makeRecord(m_settings, m_incarnation), true, sessionCallbacks());
+    m_ticker = std::make_unique<periodic_task>(m_loop, tickPeriod, [this] { tick(); });
+    return {};
+}
+
+session_callbacks entry::sessionCallbacks()
+{
     session_callbacks callbacks;
     callbacks.leaseRenewed = [](configuration_version, steady_time) {};
     callbacks.configurationApplied = [this](const configuration::document&, configuration_version) {
-        std::vector<std::string> all;
-        for (const auto& [id, active] : m_runs)
-            all.push_back(id);
-        for (const auto& id : all)
-            withRun(id, [](auto& run, steady_time now) { run.retryNow(now); });
+        withEveryRun([](auto& run, steady_time now) { run.retryNow(now); });
     };
     callbacks.orderReceived = [](const dispatch::target_order&) {};
     callbacks.membershipChanged = [this](const membership::membership_delta& delta) { onMembership(delta); };
-    callbacks.drainRequested = [this](bool drain) { m_refusing = m_refusing || drain; };
+    callbacks.drainRequested = [this](bool drain) { m_drainedByOperator = drain; };
     callbacks.claimAnswered = [this](const link::claim_reply& reply) {
         const auto found = m_claims.find(reply.commandId);
         if (found == m_claims.end())
@@ -109,10 +112,7 @@
                 run.claimFailed(now);
         });
     };
-    m_session = std::make_unique<session_client>(
-        m_loop, *m_hub, m_settings, makeRecord(m_settings, m_incarnation), true, std::move(callbacks));
-    m_ticker = std::make_unique<periodic_task>(m_loop, tickPeriod, [this] { tick(); });
-    return {};
+    return callbacks;
 }
 
 void entry::stop(std::function<void()> done)
@@ -157,7 +157,7 @@
 
 tl::expected<admission_terms, failure> entry::termsFor(const caller_request& request) const
 {
-    if (m_refusing)
+    if (m_refusing || m_drainedByOperator)
         return tl::make_unexpected(failure { result_code::ShuttingDown, "" });
     if (!m_session->hasLease())
         return tl::make_unexpected(failure { result_code::NoConfiguration, "" });
@@ -229,28 +229,6 @@
     }
 }
 
-void entry::handleStage(link::channel_number channel, const link::message& message)
-{
-    if (const auto* fenced = std::get_if<link::stage_fenced>(&message)) {
-        withChain(fenced->request, [&](auto& run, steady_time now) {
-            run.stageFenced(m_links->instanceOf(channel), fenced->generation, now);
-        });
-    } else if (const auto* token = std::get_if<link::stage_token>(&message)) {
-        withChain(token->request, [&](auto& run, steady_time now) {
-            run.token({ token->generation, token->token, token->text, token->last, token->finishReason }, now);
-        });
-    } else if (const auto* failed = std::get_if<link::stage_failed>(&message)) {
-        note(failed->request,
-            "stage " + std::to_string(failed->stage) + " of generation " + std::to_string(failed->generation)
-                + " failed: " + failed->reason);
-        withChain(failed->request, [&](auto& run, steady_time now) {
-            if (failed->generation == run.generation() && failed->stage < run.plan().stages.size())
-                m_routes.failed(run.plan().stages[failed->stage].instance, now);
-            run.stageFailed(failed->generation, failed->stage, { failed->code, failed->reason }, now);
-        });
-    }
-}
-
 void entry::onRefused(link::channel_number channel, const dispatch::attempt_refused& refused)
 {
     const std::string code(describe(refused.code).name);
@@ -285,16 +263,8 @@
 
 void entry::onLinkLost(const instance_id& instance)
 {
-    std::vector<std::string> all;
-    for (const auto& [id, active] : m_runs)
-        all.push_back(id);
-    for (const auto& id : all)
-        withRun(id, [&](auto& run, steady_time now) { run.linkLost(instance, now); });
-    all.clear();
-    for (const auto& [id, active] : m_chains)
-        all.push_back(id);
-    for (const auto& id : all)
-        withChain(id, [&](auto& run, steady_time now) { run.linkLost(instance, now); });
+    withEveryRun([&](auto& run, steady_time now) { run.linkLost(instance, now); });
+    withEveryChain([&](auto& run, steady_time now) { run.linkLost(instance, now); });
 }
 
 routing::route_query entry::makeQuery(const run_context& context, steady_time now) const
@@ -331,55 +301,6 @@
     withRun(id, [](auto& run, steady_time now) { run.start(now); });
 }
 
-void entry::startChain(run_context context)
-{
-    const auto& request = context.request;
-    execution::chain_request wanted { request.id, context.terms.model, context.version, context.terms.layerCount,
-        request.prompt, request.maxTokens, request.deadline };
-    execution::chain_run_options options;
-    options.progressTimeout = milliseconds(m_settings.progressTimeoutMs);
-    const std::string id = request.id;
-    m_chains.emplace(id, active_chain { std::move(context), execution::chain_run(std::move(wanted), options) });
-    withChain(id, [](auto& run, steady_time now) { run.start(now); });
-}
-
-template <typename Event> void entry::withRun(const std::string& requestId, Event event)
-{
-    const auto found = m_runs.find(requestId);
-    if (found == m_runs.end())
-        return;
-    auto& active = found->second;
-    event(active.run, steadyNow());
-    while (const auto effect = active.run.nextEffect())
-        carryOut(active, *effect);
-    if (active.run.isFinished())
-        forgetRun(requestId);
-}
-
-template <typename Event> void entry::withAttempt(const attempt_id& attempt, Event event)
-{
-    withRun(attempt.request, event);
-    const auto [first, last] = m_followers.equal_range(attempt.request);
-    std::vector<std::string> followers;
-    for (auto at = first; at != last; ++at)
-        followers.push_back(at->second);
-    for (const auto& id : followers)
-        withRun(id, event);
-}
-
-template <typename Event> void entry::withChain(const std::string& requestId, Event event)
-{
-    const auto found = m_chains.find(requestId);
-    if (found == m_chains.end())
-        return;
-    auto& active = found->second;
-    event(active.run, steadyNow());
-    while (const auto effect = active.run.nextEffect())
-        carryOut(active, *effect);
-    if (active.run.isFinished())
-        m_chains.erase(requestId);
-}
-
 void entry::forgetRun(const std::string& requestId)
 {
     std::erase_if(m_followers, [&](const auto& item) { return item.second == requestId; });
@@ -543,82 +464,6 @@
         m_loop.post([this, id = context.request.id] { abandon(id); });
 }
 
-void entry::carryOut(active_chain& active, const execution::chain_effect& effect)
-{
-    auto& context = active.context;
-    const std::string& id = context.request.id;
-    if (const auto* wish = std::get_if<execution::choose_chain>(&effect)) {
-        chooseChain(active, *wish);
-    } else if (const auto* open = std::get_if<execution::open_stage>(&effect)) {
-        const auto& stage = open->plan.stages[open->stage];
-        m_routes.offered(stage.instance);
-        active.outstanding.push_back(stage.instance);
-        auto offer = makeOffer(context, { id, open->plan.generation }, stage.incarnation, steadyNow());
-        offer.startWithinMs
-            = std::min<std::uint32_t>(offer.startWithinMs, static_cast<std::uint32_t>(stageStartPatience.count()));
-        offer.work.kind = dispatch::work_kind::Stage;
-        offer.work.chain = open->plan;
-        offer.work.stage = open->stage;
-        offer.work.maxTokens = open->maxTokens;
-        m_links->send(stage.instance, stage.linkAddress, offer);
-    } else if (const auto* revoke = std::get_if<execution::revoke_stage>(&effect)) {
-        m_links->send(revoke->stage.instance, revoke->stage.linkAddress,
-            dispatch::attempt_revoke { { id, revoke->generation }, revoke->stage.incarnation, true });
-    } else if (const auto* begin = std::get_if<execution::begin_steps>(&effect)) {
-        m_links->send(begin->stage.instance, begin->stage.linkAddress, begin->step);
-    } else if (const auto* fence = std::get_if<execution::fence_stage>(&effect)) {
-        telemetry::logEvent(event_code::GenerationFenced,
-            { { "request", id }, { "below", std::to_string(fence->generation) },
-                { "instance", fence->stage.instance } });
-        m_links->send(fence->stage.instance, fence->stage.linkAddress, link::stage_fence { id, fence->generation });
-    } else if (const auto* close = std::get_if<execution::close_stage>(&effect)) {
-        m_links->send(close->stage.instance, close->stage.linkAddress, link::stage_close { id });
-    } else if (const auto* token = std::get_if<execution::deliver_token>(&effect)) {
-        dispatch::answer_frame frame;
-        frame.attempt = { id, active.run.generation() };
-        frame.bytes = token->text;
-        giveFrame(context, std::move(frame));
-    } else if (const auto* last = std::get_if<execution::finish_chain>(&effect)) {
-        releaseStages(active);
-        finish(context, last->result, last->ran, last->finishReason);
-    }
-}
-
-void entry::releaseStages(active_chain& active)
-{
-    for (const auto& instance : std::exchange(active.outstanding, {}))
-        m_routes.released(instance);
-}
-
-void entry::chooseChain(active_chain& active, const execution::choose_chain& wish)
-{
-    auto& context = active.context;
-    const steady_time now = steadyNow();
-    auto query = makeQuery(context, now);
-    query.excluded = wish.excluded;
-    releaseStages(active);
-    const auto candidates = m_routes.stageCandidates(query, now);
-    auto chain = execution::buildChain(candidates, context.terms.layerCount);
-    if (!chain) {
-        telemetry::logEvent(
-            event_code::RouteRefused, { { "request", context.request.id }, { "reason", chain.error().reason } });
-        note(context.request.id, "no chain: " + chain.error().reason);
-        active.run.noChain(chain.error());
-        return;
-    }
-    std::string stages;
-    for (const auto& stage : *chain) {
-        stages += (stages.empty() ? "" : ",") + stage.instance + "[" + std::to_string(stage.firstLayer) + "-"
-            + std::to_string(stage.endLayer) + ")";
-    }
-    telemetry::logEvent(event_code::ChainBuilt,
-        { { "request", context.request.id }, { "generation", std::to_string(active.run.generation() + 1) },
-            { "candidates", std::to_string(candidates.size()) }, { "stages", stages },
-            { "reason", "lowest_estimate" } });
-    note(context.request.id, "generation " + std::to_string(active.run.generation() + 1) + ": " + stages);
-    active.run.chainBuilt(std::move(*chain), now);
-}
-
 void entry::sendTo(const instance_id& instance, const link::message& message)
 {
     const auto* record = m_session->membership().find(instance);
@@ -629,21 +474,9 @@
 void entry::tick()
 {
     const steady_time now = steadyNow();
-    std::vector<std::string> due;
-    for (const auto& [id, active] : m_runs) {
-        if (now >= active.run.nextDeadline())
-            due.push_back(id);
-    }
-    for (const auto& id : due)
-        withRun(id, [](auto& run, steady_time at) { run.tick(at); });
-    due.clear();
-    for (const auto& [id, active] : m_chains) {
-        if (now >= active.run.nextDeadline())
-            due.push_back(id);
-    }
-    for (const auto& id : due)
-        withChain(id, [](auto& run, steady_time at) { run.tick(at); });
-    m_isReady = !m_stopping && !m_refusing && m_session->hasLease();
+    withEveryRun([](auto& run, steady_time at) { run.tick(at); });
+    withEveryChain([](auto& run, steady_time at) { run.tick(at); });
+    m_isReady = !m_stopping && !m_refusing && !m_drainedByOperator && m_session->hasLease();
     m_metrics.gauge("requests_in_flight", static_cast<double>(m_runs.size() + m_chains.size()));
     m_metrics.gauge("link_bytes_sent", static_cast<double>(m_hub->bytesSent()));
     m_metrics.gauge("link_bytes_received", static_cast<double>(m_hub->bytesReceived()));
--- a/src/app/entry.hpp
+++ b/src/app/entry.hpp
@@ -62,6 +62,7 @@
         std::vector<instance_id> outstanding; ///< the route table counts a stage at each
     };
 
+    session_callbacks sessionCallbacks();
     void onMessage(link::channel_number channel, const std::string& bytes);
     void handle(link::channel_number channel, const link::message& message);
     void handleStage(link::channel_number channel, const link::message& message);
@@ -96,6 +97,8 @@
     /// The same for all runs that follow the attempt: the one that made it, and those that resent its key.
     template <typename Event> void withAttempt(const attempt_id& attempt, Event event);
     template <typename Event> void withChain(const std::string& requestId, Event event);
+    template <typename Event> void withEveryRun(Event event);
+    template <typename Event> void withEveryChain(Event event);
 
     void tick();
     void note(const std::string& requestId, const std::string& decision);
@@ -115,6 +118,7 @@
     std::map<std::string, std::vector<std::string>> m_decisions; ///< of recent requests
     std::deque<std::string> m_recent;
     bool m_refusing = false; ///< shutting down: no new request
+    bool m_drainedByOperator = false;
     std::function<void()> m_whenDrained;
     steady_time m_leaveDeadline {};
     std::atomic<bool> m_isReady { false };
@@ -129,4 +133,59 @@
 /// @brief Runs the role until SIGTERM. @return the exit status
 int runEntry(const settings::settings& settings);
 
+template <typename Event> void entry::withRun(const std::string& requestId, Event event)
+{
+    const auto found = m_runs.find(requestId);
+    if (found == m_runs.end())
+        return;
+    auto& active = found->second;
+    event(active.run, steadyNow());
+    while (const auto effect = active.run.nextEffect())
+        carryOut(active, *effect);
+    if (active.run.isFinished())
+        forgetRun(requestId);
+}
+
+template <typename Event> void entry::withAttempt(const attempt_id& attempt, Event event)
+{
+    withRun(attempt.request, event);
+    const auto [first, last] = m_followers.equal_range(attempt.request);
+    std::vector<std::string> followers;
+    for (auto at = first; at != last; ++at)
+        followers.push_back(at->second);
+    for (const auto& id : followers)
+        withRun(id, event);
+}
+
+template <typename Event> void entry::withChain(const std::string& requestId, Event event)
+{
+    const auto found = m_chains.find(requestId);
+    if (found == m_chains.end())
+        return;
+    auto& active = found->second;
+    event(active.run, steadyNow());
+    while (const auto effect = active.run.nextEffect())
+        carryOut(active, *effect);
+    if (active.run.isFinished())
+        m_chains.erase(requestId);
+}
+
+template <typename Event> void entry::withEveryRun(Event event)
+{
+    std::vector<std::string> all;
+    for (const auto& [id, active] : m_runs)
+        all.push_back(id);
+    for (const auto& id : all)
+        withRun(id, event);
+}
+
+template <typename Event> void entry::withEveryChain(Event event)
+{
+    std::vector<std::string> all;
+    for (const auto& [id, active] : m_chains)
+        all.push_back(id);
+    for (const auto& id : all)
+        withChain(id, event);
+}
+
 } // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/entry_chains.cpp
@@ -0,0 +1,122 @@
+/// @file
+/// @brief The entry's part that serves split models: chains of stages.
+#include "app/entry.hpp"
+
+namespace buckthornrail::app {
+namespace {
+
+constexpr milliseconds stageStartPatience { 800 };
+
+} // namespace
+
+void entry::startChain(run_context context)
+{
+    const auto& request = context.request;
+    execution::chain_request wanted { request.id, context.terms.model, context.version, context.terms.layerCount,
+        request.prompt, request.maxTokens, request.deadline };
+    execution::chain_run_options options;
+    options.progressTimeout = milliseconds(m_settings.progressTimeoutMs);
+    const std::string id = request.id;
+    m_chains.emplace(id, active_chain { std::move(context), execution::chain_run(std::move(wanted), options) });
+    withChain(id, [](auto& run, steady_time now) { run.start(now); });
+}
+
+void entry::handleStage(link::channel_number channel, const link::message& message)
+{
+    if (const auto* fenced = std::get_if<link::stage_fenced>(&message)) {
+        withChain(fenced->request, [&](auto& run, steady_time now) {
+            run.stageFenced(m_links->instanceOf(channel), fenced->generation, now);
+        });
+    } else if (const auto* token = std::get_if<link::stage_token>(&message)) {
+        withChain(token->request, [&](auto& run, steady_time now) {
+            run.token({ token->generation, token->token, token->text, token->last, token->finishReason }, now);
+        });
+    } else if (const auto* failed = std::get_if<link::stage_failed>(&message)) {
+        note(failed->request,
+            "stage " + std::to_string(failed->stage) + " of generation " + std::to_string(failed->generation)
+                + " failed: " + failed->reason);
+        withChain(failed->request, [&](auto& run, steady_time now) {
+            if (failed->generation == run.generation() && failed->stage < run.plan().stages.size())
+                m_routes.failed(run.plan().stages[failed->stage].instance, now);
+            run.stageFailed(failed->generation, failed->stage, { failed->code, failed->reason }, now);
+        });
+    }
+}
+
+void entry::carryOut(active_chain& active, const execution::chain_effect& effect)
+{
+    auto& context = active.context;
+    const std::string& id = context.request.id;
+    if (const auto* wish = std::get_if<execution::choose_chain>(&effect)) {
+        chooseChain(active, *wish);
+    } else if (const auto* open = std::get_if<execution::open_stage>(&effect)) {
+        const auto& stage = open->plan.stages[open->stage];
+        m_routes.offered(stage.instance);
+        active.outstanding.push_back(stage.instance);
+        auto offer = makeOffer(context, { id, open->plan.generation }, stage.incarnation, steadyNow());
+        offer.startWithinMs
+            = std::min<std::uint32_t>(offer.startWithinMs, static_cast<std::uint32_t>(stageStartPatience.count()));
+        offer.work.kind = dispatch::work_kind::Stage;
+        offer.work.chain = open->plan;
+        offer.work.stage = open->stage;
+        offer.work.maxTokens = open->maxTokens;
+        m_links->send(stage.instance, stage.linkAddress, offer);
+    } else if (const auto* revoke = std::get_if<execution::revoke_stage>(&effect)) {
+        m_links->send(revoke->stage.instance, revoke->stage.linkAddress,
+            dispatch::attempt_revoke { { id, revoke->generation }, revoke->stage.incarnation, true });
+    } else if (const auto* begin = std::get_if<execution::begin_steps>(&effect)) {
+        m_links->send(begin->stage.instance, begin->stage.linkAddress, begin->step);
+    } else if (const auto* fence = std::get_if<execution::fence_stage>(&effect)) {
+        telemetry::logEvent(event_code::GenerationFenced,
+            { { "request", id }, { "below", std::to_string(fence->generation) },
+                { "instance", fence->stage.instance } });
+        m_links->send(fence->stage.instance, fence->stage.linkAddress, link::stage_fence { id, fence->generation });
+    } else if (const auto* close = std::get_if<execution::close_stage>(&effect)) {
+        m_links->send(close->stage.instance, close->stage.linkAddress, link::stage_close { id });
+    } else if (const auto* token = std::get_if<execution::deliver_token>(&effect)) {
+        dispatch::answer_frame frame;
+        frame.attempt = { id, active.run.generation() };
+        frame.bytes = token->text;
+        giveFrame(context, std::move(frame));
+    } else if (const auto* last = std::get_if<execution::finish_chain>(&effect)) {
+        releaseStages(active);
+        finish(context, last->result, last->ran, last->finishReason);
+    }
+}
+
+void entry::releaseStages(active_chain& active)
+{
+    for (const auto& instance : std::exchange(active.outstanding, {}))
+        m_routes.released(instance);
+}
+
+void entry::chooseChain(active_chain& active, const execution::choose_chain& wish)
+{
+    auto& context = active.context;
+    const steady_time now = steadyNow();
+    auto query = makeQuery(context, now);
+    query.excluded = wish.excluded;
+    releaseStages(active);
+    const auto candidates = m_routes.stageCandidates(query, now);
+    auto chain = execution::buildChain(candidates, context.terms.layerCount);
+    if (!chain) {
+        telemetry::logEvent(
+            event_code::RouteRefused, { { "request", context.request.id }, { "reason", chain.error().reason } });
+        note(context.request.id, "no chain: " + chain.error().reason);
+        active.run.noChain(chain.error());
+        return;
+    }
+    std::string stages;
+    for (const auto& stage : *chain) {
+        stages += (stages.empty() ? "" : ",") + stage.instance + "[" + std::to_string(stage.firstLayer) + "-"
+            + std::to_string(stage.endLayer) + ")";
+    }
+    telemetry::logEvent(event_code::ChainBuilt,
+        { { "request", context.request.id }, { "generation", std::to_string(active.run.generation() + 1) },
+            { "candidates", std::to_string(candidates.size()) }, { "stages", stages },
+            { "reason", "lowest_estimate" } });
+    note(context.request.id, "generation " + std::to_string(active.run.generation() + 1) + ": " + stages);
+    active.run.chainBuilt(std::move(*chain), now);
+}
+
+} // namespace buckthornrail::app
--- a/src/app/sidecar.cpp
+++ b/src/app/sidecar.cpp
@@ -9,7 +9,6 @@
 
 constexpr milliseconds tickPeriod { 50 };
 constexpr milliseconds leavePatience { 1500 };
-constexpr milliseconds stepPatience { 3000 }; ///< shorter than an entry's patience with a chain
 constexpr std::size_t spareThreads = 4; ///< beside one for each slot: probes, cancellations, steps
 
 dispatch::gate_options gateOptions(const settings::settings& settings, incarnation_number incarnation)
@@ -186,37 +185,6 @@
         send(channel, dispatch::attempt_refused { offer.attempt, result_code::StaleLink, "" });
 }
 
-void sidecar::onStep(const execution::stage_step& step)
-{
-    const auto verdict = m_guard.admit(step);
-    if (verdict != execution::step_verdict::Run) {
-        m_metrics.count("steps_dropped_total", std::string(nameOf(verdict)));
-        return;
-    }
-    const auto open = m_stageWork.find(step.request);
-    const auto* plan = m_guard.planOf(step.request);
-    if (open == m_stageWork.end() || plan == nullptr)
-        return;
-    if (const auto* work = m_core.workOf(open->second))
-        runStep(step, *plan, work->maxTokens);
-}
-
-void sidecar::onFence(link::channel_number channel, const link::stage_fence& fence)
-{
-    m_guard.fence(fence.request, fence.generation, steadyNow() + m_core.gate().options().recordRetention);
-    endStage(fence.request);
-    telemetry::logEvent(
-        event_code::GenerationFenced, { { "request", fence.request }, { "below", std::to_string(fence.generation) } });
-    send(channel, link::stage_fenced { fence.request, fence.generation });
-}
-
-void sidecar::onStageClose(const std::string& request)
-{
-    m_guard.close(request);
-    endStage(request);
-    asio::post(m_pool, [this, request] { m_dialect->closeStage(request); });
-}
-
 void sidecar::carryOut()
 {
     while (const auto effect = m_core.nextEffect()) {
@@ -241,60 +209,6 @@
     m_metrics.gauge("queued", static_cast<double>(m_core.gate().queued()));
 }
 
-void sidecar::carryOutOrder()
-{
-    while (const auto effect = m_orders.nextEffect()) {
-        if (std::holds_alternative<dispatch::pause_work>(*effect))
-            m_paused = true;
-        else if (std::holds_alternative<dispatch::resume_work>(*effect))
-            m_paused = false;
-        else if (const auto* sent = std::get_if<dispatch::send_order>(&*effect))
-            sendOrder(*sent);
-        else if (std::holds_alternative<dispatch::read_target_state>(*effect))
-            readLoaded();
-        else if (const auto* report = std::get_if<dispatch::report_order>(&*effect))
-            reportOrder(*report);
-    }
-    m_core.gate().setReady(m_targetReady && !m_paused);
-}
-
-void sidecar::sendOrder(const dispatch::send_order& sent)
-{
-    telemetry::logEvent(event_code::OrderBegun,
-        { { "fence", std::to_string(sent.order.fence) }, { "model", sent.order.model },
-            { "version", sent.order.version } });
-    asio::post(m_pool, [this, sent] {
-        const bool current = m_dialect->order(sent.order, sent.deadline);
-        m_loop.post([this, fence = sent.order.fence, current] {
-            m_orders.answered(fence, current, !current, steadyNow());
-            carryOutOrder();
-        });
-    });
-}
-
-void sidecar::readLoaded()
-{
-    asio::post(m_pool, [this] {
-        const auto held = m_dialect->loaded();
-        m_loop.post([this, held] {
-            m_orders.stateRead(held.first, held.second, steadyNow());
-            carryOutOrder();
-        });
-    });
-}
-
-void sidecar::reportOrder(const dispatch::report_order& report)
-{
-    const auto& order = report.order;
-    const auto& outcome = report.outcome;
-    telemetry::logEvent(event_code::OrderEnded,
-        { { "fence", std::to_string(order.fence) }, { "code", std::string(describe(outcome.code).name) },
-            { "reason", outcome.reason } });
-    if (outcome.code == result_code::Ok)
-        m_session->setModel(order.model, order.version);
-    m_session->send(link::order_report { m_settings.id, order.fence, outcome.code, outcome.reason });
-}
-
 void sidecar::startWork(const dispatch::start_work& work)
 {
     telemetry::logEvent(event_code::WorkStarted, { { "attempt", toString(work.attempt) } });
@@ -316,20 +230,6 @@
     });
 }
 
-void sidecar::startStage(const dispatch::start_work& work)
-{
-    const std::string& request = work.attempt.request;
-    const auto opened = m_guard.open(
-        request, work.work.chain, work.work.stage, ownStage(), work.deadline + m_core.gate().options().recordRetention);
-    if (!opened) {
-        m_core.notBegun(work.attempt, opened.error(), steadyNow());
-        return;
-    }
-    endStage(request); // an older generation's stage gives up its slot
-    m_stageWork[request] = work.attempt;
-    m_core.stageOpened(work.attempt);
-}
-
 void sidecar::cancelWork(const dispatch::cancel_work& work)
 {
     telemetry::logEvent(event_code::WorkCancelled, { { "attempt", toString(work.attempt) } });
@@ -357,71 +257,6 @@
     carryOut();
 }
 
-void sidecar::endStage(const std::string& request)
-{
-    const auto found = m_stageWork.find(request);
-    if (found == m_stageWork.end())
-        return;
-    const attempt_id attempt = found->second;
-    m_stageWork.erase(found);
-    m_core.stageClosed(attempt, steadyNow());
-}
-
-void sidecar::runStep(const execution::stage_step& step, const execution::chain_plan& plan, std::uint32_t maxTokens)
-{
-    step_order order;
-    order.step = step;
-    order.firstLayer = m_settings.firstLayer;
-    order.endLayer = m_settings.endLayer;
-    order.isLastStage = step.stage + 1 == plan.stages.size();
-    order.maxTokens = maxTokens;
-    asio::post(m_pool, [this, order] {
-        const auto outcome = m_dialect->step(order, steadyNow() + stepPatience);
-        m_loop.post([this, step = order.step, outcome] { stepDone(step, outcome); });
-    });
-}
-
-void sidecar::stepDone(const execution::stage_step& step, const step_outcome& outcome)
-{
-    const auto* plan = m_guard.planOf(step.request);
-    if (plan == nullptr || plan->generation != step.generation)
-        return; // fenced while the target was at it
-    if (outcome.code != result_code::Ok) {
-        tellEntry(step.request, step.generation,
-            link::stage_failed { step.request, step.generation, step.stage, outcome.code, outcome.reason });
-        return;
-    }
-    if (step.stage + 1 < plan->stages.size()) {
-        passOn({ step.request, step.generation, step.token, step.stage + 1, outcome.output },
-            plan->stages[step.stage + 1]);
-        return;
-    }
-    tellEntry(step.request, step.generation,
-        link::stage_token {
-            step.request, step.generation, step.token, outcome.output, outcome.last, outcome.finishReason });
-    if (!outcome.last)
-        passOn({ step.request, step.generation, step.token + 1, 0, outcome.output }, plan->stages.front());
-}
-
-void sidecar::passOn(const execution::stage_step& step, const execution::chain_stage& stage)
-{
-    if (stage.instance == m_settings.id) {
-        onStep(step);
-        return;
-    }
-    auto& channel = m_nextStages[stage.linkAddress];
-    if (channel == 0)
-        channel = m_hub->dial(stage.linkAddress);
-    const std::string bytes = link::encode(step);
-    if (!m_hub->send(channel, bytes))
-        m_unsent[channel].push_back(bytes);
-}
-
-void sidecar::tellEntry(const std::string& request, std::uint32_t generation, const link::message& message)
-{
-    send(m_core.gate().channelOf({ request, generation }), message);
-}
-
 void sidecar::send(link::channel_number channel, const link::message& message)
 {
     if (channel != 0)
@@ -485,12 +320,6 @@
         std::exchange(m_whenDrained, {})();
 }
 
-execution::chain_stage sidecar::ownStage() const
-{
-    return { m_settings.id, m_settings.reachableAddress(), m_incarnation, m_settings.version, m_settings.firstLayer,
-        m_settings.endLayer };
-}
-
 int runSidecar(const settings::settings& settings)
 {
     return runRole<sidecar>(settings, settings::process_role::Sidecar,
--- /dev/null
+++ b/src/app/sidecar_stages.cpp
@@ -0,0 +1,128 @@
+/// @file
+/// @brief The sidecar's part in split models: opening stages, running steps, passing them on.
+#include "app/sidecar.hpp"
+
+namespace buckthornrail::app {
+namespace {
+
+constexpr milliseconds stepPatience { 3000 }; ///< shorter than an entry's patience with a chain
+
+} // namespace
+
+void sidecar::onStep(const execution::stage_step& step)
+{
+    const auto verdict = m_guard.admit(step);
+    if (verdict != execution::step_verdict::Run) {
+        m_metrics.count("steps_dropped_total", std::string(nameOf(verdict)));
+        return;
+    }
+    const auto open = m_stageWork.find(step.request);
+    const auto* plan = m_guard.planOf(step.request);
+    if (open == m_stageWork.end() || plan == nullptr)
+        return;
+    if (const auto* work = m_core.workOf(open->second))
+        runStep(step, *plan, work->maxTokens);
+}
+
+void sidecar::onFence(link::channel_number channel, const link::stage_fence& fence)
+{
+    m_guard.fence(fence.request, fence.generation, steadyNow() + m_core.gate().options().recordRetention);
+    endStage(fence.request);
+    telemetry::logEvent(
+        event_code::GenerationFenced, { { "request", fence.request }, { "below", std::to_string(fence.generation) } });
+    send(channel, link::stage_fenced { fence.request, fence.generation });
+}
+
+void sidecar::onStageClose(const std::string& request)
+{
+    m_guard.close(request);
+    endStage(request);
+    asio::post(m_pool, [this, request] { m_dialect->closeStage(request); });
+}
+
+void sidecar::startStage(const dispatch::start_work& work)
+{
+    const std::string& request = work.attempt.request;
+    const auto opened = m_guard.open(
+        request, work.work.chain, work.work.stage, ownStage(), work.deadline + m_core.gate().options().recordRetention);
+    if (!opened) {
+        m_core.notBegun(work.attempt, opened.error(), steadyNow());
+        return;
+    }
+    endStage(request); // an older generation's stage gives up its slot
+    m_stageWork[request] = work.attempt;
+    m_core.stageOpened(work.attempt);
+}
+
+void sidecar::endStage(const std::string& request)
+{
+    const auto found = m_stageWork.find(request);
+    if (found == m_stageWork.end())
+        return;
+    const attempt_id attempt = found->second;
+    m_stageWork.erase(found);
+    m_core.stageClosed(attempt, steadyNow());
+}
+
+void sidecar::runStep(const execution::stage_step& step, const execution::chain_plan& plan, std::uint32_t maxTokens)
+{
+    step_order order;
+    order.step = step;
+    order.firstLayer = m_settings.firstLayer;
+    order.endLayer = m_settings.endLayer;
+    order.isLastStage = step.stage + 1 == plan.stages.size();
+    order.maxTokens = maxTokens;
+    asio::post(m_pool, [this, order] {
+        const auto outcome = m_dialect->step(order, steadyNow() + stepPatience);
+        m_loop.post([this, step = order.step, outcome] { stepDone(step, outcome); });
+    });
+}
+
+void sidecar::stepDone(const execution::stage_step& step, const step_outcome& outcome)
+{
+    const auto* plan = m_guard.planOf(step.request);
+    if (plan == nullptr || plan->generation != step.generation)
+        return; // fenced while the target was at it
+    if (outcome.code != result_code::Ok) {
+        tellEntry(step.request, step.generation,
+            link::stage_failed { step.request, step.generation, step.stage, outcome.code, outcome.reason });
+        return;
+    }
+    if (step.stage + 1 < plan->stages.size()) {
+        passOn({ step.request, step.generation, step.token, step.stage + 1, outcome.output },
+            plan->stages[step.stage + 1]);
+        return;
+    }
+    tellEntry(step.request, step.generation,
+        link::stage_token {
+            step.request, step.generation, step.token, outcome.output, outcome.last, outcome.finishReason });
+    if (!outcome.last)
+        passOn({ step.request, step.generation, step.token + 1, 0, outcome.output }, plan->stages.front());
+}
+
+void sidecar::passOn(const execution::stage_step& step, const execution::chain_stage& stage)
+{
+    if (stage.instance == m_settings.id) {
+        onStep(step);
+        return;
+    }
+    auto& channel = m_nextStages[stage.linkAddress];
+    if (channel == 0)
+        channel = m_hub->dial(stage.linkAddress);
+    const std::string bytes = link::encode(step);
+    if (!m_hub->send(channel, bytes))
+        m_unsent[channel].push_back(bytes);
+}
+
+void sidecar::tellEntry(const std::string& request, std::uint32_t generation, const link::message& message)
+{
+    send(m_core.gate().channelOf({ request, generation }), message);
+}
+
+execution::chain_stage sidecar::ownStage() const
+{
+    return { m_settings.id, m_settings.reachableAddress(), m_incarnation, m_settings.version, m_settings.firstLayer,
+        m_settings.endLayer };
+}
+
+} // namespace buckthornrail::app
--- a/src/buckthornrail/routing/route_table.cpp
+++ b/src/buckthornrail/routing/route_table.cpp
@@ -3,6 +3,7 @@
 #include "buckthornrail/routing/route_table.hpp"
 
 #include <algorithm>
+#include <map>
 #include <xxhash.h>
 
 namespace buckthornrail::routing {
@@ -10,8 +11,36 @@
 
 constexpr double defaultUnitMs = 10; ///< until the first sample of any target
 constexpr double remoteLinkMs = 1; ///< added for a target in another failure domain
+constexpr std::uint32_t maxBreakerDoublings = 4;
 constexpr std::size_t prefixBytes = 256; ///< of the prompt, for affinity
 
+/// Average time of a unit of work over targets of one accelerator: what is expected of a target without a sample.
+/// (Prediction from groups of similar sessions, after "Big Data Differentiators"; see docs/design/routing.md.)
+class group_averages {
+public:
+    void add(const std::string& accelerator, double unitMs)
+    {
+        if (unitMs <= 0)
+            return;
+        auto& group = m_groups[accelerator];
+        group.first += unitMs;
+        group.second += 1;
+        m_all.first += unitMs;
+        m_all.second += 1;
+    }
+
+    [[nodiscard]] double of(const std::string& accelerator) const
+    {
+        const auto found = m_groups.find(accelerator);
+        const auto& group = found == m_groups.end() ? m_all : found->second;
+        return group.second > 0 ? group.first / group.second : defaultUnitMs;
+    }
+
+private:
+    std::map<std::string_view, std::pair<double, double>> m_groups; ///< sum and count; the names outlive this object
+    std::pair<double, double> m_all { 0, 0 };
+};
+
 bool takesWork(const membership::instance_record& record)
 {
     return record.role == membership::instance_role::Sidecar && record.state == membership::instance_state::Ready
@@ -91,20 +120,14 @@
     restrictToPool(targets, query);
     if (targets.empty())
         return tl::make_unexpected(failure { result_code::NoTarget, "no ready target for this model or service" });
-    double sum = 0;
-    std::size_t samples = 0;
-    for (const auto* target : targets) {
-        if (target->unitMs <= 0)
-            continue;
-        sum += target->unitMs;
-        ++samples;
-    }
-    const double fallbackUnitMs = samples == 0 ? defaultUnitMs : sum / static_cast<double>(samples);
+    group_averages averages;
+    for (const auto* target : holdersOf(query))
+        averages.add(target->record.target.accelerator, target->unitMs);
     const double startWithinMs = std::chrono::duration<double, std::milli>(query.startDeadline - now).count();
     std::vector<candidate> candidates;
     std::vector<target_state*> inTime;
     for (auto* target : targets) {
-        const candidate one = estimate(*target, query, fallbackUnitMs, now);
+        const candidate one = estimate(*target, query, averages.of(target->record.target.accelerator), now);
         if (one.waitMs > startWithinMs)
             continue;
         candidates.push_back(one);
@@ -177,7 +200,9 @@
     if (target == nullptr)
         return;
     ++target->failuresInRow;
-    target->breakerDeadline = now + m_options.breakerPeriod;
+    // Each failed trial doubles the pause: a target that stays bad costs few callers.
+    const std::uint32_t over = target->failuresInRow - std::min(target->failuresInRow, m_options.breakerFailures);
+    target->breakerDeadline = now + m_options.breakerPeriod * (1 << std::min(over, maxBreakerDoublings));
 }
 
 void route_table::report(const dispatch::load_report& report, steady_time now)
@@ -244,15 +269,20 @@
     return one;
 }
 
-std::vector<route_table::target_state*> route_table::matching(const route_query& query, steady_time now)
+const std::vector<route_table::target_state*>& route_table::holdersOf(const route_query& query) const
 {
-    std::vector<target_state*> result;
+    static const std::vector<target_state*> none;
     const auto& index = query.model.empty() ? m_byService : m_byModel;
     const auto found = index.find(query.model.empty() ? query.service : query.model);
-    if (found == index.end())
-        return result;
-    result.reserve(found->second.size());
-    for (auto* target : found->second) {
+    return found == index.end() ? none : found->second;
+}
+
+std::vector<route_table::target_state*> route_table::matching(const route_query& query, steady_time now) const
+{
+    std::vector<target_state*> result;
+    const auto& holders = holdersOf(query);
+    result.reserve(holders.size());
+    for (auto* target : holders) {
         const auto& description = target->record.target;
         if (!takesWork(target->record) || description.kind == membership::target_kind::LayerRange)
             continue;
--- a/src/buckthornrail/routing/route_table_test.cpp
+++ b/src/buckthornrail/routing/route_table_test.cpp
@@ -94,6 +94,10 @@
     CHECK(table.choose(queryOf(), later)); // looking alone is no trial
     table.offered("a");
     CHECK_FALSE(table.choose(queryOf(), later)); // the trial is out
+    table.failed("a", later); // the trial failed: the next one waits twice as long
+    CHECK_FALSE(table.choose(queryOf(), later + milliseconds(3900)));
+    CHECK(table.choose(queryOf(), later + milliseconds(4000)));
+    table.offered("a");
     table.served("a", 10, 1);
     CHECK(table.choose(queryOf(), later));
 }
@@ -149,6 +153,23 @@
     CHECK(hashPrefix("w", "a") != hashPrefix("v", "a"));
 }
 
+TEST_CASE("routes: a target without a sample is expected to be like others of its accelerator", "[routing]")
+{
+    route_table table({}, 8);
+    for (const char* id : { "fast", "slow", "new" }) {
+        auto record = targetOf(id);
+        record.target.accelerator = id == std::string("fast") ? "kind-a" : "kind-b";
+        table.update(record);
+    }
+    table.served("fast", 10, 1);
+    table.served("slow", 80, 1);
+    auto query = queryOf();
+    query.excluded = { "fast", "slow" };
+    CHECK(table.choose(query, begin)->estimateMs == Approx(80));
+    query.excluded = { "slow" };
+    CHECK(table.choose(query, begin)->instance == "fast"); // both draws weigh the new one as slow
+}
+
 TEST_CASE("routes: an old load report counts for nothing", "[routing]")
 {
     route_table table({}, 6);
