--- a/include/buckthornrail/routing/route_table.hpp
+++ b/include/buckthornrail/routing/route_table.hpp
@@ -4,9 +4,9 @@
 
 #include "buckthornrail/configuration/document.hpp"
 #include "buckthornrail/core/clock.hpp"
+#include "buckthornrail/core/recent_set.hpp"
 #include "buckthornrail/dispatch/messages.hpp"
 #include "buckthornrail/membership/instance.hpp"
-#include "buckthornrail/routing/recent_prefixes.hpp"
 #include "buckthornrail/routing/selection_strategy.hpp"
 
 #include <memory>
@@ -107,7 +107,7 @@
     route_options m_options;
     std::mt19937_64 m_random;
     std::unique_ptr<selection_strategy> m_strategy;
-    recent_prefixes m_prefixes;
+    recent_set<std::uint64_t> m_prefixes; ///< hashes of prompt beginnings that came lately
     std::unordered_map<instance_id, std::unique_ptr<target_state>> m_targets;
     std::unordered_map<std::string, std::vector<target_state*>> m_byModel;
     std::unordered_map<std::string, std::vector<target_state*>> m_byService;
--- a/src/app/controller_state.cpp
+++ b/src/app/controller_state.cpp
@@ -8,7 +8,8 @@
 
 template <>
 struct adl_serializer<buckthornrail::app::order_state>
-    : buckthornrail::link::checked_enum<buckthornrail::app::order_state, buckthornrail::app::order_state::Failed> { };
+    : buckthornrail::link::checked_enum<buckthornrail::app::order_state, buckthornrail::app::order_state::Failed> {
+};
 
 } // namespace nlohmann
 
@@ -24,8 +25,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t maxRecentIds = 4096;
-
 template <std::size_t At = 0> command_body bodyFromJson(std::size_t type, const json& body)
 {
     if constexpr (At < std::variant_size_v<command_body>) {
@@ -72,7 +71,7 @@
         result.claim = m_claims.apply(*claim);
         return result;
     }
-    if (!isRepeated(value.id))
+    if (!m_recentIds.note(value.id))
         result.outcome = applyOnce(value.body, result);
     return result;
 }
@@ -105,9 +104,10 @@
     std::vector<order_record> orders;
     for (const auto& [instance, record] : m_placement.records())
         orders.push_back(record);
-    const json whole = { { "orders", orders }, { "fence", m_placement.lastFence() }, { "configuration", m_configuration.state() }, { "instances", records },
-        { "revision", m_membership.revision() }, { "pruned", m_membership.prunedRevision() },
-        { "claims", m_claims.records() }, { "clock", m_claims.clock() }, { "recent", m_recentIds } };
+    const json whole = { { "orders", orders }, { "fence", m_placement.lastFence() },
+        { "configuration", m_configuration.state() }, { "instances", records }, { "revision", m_membership.revision() },
+        { "pruned", m_membership.prunedRevision() }, { "claims", m_claims.records() }, { "clock", m_claims.clock() },
+        { "recent", m_recentIds.values() } };
     std::string bytes;
     json::to_cbor(whole, bytes);
     return bytes;
@@ -123,10 +123,9 @@
             whole.at("revision").get<std::uint64_t>(), whole.at("pruned").get<std::uint64_t>());
         m_claims.restore(
             whole.at("claims").get<std::vector<dispatch::claim_record>>(), whole.at("clock").get<std::uint64_t>());
-        m_placement.restore(whole.at("orders").get<std::vector<order_record>>(),
-            whole.at("fence").get<dispatch::fencing_number>());
-        m_recentIds = whole.at("recent").get<std::deque<std::string>>();
-        m_recentSet = std::set<std::string>(m_recentIds.begin(), m_recentIds.end());
+        m_placement.restore(
+            whole.at("orders").get<std::vector<order_record>>(), whole.at("fence").get<dispatch::fencing_number>());
+        m_recentIds.assign(whole.at("recent").get<std::deque<std::string>>());
     } catch (const json::exception& fault) {
         return tl::make_unexpected(failure { result_code::StorageCorrupt, fault.what() });
     } catch (const std::out_of_range& fault) {
@@ -135,16 +134,4 @@
     return {};
 }
 
-bool controller_state::isRepeated(const std::string& id)
-{
-    if (!m_recentSet.insert(id).second)
-        return true;
-    m_recentIds.push_back(id);
-    if (m_recentIds.size() > maxRecentIds) {
-        m_recentSet.erase(m_recentIds.front());
-        m_recentIds.pop_front();
-    }
-    return false;
-}
-
 } // namespace buckthornrail::app
--- a/src/app/controller_state.hpp
+++ b/src/app/controller_state.hpp
@@ -4,11 +4,10 @@
 
 #include "app/placement.hpp"
 #include "buckthornrail/configuration/configuration_store.hpp"
+#include "buckthornrail/core/recent_set.hpp"
 #include "buckthornrail/dispatch/claim_table.hpp"
 #include "buckthornrail/membership/membership_table.hpp"
 
-#include <deque>
-#include <set>
 #include <variant>
 
 namespace buckthornrail::app {
@@ -62,15 +61,15 @@
     [[nodiscard]] const placement_table& placement() const { return m_placement; }
 
 private:
-    bool isRepeated(const std::string& id);
     failure applyOnce(const command_body& body, command_result& result);
 
     configuration::configuration_store m_configuration;
     membership::membership_table m_membership;
     dispatch::claim_table m_claims;
     placement_table m_placement;
-    std::deque<std::string> m_recentIds; ///< of commands that are not idempotent by themselves; a late repeat changes nothing
-    std::set<std::string> m_recentSet;
+    static constexpr std::size_t maxRecentIds = 4096;
+    /// Of commands that are not idempotent by themselves; a late repeat changes nothing.
+    recent_set<std::string> m_recentIds { maxRecentIds };
 };
 
 } // namespace buckthornrail::app
--- a/src/app/entry.cpp
+++ b/src/app/entry.cpp
@@ -94,7 +94,7 @@
     session_callbacks callbacks;
     callbacks.leaseRenewed = [](configuration_version, steady_time) {};
     callbacks.configurationApplied = [this](const configuration::document&, configuration_version) {
-        withEveryRun([](auto& run, steady_time now) { run.retryNow(now); });
+        driveAll(m_runs, [](auto& run, steady_time now) { run.retryNow(now); });
     };
     callbacks.orderReceived = [](const dispatch::target_order&) {};
     callbacks.membershipChanged = [this](const membership::membership_delta& delta) { onMembership(delta); };
@@ -263,8 +263,8 @@
 
 void entry::onLinkLost(const instance_id& instance)
 {
-    withEveryRun([&](auto& run, steady_time now) { run.linkLost(instance, now); });
-    withEveryChain([&](auto& run, steady_time now) { run.linkLost(instance, now); });
+    driveAll(m_runs, [&](auto& run, steady_time now) { run.linkLost(instance, now); });
+    driveAll(m_chains, [&](auto& run, steady_time now) { run.linkLost(instance, now); });
 }
 
 routing::route_query entry::makeQuery(const run_context& context, steady_time now) const
@@ -301,10 +301,11 @@
     withRun(id, [](auto& run, steady_time now) { run.start(now); });
 }
 
-void entry::forgetRun(const std::string& requestId)
+void entry::forget(const std::string& requestId)
 {
     std::erase_if(m_followers, [&](const auto& item) { return item.second == requestId; });
     m_runs.erase(requestId);
+    m_chains.erase(requestId);
 }
 
 void entry::carryOut(active_run& active, const dispatch::run_effect& effect)
@@ -474,8 +475,8 @@
 void entry::tick()
 {
     const steady_time now = steadyNow();
-    withEveryRun([](auto& run, steady_time at) { run.tick(at); });
-    withEveryChain([](auto& run, steady_time at) { run.tick(at); });
+    driveAll(m_runs, [](auto& run, steady_time at) { run.tick(at); });
+    driveAll(m_chains, [](auto& run, steady_time at) { run.tick(at); });
     m_isReady = !m_stopping && !m_refusing && !m_drainedByOperator && m_session->hasLease();
     m_metrics.gauge("requests_in_flight", static_cast<double>(m_runs.size() + m_chains.size()));
     m_metrics.gauge("link_bytes_sent", static_cast<double>(m_hub->bytesSent()));
--- a/src/app/entry.hpp
+++ b/src/app/entry.hpp
@@ -77,7 +77,7 @@
     void startRun(run_context context);
     void startChain(run_context context);
 
-    void forgetRun(const std::string& requestId);
+    void forget(const std::string& requestId);
     void carryOut(active_run& active, const dispatch::run_effect& effect);
     void carryOut(active_chain& active, const execution::chain_effect& effect);
     void chooseTarget(active_run& active, const dispatch::choose_target& wish);
@@ -97,8 +97,9 @@
     /// The same for all runs that follow the attempt: the one that made it, and those that resent its key.
     template <typename Event> void withAttempt(const attempt_id& attempt, Event event);
     template <typename Event> void withChain(const std::string& requestId, Event event);
-    template <typename Event> void withEveryRun(Event event);
-    template <typename Event> void withEveryChain(Event event);
+    template <typename Runs, typename Event> void drive(Runs& runs, const std::string& requestId, Event event);
+    /// The same for every run or chain that is open.
+    template <typename Runs, typename Event> void driveAll(Runs& runs, Event event);
 
     void tick();
     void note(const std::string& requestId, const std::string& decision);
@@ -133,59 +134,47 @@
 /// @brief Runs the role until SIGTERM. @return the exit status
 int runEntry(const settings::settings& settings);
 
-template <typename Event> void entry::withRun(const std::string& requestId, Event event)
+template <typename Runs, typename Event> void entry::drive(Runs& runs, const std::string& requestId, Event event)
 {
-    const auto found = m_runs.find(requestId);
-    if (found == m_runs.end())
+    const auto found = runs.find(requestId);
+    if (found == runs.end())
         return;
     auto& active = found->second;
     event(active.run, steadyNow());
     while (const auto effect = active.run.nextEffect())
         carryOut(active, *effect);
     if (active.run.isFinished())
-        forgetRun(requestId);
+        forget(requestId);
 }
 
-template <typename Event> void entry::withAttempt(const attempt_id& attempt, Event event)
+template <typename Runs, typename Event> void entry::driveAll(Runs& runs, Event event)
 {
-    withRun(attempt.request, event);
-    const auto [first, last] = m_followers.equal_range(attempt.request);
-    std::vector<std::string> followers;
-    for (auto at = first; at != last; ++at)
-        followers.push_back(at->second);
-    for (const auto& id : followers)
-        withRun(id, event);
+    std::vector<std::string> all;
+    for (const auto& [id, active] : runs)
+        all.push_back(id);
+    for (const auto& id : all)
+        drive(runs, id, event);
 }
 
-template <typename Event> void entry::withChain(const std::string& requestId, Event event)
+template <typename Event> void entry::withRun(const std::string& requestId, Event event)
 {
-    const auto found = m_chains.find(requestId);
-    if (found == m_chains.end())
-        return;
-    auto& active = found->second;
-    event(active.run, steadyNow());
-    while (const auto effect = active.run.nextEffect())
-        carryOut(active, *effect);
-    if (active.run.isFinished())
-        m_chains.erase(requestId);
+    drive(m_runs, requestId, event);
 }
 
-template <typename Event> void entry::withEveryRun(Event event)
+template <typename Event> void entry::withChain(const std::string& requestId, Event event)
 {
-    std::vector<std::string> all;
-    for (const auto& [id, active] : m_runs)
-        all.push_back(id);
-    for (const auto& id : all)
-        withRun(id, event);
+    drive(m_chains, requestId, event);
 }
 
-template <typename Event> void entry::withEveryChain(Event event)
+template <typename Event> void entry::withAttempt(const attempt_id& attempt, Event event)
 {
-    std::vector<std::string> all;
-    for (const auto& [id, active] : m_chains)
-        all.push_back(id);
-    for (const auto& id : all)
-        withChain(id, event);
+    withRun(attempt.request, event);
+    const auto [first, last] = m_followers.equal_range(attempt.request);
+    std::vector<std::string> followers;
+    for (auto at = first; at != last; ++at)
+        followers.push_back(at->second);
+    for (const auto& id : followers)
+        withRun(id, event);
 }
 
 } // namespace buckthornrail::app
--- a/src/buckthornrail/execution/chain_faults_test.cpp
+++ b/src/buckthornrail/execution/chain_faults_test.cpp
@@ -2,6 +2,7 @@
 /// @brief Split models under faults: every layer once a token and in order, whatever dies, at every step.
 #include "buckthornrail/execution/chain_run.hpp"
 #include "support/promises.hpp"
+#include "support/token_model.hpp"
 
 #include <catch2/catch.hpp>
 #include <functional>
@@ -12,26 +13,15 @@
 
 using namespace buckthornrail;
 using namespace buckthornrail::execution;
+using test_support::answerTo;
 using test_support::caller_record;
 using test_support::execution_record;
+using test_support::nextToken;
 
 namespace {
 
 constexpr std::uint32_t layerCount = 6;
 
-std::string nextToken(const std::string& text) { return " t" + std::to_string(std::hash<std::string>()(text) % 1000); }
-
-std::string answerTo(std::string prompt, std::uint32_t tokens)
-{
-    std::string answer;
-    for (std::uint32_t at = 0; at < tokens; ++at) {
-        const std::string token = nextToken(prompt);
-        answer += token;
-        prompt += token;
-    }
-    return answer;
-}
-
 /// What happens to message number `step`.
 enum class chain_fault { None, Lose, Repeat, Delay, KillStage, FreezeStage, StepFails, CutFromEntry };
 
--- a/src/buckthornrail/routing/route_table.cpp
+++ b/src/buckthornrail/routing/route_table.cpp
@@ -12,6 +12,7 @@
 constexpr double defaultUnitMs = 10; ///< until the first sample of any target
 constexpr double remoteLinkMs = 1; ///< added for a target in another failure domain
 constexpr std::uint32_t maxBreakerDoublings = 4;
+constexpr std::size_t maxRecentPrefixes = 4096;
 constexpr std::size_t prefixBytes = 256; ///< of the prompt, for affinity
 
 /// Average time of a unit of work over targets of one accelerator: what is expected of a target without a sample.
@@ -74,6 +75,7 @@
     : m_options(std::move(options))
     , m_random(seed)
     , m_strategy(makeStrategy(m_options.strategy))
+    , m_prefixes(maxRecentPrefixes)
 {
 }
 
--- a/tests/support/request_world.cpp
+++ b/tests/support/request_world.cpp
@@ -2,6 +2,8 @@
 /// @brief World of requests.
 #include "support/request_world.hpp"
 
+#include "support/token_model.hpp"
+
 namespace test_support {
 namespace {
 
@@ -9,8 +11,6 @@
 constexpr milliseconds tokenTime { 30 };
 constexpr std::uint64_t channelsPerEntry = 1'000'000;
 
-std::string nextToken(const std::string& text) { return " t" + std::to_string(std::hash<std::string>()(text) % 1000); }
-
 template <typename... Visitors> struct overloaded : Visitors... {
     using Visitors::operator()...;
 };
@@ -18,17 +18,6 @@
 
 } // namespace
 
-std::string answerTo(std::string prompt, std::uint32_t tokens)
-{
-    std::string answer;
-    for (std::uint32_t at = 0; at < tokens; ++at) {
-        const std::string token = nextToken(prompt);
-        answer += token;
-        prompt += token;
-    }
-    return answer;
-}
-
 request_world::request_world(std::size_t entries, std::size_t sidecars, std::uint64_t seed)
     : m_random(seed)
     , m_now(steady_time {} + std::chrono::hours(1))
--- a/tests/support/request_world.hpp
+++ b/tests/support/request_world.hpp
@@ -155,7 +155,4 @@
     std::uint64_t m_lastIncarnation = 0;
 };
 
-/// @brief The whole answer to a prompt.
-std::string answerTo(std::string prompt, std::uint32_t tokens);
-
 } // namespace test_support
--- /dev/null
+++ b/tests/support/token_model.hpp
@@ -0,0 +1,29 @@
+/// @file
+/// @brief A model for tests in one process: each token follows from the whole text before it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace test_support {
+
+/// @brief The token after a text.
+inline std::string nextToken(const std::string& text)
+{
+    return " t" + std::to_string(std::hash<std::string>()(text) % 1000);
+}
+
+/// @brief The whole answer to a prompt.
+inline std::string answerTo(std::string prompt, std::uint32_t tokens)
+{
+    std::string answer;
+    for (std::uint32_t at = 0; at < tokens; ++at) {
+        const std::string token = nextToken(prompt);
+        answer += token;
+        prompt += token;
+    }
+    return answer;
+}
+
+} // namespace test_support
