Stand-ins: answers given twice or late, cache events late and with gaps

Change: the sidecar stops listening at the finish reason; stand-in faults answers_twice and answer_late_ms, and /engine/cache_events; a scenario over real processes.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -9,7 +9,7 @@
 [ "$#" = 0 ] || shift
 case "$what" in
   policy | ours | recovery) "$build/tests/measure" "$what" "$@" ;;
-  capacity) "$build/tests/measure_capacity" ;;
+  capacity) "$build/tests/measure_capacity" "$@" ;;
   core) "$build/tools/bench_core" "$@" ;;
-  *) echo "measure.sh [policy|ours [CASE]|recovery [RUNS]|capacity|core]" >&2; exit 2 ;;
+  *) echo "measure.sh [policy|ours [CASE]|recovery [RUNS]|capacity [largest]|core]" >&2; exit 2 ;;
 esac
--- a/src/app/target_adapter.cpp
+++ b/src/app/target_adapter.cpp
@@ -152,6 +152,8 @@
         std::string finishReason;
         std::string fault;
         const auto takeEvent = [&](const std::string& data) {
+            if (!finishReason.empty())
+                return true; // the answer is over: a target that gives it again is not listened to
             try {
                 dispatch::answer_frame frame;
                 frame.attempt = attempt;
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -370,6 +370,18 @@
     CHECK(violationsOf(system, records) == "");
 }
 
+TEST_CASE("processes: an answer that a target gives twice, or late, reaches the caller once and whole", "[process]")
+{
+    cluster system(twoTargets());
+    system.orderFault("target-0", { { "answers_twice", true }, { "answer_late_ms", 2500 } });
+    system.orderFault("target-1", { { "answers_twice", true } });
+    std::vector<caller_record> records;
+    for (int at = 0; at < 12; ++at)
+        records.push_back(system.complete("entry-0", "p" + std::to_string(at), 4, at % 2 == 0));
+    CHECK(badAnswers(records) == "");
+    CHECK(violationsOf(system, records) == "");
+}
+
 TEST_CASE("processes: a version is switched under traffic, and its last ready copy is never taken away", "[process]")
 {
     cluster system(twoTargets());
--- a/tools/measure_capacity.cpp
+++ b/tools/measure_capacity.cpp
@@ -130,8 +130,9 @@
 
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
+    const bool onlyLargest = argc > 1 && std::string(argv[1]) == "largest";
     cluster_spec spec;
     spec.entries = 1;
     spec.targets = { target_spec {} };
@@ -141,6 +142,12 @@
     spec.electionTimeoutMs = 700;
     cluster system(spec);
     std::printf("%8s %10s  %-14s %10s %12s %14s\n", "sessions", "workspaces", "process", "cpu", "memory", "links");
+    if (onlyLargest) {
+        measureSpread(system, 7500, 1);
+        measureRow(system, { 1290, 7500 });
+        measureRow(system, { 2600, 7500 });
+        return 0;
+    }
     measureRow(system, { 0, 2 });
     measureRow(system, { 430, 2 });
     measureRow(system, { 1290, 2 });
--- a/tools/stand_in_target.cpp
+++ b/tools/stand_in_target.cpp
@@ -43,6 +43,10 @@
     std::uint32_t serviceMs = 2;
     std::uint32_t loadMs = 200;
     bool checksFences = true;
+    bool answersTwice = false;
+    std::uint32_t answerLateMs = 0;
+    std::uint32_t cacheEventLagMs = 500;
+    std::uint32_t cacheEventGap = 7; ///< each so-manieth cache event is never told
     std::uint32_t stallAfter = 0; ///< 0: never; else before that token
     std::uint32_t dieAfter = 0;
 };
@@ -126,13 +130,46 @@
         if (known)
             m_recent.erase(found);
         m_recent.push_front(key);
-        if (m_recent.size() > m_entries)
+        if (!known)
+            note("stored", key);
+        if (m_recent.size() > m_entries) {
+            note("evicted", m_recent.back());
             m_recent.pop_back();
+        }
         return known;
     }
 
+    /// Events with a sequence number, as engines publish them: late, and with gaps.
+    json events(steady_time now, milliseconds lag, std::uint32_t gap)
+    {
+        const std::scoped_lock lock(m_mutex);
+        json list = json::array();
+        for (const auto& one : m_events) {
+            if (one.at + lag <= now && (gap == 0 || one.sequence % gap != 0))
+                list.push_back({ { "sequence", one.sequence }, { "event", one.name }, { "prefix", one.key } });
+        }
+        return list;
+    }
+
 private:
+    struct cache_event {
+        std::uint64_t sequence = 0;
+        const char* name = "";
+        std::uint64_t key = 0;
+        steady_time at {};
+    };
+
+    void note(const char* name, std::uint64_t key)
+    {
+        m_events.push_back({ ++m_sequence, name, key, std::chrono::steady_clock::now() });
+        if (m_events.size() > maxEvents)
+            m_events.pop_front();
+    }
+
+    static constexpr std::size_t maxEvents = 256;
     static constexpr std::size_t prefixBytes = 256;
+    std::list<cache_event> m_events;
+    std::uint64_t m_sequence = 0;
     std::mutex m_mutex;
     std::uint32_t m_entries;
     std::list<std::uint64_t> m_recent;
@@ -163,6 +200,10 @@
             respond(exchange, 200, state());
         else if (path == "/engine/order")
             load(request, exchange);
+        else if (path == "/engine/cache_events")
+            respond(exchange, 200,
+                m_cache.events(std::chrono::steady_clock::now(), milliseconds(m_options.cacheEventLagMs),
+                    m_options.cacheEventGap));
         else if (path == "/engine/loaded")
             respond(exchange, 200, loaded());
         else if (path == "/cancel")
@@ -189,7 +230,8 @@
         std::this_thread::sleep_for(std::chrono::microseconds(microseconds));
     }
 
-    /// Faults to order: {"token_ms":..,"stall_after":..,"die_after":..,"ready":..,"service_ms":..}
+    /// Faults to order: {"token_ms":..,"stall_after":..,"die_after":..,"ready":..,"service_ms":..,
+    /// "answers_twice":..,"answer_late_ms":..}
     void order(const http_request& request, http_exchange& exchange)
     {
         const json body = json::parse(request.body, nullptr, false);
@@ -197,6 +239,8 @@
         m_options.stallAfter = body.value("stall_after", m_options.stallAfter);
         m_options.dieAfter = body.value("die_after", m_options.dieAfter);
         m_options.serviceMs = body.value("service_ms", m_options.serviceMs);
+        m_options.answersTwice = body.value("answers_twice", m_options.answersTwice);
+        m_options.answerLateMs = body.value("answer_late_ms", m_options.answerLateMs);
         m_ready = body.value("ready", m_ready.load());
         respond(exchange, 200, json::object());
     }
@@ -306,16 +350,20 @@
         if (!m_cache.touch(text))
             wait(std::uint64_t { m_options.prefillUsPerByte } * text.size());
         exchange.beginStream(200, { { "Content-Type", "text/event-stream" } });
+        wait(std::uint64_t { m_options.answerLateMs } * 1000);
         bool alive = true;
+        std::vector<std::string> answer;
         for (std::uint32_t token = 0; token < limit && alive; ++token) {
             applyFault(token);
             wait(std::uint64_t { m_options.tokenMs } * 1000);
             const std::string word = stand_in::tokenOf(stand_in::runLayers(stand_in::embed(text), 0, m_options.layers));
             text += word;
             const bool last = token + 1 == limit;
-            alive = exchange.writeChunk("data: " + event(word, last, isKServe).dump() + "\n\n")
-                && !isCancelled(id + "/" + attempt);
+            answer.push_back("data: " + event(word, last, isKServe).dump() + "\n\n");
+            alive = exchange.writeChunk(answer.back()) && !isCancelled(id + "/" + attempt);
         }
+        for (std::size_t at = 0; at < answer.size() && alive && m_options.answersTwice; ++at)
+            alive = exchange.writeChunk(answer[at]);
         if (alive && !isKServe)
             exchange.writeChunk("data: [DONE]\n\n");
         exchange.endStream();
