--- a/include/buckthornrail/core/event_code.hpp
+++ b/include/buckthornrail/core/event_code.hpp
@@ -22,7 +22,6 @@
     ChainBuilt = 205,
     GenerationFenced = 206,
     ClaimHeld = 207,
-    FrameDropped = 208,
     WorkStarted = 300,
     WorkFinished = 301,
     WorkCancelled = 302,
--- a/include/buckthornrail/core/result_code.hpp
+++ b/include/buckthornrail/core/result_code.hpp
@@ -43,7 +43,6 @@
     BadChain = 3009,
     FencedGeneration = 3010,
     TargetNotReady = 3011,
-    DuplicateAttempt = 3012,
     StaleFence = 3013,
     TargetFailed = 4001,
     TargetStalled = 4002,
--- a/include/buckthornrail/dispatch/order_keeper.hpp
+++ b/include/buckthornrail/dispatch/order_keeper.hpp
@@ -34,17 +34,14 @@
 };
 
 /// Let no new work start; call workEnded() when none runs.
-struct pause_work {
-};
-struct resume_work {
-};
+struct pause_work { };
+struct resume_work { };
 struct send_order {
     target_order order;
     steady_time deadline {};
 };
 /// Ask the target what it has loaded.
-struct read_target_state {
-};
+struct read_target_state { };
 /// The order has ended.
 struct report_order {
     target_order order;
--- a/src/app/admission_test.cpp
+++ b/src/app/admission_test.cpp
@@ -102,8 +102,7 @@
     CHECK(read->deadline == now + milliseconds(250));
     CHECK(read->call.path == "/tickets/7?a=b");
     CHECK(read->priority == request_priority::High);
-    CHECK(read->call.headers
-        == std::vector<http::header_field> { { "X-Workspace", "b" }, { "Accept", "x" } });
+    CHECK(read->call.headers == std::vector<http::header_field> { { "X-Workspace", "b" }, { "Accept", "x" } });
     request.body = "other";
     CHECK(readCallerRequest(request, {}, now)->digest != read->digest);
 }
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -361,6 +361,8 @@
             telemetry::logEvent(event_code::ConfigurationAccepted,
                 { { "version", std::to_string(result.change.version) }, { "change", result.change.changeId } });
         }
+        if (const auto* batch = std::get_if<transition_batch>(&value->body))
+            logTransitions(*batch);
         const auto waiting = m_commands.find(value->id);
         if (waiting == m_commands.end())
             continue;
@@ -371,6 +373,22 @@
     m_pushNeeded = m_pushNeeded || !entries.empty();
 }
 
+void controller::logTransitions(const transition_batch& batch) const
+{
+    for (const auto& transition : batch.transitions) {
+        const auto& record = transition.record;
+        const bool joins
+            = record.state == membership::instance_state::Joined || record.state == membership::instance_state::Ready;
+        const bool leaves
+            = record.state == membership::instance_state::Draining || record.state == membership::instance_state::Left;
+        if (transition.lossOnly || (!joins && !leaves))
+            continue;
+        telemetry::logEvent(joins ? event_code::InstanceJoined : event_code::InstanceDraining,
+            { { "instance", record.id }, { "state", std::string(nameIn(membership::stateNames, record.state)) },
+                { "domain", record.failureDomain } });
+    }
+}
+
 void controller::releaseConfirmations()
 {
     const steady_time now = steadyNow();
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -95,6 +95,7 @@
     void flush();
     bool persist(const agreement::effects& effects);
     void applyCommitted(const std::vector<agreement::log_entry>& entries);
+    void logTransitions(const transition_batch& batch) const;
     void releaseConfirmations();
     void saveSnapshotWhenDue();
     void resendCommands();
@@ -126,7 +127,6 @@
     std::map<agreement::member_id, open_wish> m_joins;
     std::map<instance_id, steady_time> m_leases; ///< only the leader's counts
     steady_time m_leasesChecked {};
-    std::set<instance_id> m_ownHeard;
     steady_time m_transitionDeadline {}; ///< the batch sent last is given until then
     std::string m_transitionCommand;
     bool m_pushNeeded = false; ///< something was committed since sessions were last sent changes
--- a/src/app/controller_api.cpp
+++ b/src/app/controller_api.cpp
@@ -60,10 +60,10 @@
         orders.push_back({ { "instance", record.instance }, { "fence", record.order.fence },
             { "model", record.order.model }, { "version", record.order.version },
             { "state", nameIn(orderStateNames, record.state) }, { "reason", record.reason } });
-    return { { "orders", orders }, { "self", std::to_string(status.self) }, { "role", nameOf(status.role) }, { "term", status.term },
-        { "commit", status.commit }, { "controllers", members }, { "reachable", status.reachable.size() },
-        { "version", status.version }, { "claims", status.claims }, { "sessions", status.sessions },
-        { "instances", instances } };
+    return { { "orders", orders }, { "self", std::to_string(status.self) }, { "role", nameOf(status.role) },
+        { "term", status.term }, { "commit", status.commit }, { "controllers", members },
+        { "reachable", status.reachable.size() }, { "version", status.version }, { "claims", status.claims },
+        { "sessions", status.sessions }, { "instances", instances } };
 }
 
 /// Operators' requests, run on the HTTP server's threads.
@@ -153,8 +153,8 @@
             refuse(exchange, { result_code::MalformedRequest, "'model' and 'version' must be texts" });
             return;
         }
-        const auto result = commit(
-            order_command { instance, wish["model"].get<std::string>(), wish["version"].get<std::string>() });
+        const auto result
+            = commit(order_command { instance, wish["model"].get<std::string>(), wish["version"].get<std::string>() });
         if (!result || result->outcome.code != result_code::Ok) {
             refuse(exchange, result ? result->outcome : result.error());
             return;
--- a/src/app/entry.cpp
+++ b/src/app/entry.cpp
@@ -341,6 +341,13 @@
     auto& context = active.context;
     const steady_time now = steadyNow();
     settleAttempt(context, active.run.target().instance, wish.previous);
+    if (wish.previousRan) {
+        telemetry::logEvent(event_code::AttemptLost,
+            { { "request", context.request.id }, { "attempt", std::to_string(active.run.attempts()) },
+                { "instance", active.run.target().instance },
+                { "code", std::string(describe(wish.previous.code).name) }, { "reason", wish.previous.reason } },
+            telemetry::severity::Warning);
+    }
     if (wish.previousRan && !m_budgets[context.request.workspace].takeRetry()) {
         note(context.request.id, "no retry: the workspace's retry budget is spent");
         active.run.noTarget({ result_code::RetryBudgetSpent, "" }, now);
--- a/src/buckthornrail/core/result_code.cpp
+++ b/src/buckthornrail/core/result_code.cpp
@@ -52,7 +52,6 @@
     result_info {
         result_code::FencedGeneration, "fenced_generation", 503, 1, "A higher generation of the chain has been seen." },
     result_info { result_code::TargetNotReady, "target_not_ready", 503, 1, "The target isn't ready." },
-    result_info { result_code::DuplicateAttempt, "duplicate_attempt", 503, 1, "The attempt was offered before." },
     result_info { result_code::StaleFence, "stale_fence", 409, 0, "A newer order to the target is known." },
     result_info { result_code::TargetFailed, "target_failed", 502, 1, "The target failed while it ran the request." },
     result_info { result_code::TargetStalled, "target_stalled", 504, 1, "The target stopped making progress." },
--- a/src/buckthornrail/execution/chain_faults_test.cpp
+++ b/src/buckthornrail/execution/chain_faults_test.cpp
@@ -58,7 +58,6 @@
         m_record = {};
         m_record.request = "r1";
         m_record.expected = answerTo("prompt", tokens);
-        m_maxTokens = tokens;
         m_run->start(m_now);
         drive();
         const steady_time end = m_now + std::chrono::seconds(70);
@@ -256,7 +255,6 @@
     std::map<std::string, node> m_nodes;
     std::unique_ptr<chain_run> m_run;
     caller_record m_record;
-    std::uint32_t m_maxTokens = 0;
     std::vector<execution_record> m_executions;
     std::size_t m_messages = 0;
 };
--- a/tests/support/log_world.hpp
+++ b/tests/support/log_world.hpp
@@ -27,9 +27,7 @@
     persistent_state disk;
     std::unique_ptr<replica> process; ///< none while it is down
     std::vector<std::string> applied;
-    std::set<std::string> readsOpen; ///< commands that were known as committed when a read began
     std::map<std::uint64_t, std::set<std::string>> reads;
-    bool blank = true;
 };
 
 /// @brief The world. Faults are drawn from a seed; violations of safety are collected as texts.
