--- a/src/app/entry.hpp
+++ b/src/app/entry.hpp
@@ -150,6 +150,7 @@
 template <typename Runs, typename Event> void entry::driveAll(Runs& runs, Event event)
 {
     std::vector<std::string> all;
+    all.reserve(runs.size());
     for (const auto& [id, active] : runs)
         all.push_back(id);
     for (const auto& id : all)
