--- a/tools/measure_capacity.cpp
+++ b/tools/measure_capacity.cpp
@@ -87,6 +87,7 @@
     std::this_thread::sleep_for(seconds(6));
     const std::vector<std::string> names { system.leader(), "entry-0", "sidecar-0" };
     std::vector<usage> before;
+    before.reserve(names.size());
     for (const auto& name : names)
         before.push_back(usageOf(system, name));
     std::this_thread::sleep_for(seconds(sampleSeconds));
