Take out three functions that nothing calls

Cause: reading the whole change once more. target_gate::moveChannel and setSlots were left over from before followers had their own list and slots came from settings alone; link_hub::openLinks was never used. Change: removed; behaviour as before, no test touched.

--- a/include/buckthornrail/dispatch/target_gate.hpp
+++ b/include/buckthornrail/dispatch/target_gate.hpp
@@ -74,7 +74,6 @@
     void setReady(bool ready) { m_ready = ready; }
     /// @brief No new work from now on; accepted work goes on.
     void drain(bool draining) { m_draining = draining; }
-    void setSlots(std::size_t slots) { m_options.slots = slots; }
 
     [[nodiscard]] bool isDraining() const { return m_draining; }
     [[nodiscard]] std::size_t running() const { return m_started.size(); }
@@ -82,8 +81,6 @@
     [[nodiscard]] std::optional<gate_state> stateOf(const attempt_id& attempt) const;
     /// @brief The channel that an attempt's answer goes to, or 0.
     [[nodiscard]] channel_number channelOf(const attempt_id& attempt) const;
-    /// @brief The answer of an attempt goes to another channel from now on.
-    void moveChannel(const attempt_id& attempt, channel_number channel);
     [[nodiscard]] const gate_options& options() const { return m_options; }
     [[nodiscard]] configuration_version configuration() const { return m_configuration; }
 
--- a/include/buckthornrail/link/link_hub.hpp
+++ b/include/buckthornrail/link/link_hub.hpp
@@ -44,7 +44,6 @@
     void close(channel_number channel);
     /// @brief Accepts no more, and closes all links.
     void stop();
-    [[nodiscard]] std::size_t openLinks() const;
     /// @brief Bytes of messages sent and received so far, for metrics.
     [[nodiscard]] std::uint64_t bytesSent() const;
     [[nodiscard]] std::uint64_t bytesReceived() const;
--- a/src/buckthornrail/dispatch/target_gate.cpp
+++ b/src/buckthornrail/dispatch/target_gate.cpp
@@ -176,13 +176,6 @@
     return found == m_records.end() ? 0 : found->second.channel;
 }
 
-void target_gate::moveChannel(const attempt_id& attempt, channel_number channel)
-{
-    const auto found = m_records.find(attempt);
-    if (found != m_records.end())
-        found->second.channel = channel;
-}
-
 std::optional<failure> target_gate::refusalFor(const attempt_offer& offer, steady_time now) const
 {
     if (m_draining)
--- a/src/buckthornrail/link/link_hub.cpp
+++ b/src/buckthornrail/link/link_hub.cpp
@@ -282,8 +282,6 @@
         state.drop(channel);
 }
 
-std::size_t link_hub::openLinks() const { return m_implementation->links.size(); }
-
 std::uint64_t link_hub::bytesSent() const { return m_implementation->bytesSent; }
 
 std::uint64_t link_hub::bytesReceived() const { return m_implementation->bytesReceived; }
