--- a/include/buckthornrail/agreement/admission.hpp
+++ b/include/buckthornrail/agreement/admission.hpp
@@ -21,4 +21,13 @@
 std::optional<std::vector<member>> nextMembers(
     const replica& leader, std::span<const join_wish> wishes, steady_time now);
 
+/// @brief The members without one that is out of reach, where the log goes on without it just as well.
+///
+/// A dead voter beside an even number of voters tolerates nothing more than one voter fewer would, and costs a vote.
+/// @param replaceable voters out of reach long enough to be replaced
+/// @param droppable members out of reach for longer still
+/// @return the whole new set, or nothing
+std::optional<std::vector<member>> withoutDead(const replica& leader, std::span<const member_id> replaceable,
+    std::span<const member_id> droppable, steady_time now);
+
 } // namespace buckthornrail::agreement
--- a/include/buckthornrail/core/result_code.hpp
+++ b/include/buckthornrail/core/result_code.hpp
@@ -24,6 +24,7 @@
     SlowSender = 1009,
     Unauthorized = 1010,
     NotFound = 1011,
+    HeadTooLarge = 1012,
     NoTarget = 2001,
     Busy = 2002,
     DeadlinePassed = 2003,
--- /dev/null
+++ b/include/buckthornrail/gateway/dialect.hpp
@@ -0,0 +1,104 @@
+/// @file
+/// @brief What an adapter to a platform translates for gateways and their controllers: its names, nothing else.
+#pragma once
+
+#include "buckthornrail/gateway/exchange.hpp"
+#include "buckthornrail/http1/message.hpp"
+
+#include <variant>
+
+namespace buckthornrail::gateway {
+
+/// What a caller's head says, decoded.
+struct caller_head {
+    std::string requestId;
+    std::string key; ///< empty: none
+    std::optional<milliseconds> patience; ///< the caller waits no longer
+    std::optional<std::uint64_t> lastEventId;
+    request_size size;
+};
+
+/// What a gateway adds to a request that it passes on.
+struct forwarding {
+    std::string targetId; ///< any other target at that address refuses
+    std::string workspace; ///< that holds the caller's key; empty: none
+    milliseconds timeLeft { 0 };
+    std::optional<std::uint64_t> lastEventId;
+    std::vector<selected_part> path; ///< empty for a target without layers
+};
+
+/// @brief How a platform's callers and targets speak.
+class traffic_dialect {
+public:
+    traffic_dialect() = default;
+    traffic_dialect(const traffic_dialect&) = delete;
+    traffic_dialect& operator=(const traffic_dialect&) = delete;
+    virtual ~traffic_dialect() = default;
+
+    [[nodiscard]] virtual caller_head readCaller(const http1::request_head& head) const = 0;
+    /// @brief The caller's head as the target gets it.
+    [[nodiscard]] virtual http1::request_head writeForwarded(
+        const http1::request_head& head, const forwarding& added) const = 0;
+    [[nodiscard]] virtual target_answer readAnswer(
+        const http1::response_head& head, const std::string& requestId) const = 0;
+    /// @brief The question which member of a path holds requests up.
+    [[nodiscard]] virtual http1::request_head writeReportCall() const = 0;
+    /// @return address of the member that holds that request up; empty: none
+    [[nodiscard]] virtual std::string readReport(const std::string& body, const std::string& requestId) const = 0;
+    /// @brief Name of the field that tells when to come back, and its value.
+    [[nodiscard]] virtual http1::field writeComeBack(milliseconds wait) const = 0;
+};
+
+/// An operator publishes a document.
+struct publish_call {
+    std::uint64_t version = 0;
+    std::string text; ///< as sent
+};
+/// An operator reads the document that is in force.
+struct read_call { };
+/// A target announces itself, or its end.
+struct announce_call {
+    registry::target_record record;
+};
+/// A call that can't be read.
+struct unreadable_call {
+    int status = 0;
+    std::string reason;
+};
+using control_call = std::variant<publish_call, read_call, announce_call, unreadable_call>;
+
+/// What a target says of itself when asked.
+struct target_report {
+    bool isBusy = false; ///< an order is being carried out
+    std::uint64_t revision = 0; ///< count of orders begun; an order names the one it expects
+    registry::layer_range layers;
+};
+
+/// An order to hold layers.
+struct layer_order {
+    std::string targetId;
+    registry::layer_range layers;
+    std::uint64_t fence = 0; ///< a target that has seen a higher one refuses
+    std::uint64_t expectedRevision = 0;
+};
+
+/// @brief How a platform's operators and targets call controllers, and are called by them.
+class control_dialect {
+public:
+    control_dialect() = default;
+    control_dialect(const control_dialect&) = delete;
+    control_dialect& operator=(const control_dialect&) = delete;
+    virtual ~control_dialect() = default;
+
+    [[nodiscard]] virtual control_call readCall(const http1::request_head& head, const std::string& body) const = 0;
+    /// @return InvalidDocument when the text can't be read or isn't valid
+    [[nodiscard]] virtual tl::expected<route_document, failure> readDocument(const std::string& text) const = 0;
+    /// @brief Body of the answer to an announcement. @param address where to announce from now on; empty: anywhere
+    [[nodiscard]] virtual std::string writeAnnounceAnswer(const std::string& address) const = 0;
+    [[nodiscard]] virtual http1::request_head writeReportCall(const std::string& targetId) const = 0;
+    [[nodiscard]] virtual tl::expected<target_report, failure> readReport(const std::string& body) const = 0;
+    /// @brief Head and body of an order.
+    [[nodiscard]] virtual std::pair<http1::request_head, std::string> writeOrder(const layer_order& order) const = 0;
+};
+
+} // namespace buckthornrail::gateway
--- /dev/null
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -0,0 +1,172 @@
+/// @file
+/// @brief One caller's request from its head to its final answer: attempts, moves, refusals. Without I/O.
+///
+/// The owner feeds events in and carries out what the exchange asks of its port. There is one attempt at a time.
+#pragma once
+
+#include "buckthornrail/core/event_code.hpp"
+#include "buckthornrail/core/log_field.hpp"
+#include "buckthornrail/gateway/repeat_budget.hpp"
+#include "buckthornrail/gateway/target_pool.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace buckthornrail::gateway {
+
+/// What an exchange needs to know of a request.
+struct exchange_request {
+    std::string id; ///< the caller's
+    std::string service;
+    std::shared_ptr<const route_index> document; ///< that the route belongs to
+    const route* chosen = nullptr;
+    steady_time arrived {};
+    steady_time deadline {}; ///< final answer by then: the caller's or the route's, whichever is sooner
+    std::optional<std::uint64_t> lastEventId; ///< the caller has a stream's events up to it
+    request_size size;
+
+    [[nodiscard]] bool mayRepeat() const
+    {
+        return chosen->kind == request_kind::Safe || (chosen->kind == request_kind::Stream && chosen->resumable);
+    }
+    [[nodiscard]] bool isStream() const { return chosen->kind == request_kind::Stream; }
+};
+
+/// What a target's response says, decoded.
+struct target_answer {
+    int status = 0;
+    bool notRun = false; ///< the target states that it did not run the request
+    bool isOwn = false; ///< echoes the request's id, bears the target's mark, and its body isn't re-coded
+    bool isEventStream = false;
+    std::string faultyAddress; ///< of the target that the failure is blamed on; empty: the answering one
+};
+
+/// Why an attempt ended without an answer.
+enum class attempt_loss : std::uint8_t {
+    NotReached, ///< no connection: nothing was written
+    Broken, ///< the connection ended before the answer was whole
+    Garbled, ///< bytes that are no answer to this request
+};
+
+/// What an exchange asks of its surroundings.
+class exchange_port {
+public:
+    exchange_port() = default;
+    exchange_port(const exchange_port&) = delete;
+    exchange_port& operator=(const exchange_port&) = delete;
+    virtual ~exchange_port() = default;
+
+    /// @brief Sends the request to a selection. @param lastEventId a stream goes on after it
+    virtual void openAttempt(
+        std::uint32_t number, const selection& where, std::optional<std::uint64_t> lastEventId)
+        = 0;
+    /// @brief Ends the open attempt; nothing of it may come any more.
+    virtual void cancelAttempt() = 0;
+    /// @brief Asks the first target of the open attempt which member of the path holds it up; onReport() follows.
+    virtual void askForReport() = 0;
+    /// @brief Gives the caller the target's whole response.
+    virtual void passOn() = 0;
+    /// @brief Gives the caller the head of the target's stream.
+    virtual void beginStream() = 0;
+    virtual void passEvent(std::string_view bytes) = 0;
+    virtual void endStream() = 0;
+    /// @brief Ends a stream so that it can't pass for complete.
+    virtual void breakOff() = 0;
+    /// @brief Gives the caller an answer of the gateway's own.
+    virtual void answer(result_code code, ran_state ran, const std::string& reason) = 0;
+    /// @brief Calls onTimer() at a time, instead of the one asked for before.
+    virtual void wakeAt(steady_time when) = 0;
+    virtual void note(event_code event, std::initializer_list<log_field> fields) = 0;
+};
+
+struct exchange_options {
+    /// A path without an event for so long is asked which member holds it up. Events come every 30 ms on a calm day;
+    /// asking is priced like a health check.
+    milliseconds askAfter { 250 };
+    milliseconds askAgainAfter { 200 };
+    /// A first target that doesn't answer the question either is taken for dead.
+    std::uint32_t unansweredAsks = 2;
+    /// A stream without an event for so long is moved even when nobody is to blame: callers leave after 2 s.
+    milliseconds moveAfter { 1300 };
+    /// The same before the first event, when a prompt may wait its turn.
+    milliseconds moveUnstartedAfter { 1500 };
+    /// A safe request without an answer for this part of its latency target is tried elsewhere.
+    double retryPart = 0.7;
+    /// With less time left nothing new is begun: no target could finish.
+    milliseconds shortestUseful { 20 };
+    /// Attempts in all, also where targets ended or refused, which the route's number doesn't count.
+    std::uint32_t mostTries = 6;
+};
+
+/// @ingroup gateway
+class exchange {
+public:
+    exchange(exchange_request request, exchange_port& port, target_pool& pool, repeat_budget& budget,
+        std::size_t gateways, const exchange_options& options = {});
+
+    void start(steady_time now);
+    /// @brief The connection stands and the request's bytes are on their way.
+    void onSent(steady_time now);
+    void onHead(const target_answer& answer, steady_time now);
+    /// @brief The body of an answer that isn't a stream is whole.
+    void onBody(steady_time now);
+    void onEvent(std::string_view bytes, std::optional<std::uint64_t> id, steady_time now);
+    /// @brief The target ended its stream in good order.
+    void onStreamEnd(steady_time now);
+    void onLost(attempt_loss how, steady_time now);
+    /// @param faultyAddress of the member that holds the request up; empty: none, or nobody answered
+    void onReport(bool answered, const std::string& faultyAddress, steady_time now);
+    void onTimer(steady_time now);
+    void onCallerGone(steady_time now);
+
+    [[nodiscard]] bool isOver() const { return m_over; }
+    [[nodiscard]] const exchange_request& request() const { return m_request; }
+
+private:
+    /// How an attempt ended, for the decision what comes next.
+    struct attempt_end {
+        ran_state ran = ran_state::Unknown;
+        bool targetEnded = false; ///< dead or cut off: doesn't count against the route's attempts
+        std::string reason;
+    };
+
+    void tryNext(const attempt_end& last, steady_time now);
+    [[nodiscard]] std::string whyNoRepeat(const attempt_end& last, steady_time now);
+    void open(const selection& where, steady_time now);
+    void closeAttempt();
+    void giveUp(const std::string& reason, steady_time now);
+    void finish(result_code code, ran_state ran, const std::string& reason, steady_time now);
+    void scheduleWake(steady_time now);
+    void blameFirst(steady_time now);
+    void blame(const std::string& targetId, bool dark, steady_time now);
+    [[nodiscard]] bool hasPath() const { return !m_where.parts.empty() && !m_where.parts.front().layers.isEmpty(); }
+    [[nodiscard]] std::string describe(const selection& where) const;
+
+    exchange_request m_request;
+    exchange_port& m_port;
+    target_pool& m_pool;
+    repeat_budget& m_budget;
+    std::size_t m_gateways;
+    exchange_options m_options;
+    selection m_where;
+    std::set<std::string> m_excluded;
+    std::optional<std::uint64_t> m_lastEventId;
+    std::optional<target_answer> m_answer; ///< head of the open attempt
+    bool m_attemptOpen = false;
+    bool m_sent = false; ///< bytes of the open attempt may have reached its target
+    bool m_streamBegun = false; ///< the caller has a head
+    bool m_mayHaveRun = false; ///< in any attempt
+    bool m_over = false;
+    std::uint32_t m_tries = 0;
+    std::uint32_t m_countedAttempts = 0; ///< against the route's number
+    std::uint32_t m_openAsks = 0;
+    std::size_t m_events = 0;
+    steady_time m_attemptStart {};
+    steady_time m_askAt {};
+    steady_time m_moveAt {};
+    steady_time m_lastEventAt {};
+    milliseconds m_longestGap { 0 };
+    milliseconds m_firstEvent { 0 };
+};
+
+} // namespace buckthornrail::gateway
--- /dev/null
+++ b/include/buckthornrail/gateway/repeat_budget.hpp
@@ -0,0 +1,42 @@
+/// @file
+/// @brief How many requests a gateway may send a second time, out of a budget that all gateways share.
+#pragma once
+
+#include "buckthornrail/core/clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace buckthornrail::gateway {
+
+struct repeat_budget_options {
+    double ratio = 0.2; ///< repeats for each request, from the operators
+    double slack = 100; ///< repeats in a window besides, of all gateways together
+    milliseconds window { 10000 };
+    /// Part of the budget that is used: requests are counted by others at slightly other moments.
+    double part = 0.7;
+};
+
+/// @brief Counts requests and repeats of one service over a sliding window. Callers pass the time in.
+class repeat_budget {
+public:
+    explicit repeat_budget(const repeat_budget_options& options)
+        : m_options(options)
+    {
+    }
+
+    void noteRequest(steady_time now);
+    /// @brief Takes one repeat out of the budget. @param gateways that share it
+    /// @return false when it is spent
+    bool take(std::size_t gateways, steady_time now);
+
+private:
+    void drop(steady_time now);
+
+    repeat_budget_options m_options;
+    std::deque<steady_time> m_requestsEnd; ///< when each request leaves the window
+    std::deque<steady_time> m_repeatsEnd;
+};
+
+} // namespace buckthornrail::gateway
--- /dev/null
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -0,0 +1,116 @@
+/// @file
+/// @brief The targets that a gateway may send to: what the controllers say of them, and what it has seen itself.
+#pragma once
+
+#include "buckthornrail/gateway/layer_path.hpp"
+#include "buckthornrail/gateway/route_document.hpp"
+
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace buckthornrail::gateway {
+
+/// A target that was picked, with the layers that it is to run.
+struct selected_part {
+    std::string targetId;
+    std::string address;
+    registry::layer_range layers; ///< empty for a service without layers
+    bool operator==(const selected_part&) const = default;
+};
+
+/// Where one attempt goes: the first part takes the request.
+struct selection {
+    std::vector<selected_part> parts;
+    std::string summary; ///< for logs: how many were to be had, and what the choice is expected to cost
+};
+
+/// Tokens that a request brings, as far as it says.
+struct request_size {
+    double promptTokens = 0;
+    double answerTokens = 0;
+};
+
+struct pool_options {
+    std::string ownDomain; ///< of the gateway
+    /// A target that failed is left alone for so long; the pause doubles with each failure in a row. Controllers tell
+    /// of a lost one within about four seconds, so the first pauses bridge that time.
+    milliseconds firstPause { 1000 };
+    milliseconds longestPause { 8000 };
+    /// A target that was named as dark is left alone until controllers have surely noticed.
+    milliseconds darkPause { 5000 };
+    /// A full target is left alone for so long: a few steps of an engine.
+    milliseconds fullPause { 100 };
+};
+
+/// @brief Picks targets by what a request would take there. Callers pass the time in.
+class target_pool {
+public:
+    target_pool(pool_options options, std::uint64_t seed);
+
+    /// @brief Takes the controllers' table over.
+    void update(const std::map<std::string, registry::target_record>& records);
+    /// @brief How the engines of a service work.
+    void setEngine(const std::string& service, const std::optional<layered_engine>& engine);
+    /// @brief How many gateways share the targets; each is taken to bring the same load.
+    void setGateways(std::size_t count) { m_gateways = std::max<std::size_t>(count, 1); }
+
+    /// @brief Picks a target, or a path over several.
+    /// @param excluded ids of targets not to use
+    /// @return nothing when no ready target, or no path over all layers, is left
+    std::optional<selection> select(
+        const std::string& service, const std::set<std::string>& excluded, steady_time now);
+
+    /// @brief Counts an attempt at its targets, and out again.
+    void began(const selection& chosen, const request_size& size);
+    void ended(const selection& chosen, const request_size& size);
+
+    /// @brief The target answered. @param answerMs how long that took, for targets without layers
+    void succeeded(const std::string& targetId, double answerMs);
+    /// @brief The target failed an attempt.
+    void failed(const std::string& targetId, steady_time now);
+    /// @brief The target takes nothing just now.
+    void wasFull(const std::string& targetId, steady_time now);
+    /// @brief The target is dead or cut off.
+    void wentDark(const std::string& targetId, steady_time now);
+    /// @brief Targets that went dark since the last call.
+    std::vector<std::string> takeDark() { return std::exchange(m_newlyDark, {}); }
+    /// @brief Id of the target at an address; empty when there is none.
+    [[nodiscard]] std::string idAt(const std::string& address) const;
+    /// @brief Targets of a service that take new work.
+    [[nodiscard]] std::size_t readyCount(const std::string& service) const;
+
+private:
+    struct pool_target {
+        registry::target_record record;
+        std::size_t domain = 0;
+        double sequences = 0; ///< attempts of this gateway in flight
+        double tokenLayers = 0; ///< key-value memory that they need, in tokens times layers
+        double answerMs = 0; ///< moving average; 0: not known
+        std::size_t failuresInRow = 0;
+        steady_time avoidUntil {};
+        double stepFactor = 1;
+        double memoryTokenLayers = 0; ///< room for requests, at the layers held now
+    };
+
+    std::optional<selection> selectPath(
+        const std::string& service, const layered_engine& engine, const std::set<std::string>& excluded, steady_time now);
+    std::optional<selection> selectOne(
+        const std::string& service, const std::set<std::string>& excluded, steady_time now);
+    [[nodiscard]] std::vector<pool_target*> usable(
+        const std::string& service, const std::set<std::string>& excluded, bool evenAvoided, steady_time now);
+    [[nodiscard]] double msPerLayer(const pool_target& target, const layered_engine& engine) const;
+    [[nodiscard]] std::size_t domainNumber(const std::string& name);
+    void describeAccelerator(pool_target& target) const;
+
+    pool_options m_options;
+    std::mt19937_64 m_random;
+    std::size_t m_gateways = 1;
+    std::map<std::string, pool_target> m_targets;
+    std::map<std::string, layered_engine> m_engines;
+    std::vector<std::string> m_newlyDark;
+    std::vector<std::string> m_domains; ///< the own one first
+};
+
+} // namespace buckthornrail::gateway
--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -9,6 +9,7 @@
 #include "buckthornrail/dispatch/order_keeper.hpp"
 #include "buckthornrail/execution/stage_guard.hpp"
 #include "buckthornrail/membership/membership_table.hpp"
+#include "buckthornrail/registry/target_record.hpp"
 
 #include <tl/expected.hpp>
 #include <variant>
@@ -142,13 +143,48 @@
     std::string reason;
 };
 
+/// Gateway to controller, each heartbeat period: what it holds and what it has seen.
+struct gateway_beat {
+    instance_id instance;
+    std::uint64_t sequence = 0;
+    std::uint64_t documentVersion = 0;
+    std::uint64_t targetRevision = 0;
+    std::vector<std::string> darkTargets; ///< ids of targets that were dead or cut off for it since the last beat
+};
+
+/// A text, whole or as what differs from an earlier one.
+struct text_update {
+    std::uint64_t from = 0; ///< version that the receiver must hold; 0: `middle` is the whole text
+    std::uint64_t to = 0;
+    std::uint64_t keptFront = 0; ///< bytes taken over from the beginning of the earlier text
+    std::uint64_t keptBack = 0; ///< and from its end
+    std::string middle;
+};
+
+/// Controller to gateway. Sent after a quorum has confirmed the controller, or with what has just been committed.
+struct gateway_update {
+    std::uint64_t sequence = 0; ///< of the beat that this answers; 0: none
+    bool leads = false; ///< false: nothing else holds but `leader`
+    std::string leader; ///< link address; empty: not known
+    std::vector<text_update> document; ///< at most one: nothing to change
+    std::vector<registry::target_delta> targets; ///< the same
+    std::vector<std::string> controllers; ///< link addresses of all members
+    std::uint32_t gateways = 1; ///< that have a session now
+};
+
+/// Member of the controllers to their leader: a target's heartbeat came here.
+struct target_heard {
+    std::string id;
+    std::uint64_t sequence = 0;
+};
+
 using message = std::variant<link_hello, link_welcome, session_announce, session_heartbeat, session_ack,
     configuration_page, membership::membership_delta, claim_request, claim_reply, forward_command, lease_report,
     join_request, controller_hello, agreement::peer_message, dispatch::attempt_offer, dispatch::attempt_accepted,
     dispatch::attempt_refused, dispatch::attempt_started, dispatch::answer_frame, dispatch::answer_end,
     dispatch::attempt_revoke, dispatch::revoke_reply, dispatch::answer_attach, dispatch::attach_reply,
     dispatch::load_report, execution::stage_step, stage_fence, stage_fenced, stage_close, stage_token, stage_failed,
-    order_report>;
+    order_report, gateway_beat, gateway_update, target_heard>;
 
 /// @brief A message as CBOR, with the protocol version and its type.
 std::string encode(const message& value);
--- a/include/buckthornrail/link/state_json.hpp
+++ b/include/buckthornrail/link/state_json.hpp
@@ -8,6 +8,7 @@
 #include "buckthornrail/dispatch/order_keeper.hpp"
 #include "buckthornrail/link/checked_enum.hpp"
 #include "buckthornrail/membership/membership_table.hpp"
+#include "buckthornrail/registry/target_record.hpp"
 
 namespace nlohmann {
 
@@ -40,6 +41,11 @@
     : buckthornrail::link::checked_enum<buckthornrail::membership::target_kind,
           buckthornrail::membership::target_kind::PlainService> {
 };
+template <>
+struct adl_serializer<buckthornrail::registry::target_state>
+    : buckthornrail::link::checked_enum<buckthornrail::registry::target_state,
+          buckthornrail::registry::target_state::Lost> {
+};
 
 } // namespace nlohmann
 
@@ -56,6 +62,13 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(transition, record, lossOnly)
 } // namespace membership
 
+namespace registry {
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(layer_range, first, end)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_record, id, service, address, failureDomain, accelerator, slots, state, layers,
+    sequence, revision)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_delta, from, to, full, records)
+} // namespace registry
+
 namespace dispatch {
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_key, workspace, key)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_holder, attempt, instance, incarnation)
--- a/include/buckthornrail/settings/settings.hpp
+++ b/include/buckthornrail/settings/settings.hpp
@@ -14,12 +14,14 @@
 
 namespace buckthornrail::settings {
 
-enum class process_role : std::uint8_t { Entry = 1, Sidecar = 2, Controller = 4 };
+enum class process_role : std::uint8_t { Entry = 1, Sidecar = 2, Controller = 4, Gateway = 8, Registry = 16 };
 
 inline constexpr std::array processRoleNames {
     enum_name<process_role> { process_role::Entry, "entry" },
     enum_name<process_role> { process_role::Sidecar, "sidecar" },
     enum_name<process_role> { process_role::Controller, "controller" },
+    enum_name<process_role> { process_role::Gateway, "gateway" },
+    enum_name<process_role> { process_role::Registry, "registry" },
 };
 
 /// All settings of all roles; a role uses those that its rules name. Periods are in milliseconds.
@@ -44,6 +46,17 @@
     std::uint32_t progressTimeoutMs = 5000;
     std::uint32_t claimRetentionSeconds = 3600;
 
+    std::string gatewayAddress;
+    double repeatRatio = 0.2; ///< repeats for each request, over all gateways
+    std::uint32_t repeatSlack = 100; ///< repeats in a window besides
+    std::uint32_t repeatWindowSeconds = 10;
+    std::uint32_t graceSeconds = 8; ///< from SIGTERM to the end of the process
+
+    std::string bootstrap = "false";
+    std::uint32_t targetHeartbeatMs = 1200;
+    std::uint32_t linkPort = 0; ///< 0: the addresses' own
+    std::uint32_t linkKeepAliveMs = 2000;
+
     std::string targetKind;
     std::string targetAddress;
     std::string model;
@@ -72,9 +85,9 @@
 };
 
 using setting_member
-    = std::variant<std::string settings::*, std::uint32_t settings::*, std::vector<std::string> settings::*>;
+    = std::variant<std::string settings::*, std::uint32_t settings::*, std::vector<std::string> settings::*, double settings::*>;
 
-enum class value_form : std::uint8_t { Text, Address, AddressList, Number, Choice };
+enum class value_form : std::uint8_t { Text, Address, AddressList, Number, Choice, Fraction };
 
 /// One key: where it stands, which roles know it, and what values it takes.
 struct setting_rule {
--- a/include/buckthornrail/storage/log_store.hpp
+++ b/include/buckthornrail/storage/log_store.hpp
@@ -31,6 +31,9 @@
     tl::expected<void, failure> saveSnapshot(const agreement::snapshot& base, const agreement::hard_state& hard,
         const std::vector<agreement::log_entry>& entriesAfter);
 
+    /// @brief Writes an empty record, to learn whether the device takes bytes again.
+    tl::expected<void, failure> probe();
+
 private:
     storage_device& m_device;
     agreement::hard_state m_hard;
--- a/include/buckthornrail/telemetry/log.hpp
+++ b/include/buckthornrail/telemetry/log.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "buckthornrail/core/event_code.hpp"
+#include "buckthornrail/core/log_field.hpp"
 
 #include <initializer_list>
 #include <string>
@@ -10,16 +11,20 @@
 
 namespace buckthornrail::telemetry {
 
-/// One "name=value" of a log line.
-struct log_field {
-    std::string_view name;
-    std::string value;
+enum class severity { Info, Warning, Error };
+
+/// Bounds of the log's volume.
+struct log_bounds {
+    std::size_t linesPerSecond = 400; ///< more are counted and left out
+    std::size_t pendingBytes = 256U << 10U; ///< that a reader who is too slow may leave; the same
 };
 
-enum class severity { Info, Warning, Error };
+/// @brief Starts logging to standard output. Lines are written by flushLog(), never blocking.
+/// @param level "info", "warning" or "error"
+void startLog(const std::string& level, const log_bounds& bounds = {});
 
-/// @brief Starts logging to standard error. @param level "info", "warning" or "error"
-void startLog(const std::string& program, const std::string& level);
+/// @brief Writes what has gathered, as far as the reader takes it. Call it often; callable from any thread.
+void flushLog();
 
 /// @brief Writes "E<number> <name> field=value ...".
 void logEvent(event_code event, std::initializer_list<log_field> fields, severity level = severity::Info);
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -2,8 +2,8 @@
 # Installs what building and testing need on Debian 12. Does nothing when all is there.
 set -eu
 packages="g++ cmake ninja-build pkg-config clang-format clang-tidy curl
-  libcivetweb-dev libcpp-httplib-dev libwebsocketpp-dev libasio-dev nlohmann-json3-dev
-  prometheus-cpp-dev libtclap-dev libgoogle-glog-dev libgflags-dev libexpected-dev libinih-dev libxxhash-dev
+  libcivetweb-dev libcpp-httplib-dev libwebsocketpp-dev libasio-dev libboost-dev nlohmann-json3-dev
+  prometheus-cpp-dev libtclap-dev libexpected-dev libinih-dev libxxhash-dev
   catch2 libtrompeloeil-cpp-dev librapidcheck-dev libbenchmark-dev"
 missing=""
 for package in $packages; do
--- /dev/null
+++ b/src/app/caller_channel.cpp
@@ -0,0 +1,170 @@
+/// @file
+/// @brief Reading requests off a caller's connection.
+#include "app/caller_channel.hpp"
+
+namespace buckthornrail::app {
+namespace {
+
+/// Bytes of later requests that are taken in while one is served; then the connection is read no more.
+constexpr std::size_t mostBytesAhead = 64U << 10U;
+
+http1::parser_limits parserLimits(const gateway::caller_limits& limits)
+{
+    return { limits.maxHeadBytes, limits.maxBodyBytes };
+}
+
+} // namespace
+
+caller_channel::caller_channel(gateway_role& gateway, net::channel_pointer channel)
+    : m_gateway(gateway)
+    , m_channel(std::move(channel))
+    , m_parser(parserLimits(gateway.limits()))
+    , m_patience(gateway.loop())
+{
+}
+
+void caller_channel::begin()
+{
+    const std::weak_ptr<caller_channel> weak = weak_from_this();
+    m_channel->setHandlers({
+        nullptr,
+        [weak](std::string_view bytes) {
+            if (const auto self = weak.lock())
+                self->onBytes(bytes);
+        },
+        [weak] {
+            const auto self = weak.lock();
+            if (self && self->m_call)
+                self->m_call->drained();
+        },
+        [weak](net::channel_end) {
+            if (const auto self = weak.lock())
+                self->onEnded();
+        },
+    });
+    awaitIdle();
+}
+
+bool caller_channel::keepsAlive() const { return m_callerKeepsAlive && !m_gateway.context().isStopping; }
+
+void caller_channel::onBytes(std::string_view bytes)
+{
+    if (m_ended)
+        return;
+    if (!m_requestBegun && !m_call) {
+        m_requestBegun = true;
+        m_firstByte = steadyNow();
+        const std::weak_ptr<caller_channel> weak = weak_from_this();
+        m_patience.set(m_firstByte + m_gateway.limits().headPatience, [weak] {
+            const auto self = weak.lock();
+            if (self && !self->m_call)
+                self->refuse(result_code::SlowSender);
+        });
+    }
+    m_parser.put(bytes);
+    if (m_call) {
+        if (m_parser.leftOver() > mostBytesAhead)
+            m_channel->setReading(false);
+        return;
+    }
+    advance();
+}
+
+void caller_channel::advance()
+{
+    const auto state = m_parser.state();
+    if (state == http1::parse_state::Bad) {
+        const auto fault = m_parser.fault();
+        refuse(fault == http1::parse_fault::HeadTooLarge  ? result_code::HeadTooLarge
+                : fault == http1::parse_fault::BodyTooLarge ? result_code::BodyTooLarge
+                                                            : result_code::MalformedRequest);
+        return;
+    }
+    if (state == http1::parse_state::Body && m_parser.head().expectsContinue && !m_toldContinue) {
+        m_toldContinue = true;
+        m_channel->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (state == http1::parse_state::Done)
+        startCall();
+}
+
+void caller_channel::startCall()
+{
+    m_patience.cancel();
+    m_callerKeepsAlive = m_parser.head().keepAlive;
+    m_call = std::make_shared<gateway_call>(m_gateway.context(), *this, m_parser.head(), m_parser.takeBody());
+    const auto keep = m_call;
+    keep->start(m_firstByte);
+}
+
+void caller_channel::finished(bool broken)
+{
+    const bool goesOn = !broken && keepsAlive();
+    const std::weak_ptr<caller_channel> weak = weak_from_this();
+    // The call is still on the stack.
+    m_gateway.loop().post([weak, goesOn] {
+        const auto self = weak.lock();
+        if (!self || self->m_ended)
+            return;
+        self->m_call = nullptr;
+        if (!goesOn) {
+            self->close();
+            return;
+        }
+        self->m_requestBegun = self->m_parser.leftOver() > 0;
+        self->m_firstByte = steadyNow();
+        self->m_toldContinue = false;
+        self->m_channel->setReading(true);
+        self->m_parser.next();
+        self->awaitIdle();
+        self->advance();
+    });
+}
+
+void caller_channel::refuse(result_code code)
+{
+    const auto& info = describe(code);
+    telemetry::logEvent(event_code::CallRefused,
+        { { "code", std::to_string(static_cast<int>(code)) }, { "reason", std::string(info.name) } });
+    const auto response = net::plainResponse(
+        info.httpStatus, "{\"name\":\"" + std::string(info.name) + "\",\"ran\":\"no\"}");
+    m_channel->write(http1::formatResponse(response.head, response.body, false));
+    close();
+}
+
+void caller_channel::awaitIdle()
+{
+    const std::weak_ptr<caller_channel> weak = weak_from_this();
+    m_patience.set(steadyNow() + m_gateway.limits().idlePatience, [weak] {
+        const auto self = weak.lock();
+        if (self && !self->m_call)
+            self->close();
+    });
+}
+
+void caller_channel::onEnded()
+{
+    if (std::exchange(m_ended, true))
+        return;
+    m_patience.cancel();
+    const auto call = std::exchange(m_call, nullptr);
+    if (call)
+        call->callerGone();
+    m_gateway.channelEnded(shared_from_this());
+}
+
+void caller_channel::close()
+{
+    if (m_ended)
+        return;
+    m_channel->closeAfterWrite();
+    onEnded();
+}
+
+void caller_channel::drop()
+{
+    m_channel->abort(false);
+    onEnded();
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/caller_channel.hpp
@@ -0,0 +1,44 @@
+/// @file
+/// @brief One caller's connection at a gateway: requests one after the other.
+#pragma once
+
+#include "app/gateway.hpp"
+
+namespace buckthornrail::app {
+
+/// @brief Lives on the loop thread.
+class caller_channel : public call_sink, public std::enable_shared_from_this<caller_channel> {
+public:
+    caller_channel(gateway_role& gateway, net::channel_pointer channel);
+
+    void begin();
+    /// @brief Ends the connection at once, with the process.
+    void drop();
+
+    [[nodiscard]] bool keepsAlive() const override;
+    void write(std::string_view bytes) override { m_channel->write(bytes); }
+    [[nodiscard]] std::size_t pendingBytes() const override { return m_channel->pendingBytes(); }
+    void finished(bool broken) override;
+
+private:
+    void onBytes(std::string_view bytes);
+    void onEnded();
+    void advance();
+    void startCall();
+    void refuse(result_code code);
+    void awaitIdle();
+    void close();
+
+    gateway_role& m_gateway;
+    net::channel_pointer m_channel;
+    http1::request_parser m_parser;
+    std::shared_ptr<gateway_call> m_call;
+    steady_time m_firstByte {}; ///< of the request that is arriving
+    bool m_requestBegun = false;
+    bool m_toldContinue = false;
+    bool m_callerKeepsAlive = true;
+    bool m_ended = false;
+    net::loop_timer m_patience;
+};
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/gateway.cpp
@@ -0,0 +1,174 @@
+/// @file
+/// @brief Wiring of a gateway.
+#include "app/gateway.hpp"
+
+#include "app/caller_channel.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::app {
+namespace {
+
+/// After SIGTERM callers are led here until the balancer has missed two checks, one a second.
+constexpr milliseconds rotationTime { 3200 };
+constexpr milliseconds stopCheckPeriod { 50 };
+/// Left of the time that the platform grants for ending, for the process itself.
+constexpr milliseconds exitReserve { 400 };
+
+gateway::pool_options poolOptions(const settings::settings& settings)
+{
+    gateway::pool_options options;
+    options.ownDomain = settings.failureDomain;
+    return options;
+}
+
+gateway::repeat_budget_options budgetOptions(const settings::settings& settings)
+{
+    gateway::repeat_budget_options options;
+    options.ratio = settings.repeatRatio;
+    options.slack = settings.repeatSlack;
+    options.window = std::chrono::seconds(settings.repeatWindowSeconds);
+    return options;
+}
+
+} // namespace
+
+gateway_role::gateway_role(link::event_loop& loop, const settings::settings& settings,
+    const gateway::traffic_dialect& traffic, const gateway::control_dialect& control, telemetry::metrics& metrics)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_control(control)
+    , m_context { loop, traffic, metrics, gateway::target_pool(poolOptions(settings), randomNumber()),
+        budgetOptions(settings), {}, nullptr, 1, std::mt19937_64(randomNumber()) }
+    , m_listener(loop, [this](net::channel_pointer channel) { onChannel(std::move(channel)); })
+    , m_health(loop, [this](const net::whole_request& request, const net::responder& respond) {
+        onHealthCall(request, respond);
+    })
+    , m_session(loop, settings,
+          gateway_session_callbacks {
+              [this](const versioned_text& document) { onDocument(document); },
+              [this](const registry::target_view& targets) { onTargets(targets); },
+              [this] { return m_context.pool.takeDark(); },
+          })
+{
+}
+
+gateway_role::~gateway_role()
+{
+    const auto channels = m_channels;
+    for (const auto& channel : channels)
+        channel->drop();
+}
+
+tl::expected<void, failure> gateway_role::start()
+{
+    if (m_health.listen(m_settings.httpAddress) == 0)
+        return tl::make_unexpected(failure { result_code::BadSettings, "can't listen on " + m_settings.httpAddress });
+    if (m_listener.listen(m_settings.gatewayAddress) == 0)
+        return tl::make_unexpected(
+            failure { result_code::BadSettings, "can't listen on " + m_settings.gatewayAddress });
+    return {};
+}
+
+void gateway_role::stop(std::function<void()> done)
+{
+    if (m_context.isStopping)
+        return;
+    m_context.isStopping = true;
+    m_stopped = std::move(done);
+    const auto now = steadyNow();
+    m_earliestStop = now + rotationTime;
+    m_latestStop = now + std::max(milliseconds(std::chrono::seconds(m_settings.graceSeconds)) - exitReserve, rotationTime);
+    m_stopCheck = std::make_unique<periodic_task>(m_loop, stopCheckPeriod, [this] { checkStopped(); });
+}
+
+void gateway_role::checkStopped()
+{
+    const auto now = steadyNow();
+    const bool isDone = now >= m_earliestStop && m_context.openCalls == 0;
+    if ((isDone || now >= m_latestStop) && m_stopped)
+        std::exchange(m_stopped, nullptr)();
+}
+
+gateway::caller_limits gateway_role::limits() const
+{
+    return m_context.document ? m_context.document->document().limits : gateway::caller_limits {};
+}
+
+void gateway_role::onChannel(net::channel_pointer channel)
+{
+    auto caller = std::make_shared<caller_channel>(*this, std::move(channel));
+    m_channels.insert(caller);
+    caller->begin();
+}
+
+void gateway_role::onDocument(const versioned_text& document)
+{
+    auto read = m_control.readDocument(document.text);
+    if (!read) {
+        telemetry::logEvent(event_code::ConfigurationRejected,
+            { { "version", std::to_string(document.version) }, { "reason", read.error().reason } },
+            telemetry::severity::Error);
+        return;
+    }
+    m_context.document = std::make_shared<gateway::route_index>(std::move(*read));
+    std::set<std::string> engines;
+    for (const auto& service : m_context.document->document().services) {
+        m_context.pool.setEngine(service.name, service.engine);
+        if (service.engine)
+            engines.insert(service.name);
+    }
+    for (const auto& name : m_engines) {
+        if (!engines.contains(name))
+            m_context.pool.setEngine(name, std::nullopt);
+    }
+    m_engines = std::move(engines);
+    telemetry::logEvent(event_code::ConfigurationApplied,
+        { { "version", std::to_string(document.version) },
+            { "routes", std::to_string(m_context.document->document().routes.size()) } });
+}
+
+void gateway_role::onTargets(const registry::target_view& targets)
+{
+    m_context.pool.update(targets.records());
+    m_context.gateways = m_session.gateways();
+    m_context.pool.setGateways(m_context.gateways);
+    m_context.metrics.gauge("target_revision", static_cast<double>(targets.revision()));
+}
+
+void gateway_role::onHealthCall(const net::whole_request& request, const net::responder& respond)
+{
+    if (request.head.target == "/metrics") {
+        respond(net::plainResponse(200, m_context.metrics.text(), "text/plain"));
+        return;
+    }
+    respond(net::plainResponse(isReady() ? 200 : 503, isReady() ? "ready\n" : "not ready\n", "text/plain"));
+}
+
+int runGateway(const settings::settings& settings, const gateway::traffic_dialect& traffic,
+    const gateway::control_dialect& control)
+{
+    link::event_loop loop;
+    telemetry::metrics metrics;
+    std::unique_ptr<gateway_role> role;
+    const signal_watch watch(loop, [&] {
+        telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
+        role->stop([&loop] { loop.stop(); });
+    });
+    role = std::make_unique<gateway_role>(loop, settings, traffic, control, metrics);
+    if (const auto started = role->start(); !started) {
+        telemetry::logEvent(event_code::SettingsRejected, { { "reason", started.error().reason } },
+            telemetry::severity::Error);
+        return exitFailure;
+    }
+    telemetry::logEvent(event_code::ProcessStarted,
+        { { "role", "gateway" }, { "instance", settings.id }, { "address", settings.gatewayAddress },
+            { "http", settings.httpAddress } });
+    const periodic_task logs(loop, milliseconds(100), [] { telemetry::flushLog(); });
+    loop.run();
+    role.reset();
+    telemetry::logEvent(event_code::ProcessStopped, { { "instance", settings.id } });
+    return exitOk;
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/gateway.hpp
@@ -0,0 +1,59 @@
+/// @file
+/// @brief The gateway role: callers in front, targets behind, without sidecars.
+#pragma once
+
+#include "app/gateway_call.hpp"
+#include "app/gateway_session.hpp"
+
+#include <set>
+
+namespace buckthornrail::app {
+
+class caller_channel;
+
+/// @brief Lives on the loop thread.
+class gateway_role {
+public:
+    gateway_role(link::event_loop& loop, const settings::settings& settings, const gateway::traffic_dialect& traffic,
+        const gateway::control_dialect& control, telemetry::metrics& metrics);
+    gateway_role(const gateway_role&) = delete;
+    gateway_role& operator=(const gateway_role&) = delete;
+    ~gateway_role();
+
+    tl::expected<void, failure> start();
+    /// @brief Not ready at once; work in flight ends; then calls `done`.
+    void stop(std::function<void()> done);
+
+    [[nodiscard]] gateway_context& context() { return m_context; }
+    [[nodiscard]] link::event_loop& loop() { return m_loop; }
+    [[nodiscard]] gateway::caller_limits limits() const;
+    void channelEnded(const std::shared_ptr<caller_channel>& channel) { m_channels.erase(channel); }
+
+private:
+    void onChannel(net::channel_pointer channel);
+    void onDocument(const versioned_text& document);
+    void onTargets(const registry::target_view& targets);
+    void onHealthCall(const net::whole_request& request, const net::responder& respond);
+    void checkStopped();
+    [[nodiscard]] bool isReady() const { return m_context.document != nullptr && !m_context.isStopping; }
+
+    link::event_loop& m_loop;
+    const settings::settings& m_settings;
+    const gateway::control_dialect& m_control;
+    gateway_context m_context;
+    std::set<std::string> m_engines; ///< services that the pool knows an engine of
+    std::set<std::shared_ptr<caller_channel>> m_channels;
+    net::tcp_listener m_listener;
+    net::http_service m_health;
+    gateway_session m_session;
+    std::function<void()> m_stopped;
+    steady_time m_earliestStop {}; ///< callers are still led here until then
+    steady_time m_latestStop {};
+    std::unique_ptr<periodic_task> m_stopCheck;
+};
+
+/// @brief Runs the role until SIGTERM. @return the exit status
+int runGateway(const settings::settings& settings, const gateway::traffic_dialect& traffic,
+    const gateway::control_dialect& control);
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/gateway_call.cpp
@@ -0,0 +1,351 @@
+/// @file
+/// @brief Carrying out what an exchange asks for.
+#include "app/gateway_call.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::app {
+namespace {
+
+/// A connection that doesn't stand by then is given up; nothing has been written. Domains are 0.6 ms apart, and a target
+/// takes 1 ms for a new connection.
+constexpr milliseconds connectPatience { 150 };
+constexpr milliseconds reportPatience { 200 };
+/// Unread bytes at a caller from which on its target is read no more.
+constexpr std::size_t mostPendingBytes = 128U << 10U;
+constexpr gateway::exchange_options exchangeOptions {};
+constexpr http1::parser_limits responseLimits { 32U << 10U, 64U << 20U };
+/// When to come back after a refusal: a path that was lost is whole again after about three seconds.
+constexpr milliseconds noTargetPause { 1500 };
+constexpr milliseconds busyPause { 300 };
+
+milliseconds pauseFor(result_code code)
+{
+    return code == result_code::NoTarget || code == result_code::NoConfiguration ? noTargetPause : busyPause;
+}
+
+} // namespace
+
+gateway_call::gateway_call(gateway_context& context, call_sink& sink, http1::request_head head, std::string body)
+    : m_context(context)
+    , m_sink(&sink)
+    , m_head(std::move(head))
+    , m_body(std::move(body))
+    , m_timer(context.loop)
+    , m_connectTimer(context.loop)
+{
+    ++m_context.openCalls;
+}
+
+gateway_call::~gateway_call()
+{
+    cancelAttempt();
+    --m_context.openCalls;
+}
+
+void gateway_call::start(steady_time arrived)
+{
+    m_arrived = arrived;
+    m_caller = m_context.dialect.readCaller(m_head);
+    if (!m_context.document) {
+        refuse(result_code::NoConfiguration, "no document yet");
+        return;
+    }
+    const auto& index = *m_context.document;
+    const auto host = http1::valueOf(m_head.fields, "Host");
+    const auto* route = index.find(host.value_or(""), m_head.target);
+    if (route == nullptr) {
+        refuse(result_code::NotFound, "no route for host and path");
+        return;
+    }
+    const auto* holder = m_caller.key.empty() ? nullptr : index.holderOf(m_caller.key);
+    if (index.document().needsKeys && !route->isPublic && holder == nullptr) {
+        refuse(result_code::Unauthorized, "no workspace holds the key");
+        return;
+    }
+    if (holder != nullptr)
+        m_workspace = holder->workspace;
+    gateway::exchange_request request;
+    request.id = m_caller.requestId;
+    request.document = m_context.document;
+    request.chosen = route;
+    std::uniform_real_distribution<double> draw(0, 1);
+    request.service = gateway::pickService(*route, draw(m_context.random));
+    request.arrived = arrived;
+    request.deadline = arrived + std::min(route->longestWait, m_caller.patience.value_or(route->longestWait));
+    request.lastEventId = m_caller.lastEventId;
+    request.size = m_caller.size;
+    auto& budget
+        = m_context.budgets.try_emplace(request.service, gateway::repeat_budget(m_context.budgetOptions)).first->second;
+    m_exchange = std::make_unique<gateway::exchange>(
+        std::move(request), *this, m_context.pool, budget, m_context.gateways, exchangeOptions);
+    m_exchange->start(steadyNow());
+}
+
+void gateway_call::callerGone()
+{
+    m_sink = nullptr;
+    if (m_exchange)
+        m_exchange->onCallerGone(steadyNow());
+    cancelAttempt();
+    m_timer.cancel();
+    countAnswer("caller_left");
+}
+
+void gateway_call::drained()
+{
+    if (m_channel)
+        m_channel->setReading(true);
+}
+
+void gateway_call::openAttempt(
+    std::uint32_t number, const gateway::selection& where, std::optional<std::uint64_t> lastEventId)
+{
+    m_attempt = number;
+    m_where = where;
+    m_parser = std::make_unique<http1::response_parser>(responseLimits);
+    m_events = {};
+    m_headTold = false;
+    m_isStream = false;
+    m_connected = false;
+    const auto now = steadyNow();
+    gateway::forwarding added;
+    added.targetId = where.parts.front().targetId;
+    added.workspace = m_workspace;
+    added.timeLeft = std::max(milliseconds(1),
+        std::chrono::duration_cast<milliseconds>(m_exchange->request().deadline - now));
+    added.lastEventId = lastEventId;
+    if (!where.parts.front().layers.isEmpty())
+        added.path = where.parts;
+    const std::weak_ptr<gateway_call> weak = weak_from_this();
+    const auto ifCurrent = [weak, number](auto&& act) {
+        const auto self = weak.lock();
+        if (self && self->m_channel && self->m_attempt == number)
+            act(*self);
+    };
+    m_channel = net::dial(m_context.loop, where.parts.front().address,
+        {
+            [ifCurrent] {
+                ifCurrent([](gateway_call& self) {
+                    self.m_connected = true;
+                    self.m_connectTimer.cancel();
+                    self.m_exchange->onSent(steadyNow());
+                });
+            },
+            [ifCurrent](std::string_view bytes) { ifCurrent([bytes](gateway_call& self) { self.onBytes(bytes); }); },
+            nullptr,
+            [ifCurrent](net::channel_end how) { ifCurrent([how](gateway_call& self) { self.onEnded(how); }); },
+        });
+    m_channel->write(http1::formatRequest(m_context.dialect.writeForwarded(m_head, added), m_body));
+    m_connectTimer.set(now + connectPatience, [ifCurrent] {
+        ifCurrent([](gateway_call& self) {
+            if (!self.m_connected)
+                self.m_exchange->onLost(gateway::attempt_loss::NotReached, steadyNow());
+        });
+    });
+}
+
+void gateway_call::cancelAttempt()
+{
+    m_connectTimer.cancel();
+    if (m_report)
+        std::exchange(m_report, nullptr)->cancel();
+    if (m_channel)
+        std::exchange(m_channel, nullptr)->abort(false);
+}
+
+void gateway_call::askForReport()
+{
+    if (m_report)
+        return;
+    const std::weak_ptr<gateway_call> weak = weak_from_this();
+    m_context.metrics.count("reports_asked");
+    m_report = net::http_call::start(m_context.loop, m_where.parts.front().address,
+        { m_context.dialect.writeReportCall(), {} }, steadyNow() + reportPatience,
+        [weak, attempt = m_attempt](net::call_outcome outcome, const net::whole_response& response) {
+            const auto self = weak.lock();
+            if (!self || self->m_attempt != attempt)
+                return;
+            self->m_report = nullptr;
+            const bool answered = outcome == net::call_outcome::Answered;
+            const std::string faulty = answered
+                ? self->m_context.dialect.readReport(response.body, self->m_caller.requestId)
+                : std::string();
+            telemetry::logEvent(event_code::ReportReceived,
+                { { "request", self->m_caller.requestId }, { "target", self->m_where.parts.front().targetId },
+                    { "outcome", answered ? "answered" : "none" }, { "faulty", faulty } });
+            self->m_exchange->onReport(answered, faulty, steadyNow());
+        });
+}
+
+void gateway_call::onBytes(std::string_view bytes)
+{
+    m_parser->put(bytes);
+    advance();
+}
+
+void gateway_call::onEnded(net::channel_end how)
+{
+    const auto keep = shared_from_this();
+    if (how == net::channel_end::Closed) {
+        m_parser->putEnd();
+        if (m_parser->state() == http1::parse_state::Done) {
+            advance();
+            return;
+        }
+    }
+    const auto loss = m_connected ? gateway::attempt_loss::Broken : gateway::attempt_loss::NotReached;
+    m_channel = nullptr;
+    m_exchange->onLost(loss, steadyNow());
+}
+
+void gateway_call::advance()
+{
+    const auto keep = shared_from_this();
+    const std::uint32_t attempt = m_attempt;
+    const auto isCurrent = [this, attempt] { return m_channel && m_attempt == attempt; };
+    if (m_parser->state() == http1::parse_state::Bad) {
+        m_exchange->onLost(gateway::attempt_loss::Garbled, steadyNow());
+        return;
+    }
+    if (m_parser->state() == http1::parse_state::Head)
+        return;
+    if (!m_headTold) {
+        m_headTold = true;
+        const auto decoded = m_context.dialect.readAnswer(m_parser->head(), m_caller.requestId);
+        m_isStream = decoded.isEventStream && m_exchange->request().isStream() && decoded.status == 200;
+        m_exchange->onHead(decoded, steadyNow());
+        if (!isCurrent())
+            return;
+    }
+    if (m_isStream) {
+        readStream();
+        if (isCurrent() && m_parser->state() == http1::parse_state::Done)
+            m_exchange->onStreamEnd(steadyNow());
+        return;
+    }
+    if (m_parser->state() == http1::parse_state::Done)
+        m_exchange->onBody(steadyNow());
+}
+
+void gateway_call::readStream()
+{
+    const std::uint32_t attempt = m_attempt;
+    for (const auto& event : m_events.put(m_parser->takeBody())) {
+        if (!m_channel || m_attempt != attempt)
+            return;
+        m_exchange->onEvent(event.bytes, event.id, steadyNow());
+    }
+    if (m_channel && m_sink != nullptr && m_sink->pendingBytes() > mostPendingBytes)
+        m_channel->setReading(false);
+}
+
+std::vector<http1::field> gateway_call::answerFields(const http1::response_head& head) const
+{
+    auto fields = head.fields;
+    http1::removeConnectionFields(fields);
+    http1::removeFields(fields, "Content-Length");
+    return fields;
+}
+
+void gateway_call::passOn()
+{
+    if (m_sink == nullptr)
+        return;
+    http1::response_head head = m_parser->head();
+    head.fields = answerFields(head);
+    m_sink->write(http1::formatResponse(head, m_parser->takeBody(), m_sink->keepsAlive()));
+    countAnswer(head.status < 300 ? "served" : "target_failure");
+    finish(false);
+}
+
+void gateway_call::beginStream()
+{
+    m_streamHead = m_parser->head();
+    m_streamHead.fields = answerFields(m_streamHead);
+    m_streamHeadPending = true; // goes out together with the first event
+}
+
+void gateway_call::passEvent(std::string_view bytes)
+{
+    if (m_sink == nullptr)
+        return;
+    if (std::exchange(m_streamHeadPending, false)) {
+        m_context.metrics.observeMs("first_event_ms",
+            static_cast<double>(std::chrono::duration_cast<milliseconds>(steadyNow() - m_arrived).count()));
+        m_sink->write(http1::formatChunkedHead(m_streamHead, m_sink->keepsAlive()) + http1::formatChunk(bytes));
+        return;
+    }
+    m_sink->write(http1::formatChunk(bytes));
+}
+
+void gateway_call::endStream()
+{
+    if (m_sink == nullptr)
+        return;
+    m_sink->write(http1::lastChunk);
+    countAnswer("served");
+    finish(false);
+}
+
+void gateway_call::breakOff()
+{
+    countAnswer("broken_off");
+    finish(true);
+}
+
+void gateway_call::refuse(result_code code, const std::string& reason)
+{
+    const std::uint64_t version = m_context.document ? m_context.document->document().version : 0;
+    telemetry::logEvent(event_code::CallRefused,
+        { { "request", m_caller.requestId }, { "code", std::to_string(static_cast<int>(code)) }, { "reason", reason },
+            { "version", std::to_string(version) }, { "target", m_head.target } });
+    answer(code, ran_state::No, reason);
+}
+
+void gateway_call::answer(result_code code, ran_state ran, const std::string& /*reason*/)
+{
+    if (m_sink == nullptr)
+        return;
+    const auto& info = describe(code);
+    auto response = net::plainResponse(info.httpStatus,
+        "{\"code\":" + std::to_string(static_cast<int>(code)) + ",\"name\":\"" + std::string(info.name)
+            + "\",\"ran\":\"" + std::string(nameOf(ran)) + "\"}");
+    if (ran == ran_state::No && info.retryAfterSeconds > 0)
+        response.head.fields.push_back(m_context.dialect.writeComeBack(pauseFor(code)));
+    m_sink->write(http1::formatResponse(response.head, response.body, m_sink->keepsAlive()));
+    countAnswer(std::string(info.name));
+    finish(false);
+}
+
+void gateway_call::finish(bool broken)
+{
+    m_timer.cancel();
+    auto* sink = std::exchange(m_sink, nullptr);
+    if (sink != nullptr)
+        sink->finished(broken);
+}
+
+void gateway_call::countAnswer(const std::string& outcome)
+{
+    m_context.metrics.count("answers", outcome);
+    m_context.metrics.observeMs("answer_ms",
+        static_cast<double>(std::chrono::duration_cast<milliseconds>(steadyNow() - m_arrived).count()));
+}
+
+void gateway_call::wakeAt(steady_time when)
+{
+    const std::weak_ptr<gateway_call> weak = weak_from_this();
+    m_timer.set(when, [weak] {
+        const auto self = weak.lock();
+        if (self && self->m_sink != nullptr)
+            self->m_exchange->onTimer(steadyNow());
+    });
+}
+
+void gateway_call::note(event_code event, std::initializer_list<log_field> fields)
+{
+    telemetry::logEvent(event, fields);
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/gateway_call.hpp
@@ -0,0 +1,104 @@
+/// @file
+/// @brief One request at a gateway: the exchange's port, with the connection to the target.
+#pragma once
+
+#include "app/process.hpp"
+#include "buckthornrail/gateway/dialect.hpp"
+#include "buckthornrail/http1/event_stream.hpp"
+#include "buckthornrail/http1/message_parser.hpp"
+#include "buckthornrail/net/http_service.hpp"
+
+#include <map>
+
+namespace buckthornrail::app {
+
+/// What the calls of a gateway share. Lives on the loop thread.
+struct gateway_context {
+    link::event_loop& loop;
+    const gateway::traffic_dialect& dialect;
+    telemetry::metrics& metrics;
+    gateway::target_pool pool;
+    gateway::repeat_budget_options budgetOptions;
+    std::map<std::string, gateway::repeat_budget> budgets; ///< by service
+    std::shared_ptr<const gateway::route_index> document; ///< empty: none yet
+    std::size_t gateways = 1;
+    std::mt19937_64 random;
+    bool isStopping = false;
+    std::size_t openCalls = 0;
+};
+
+/// Where a call's answer goes.
+class call_sink {
+public:
+    call_sink() = default;
+    call_sink(const call_sink&) = delete;
+    call_sink& operator=(const call_sink&) = delete;
+    virtual ~call_sink() = default;
+
+    /// @brief Whether the connection stays open after this answer.
+    [[nodiscard]] virtual bool keepsAlive() const = 0;
+    virtual void write(std::string_view bytes) = 0;
+    [[nodiscard]] virtual std::size_t pendingBytes() const = 0;
+    /// @brief The answer is whole. @param broken true: it isn't, and must not look so
+    virtual void finished(bool broken) = 0;
+};
+
+/// @brief Lives on the loop thread.
+class gateway_call : public gateway::exchange_port, public std::enable_shared_from_this<gateway_call> {
+public:
+    gateway_call(gateway_context& context, call_sink& sink, http1::request_head head, std::string body);
+    ~gateway_call() override;
+
+    void start(steady_time arrived);
+    void callerGone();
+    /// @brief Everything written so far has been taken by the caller's connection.
+    void drained();
+
+    void openAttempt(std::uint32_t number, const gateway::selection& where,
+        std::optional<std::uint64_t> lastEventId) override;
+    void cancelAttempt() override;
+    void askForReport() override;
+    void passOn() override;
+    void beginStream() override;
+    void passEvent(std::string_view bytes) override;
+    void endStream() override;
+    void breakOff() override;
+    void answer(result_code code, ran_state ran, const std::string& reason) override;
+    void wakeAt(steady_time when) override;
+    void note(event_code event, std::initializer_list<log_field> fields) override;
+
+private:
+    void refuse(result_code code, const std::string& reason);
+    void onBytes(std::string_view bytes);
+    void onEnded(net::channel_end how);
+    void advance();
+    void readStream();
+    void finish(bool broken);
+    void countAnswer(const std::string& outcome);
+    [[nodiscard]] std::vector<http1::field> answerFields(const http1::response_head& head) const;
+
+    gateway_context& m_context;
+    call_sink* m_sink; ///< empty once the caller is gone or has its answer
+    http1::request_head m_head;
+    std::string m_body;
+    gateway::caller_head m_caller;
+    std::string m_workspace;
+    std::unique_ptr<gateway::exchange> m_exchange;
+    steady_time m_arrived {};
+
+    gateway::selection m_where;
+    net::channel_pointer m_channel; ///< to the target
+    std::uint32_t m_attempt = 0;
+    std::unique_ptr<http1::response_parser> m_parser;
+    http1::event_stream_reader m_events;
+    bool m_headTold = false;
+    bool m_isStream = false;
+    bool m_connected = false;
+    std::shared_ptr<net::http_call> m_report;
+    http1::response_head m_streamHead; ///< not written yet
+    bool m_streamHeadPending = false;
+    net::loop_timer m_timer;
+    net::loop_timer m_connectTimer;
+};
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/gateway_session.cpp
@@ -0,0 +1,152 @@
+/// @file
+/// @brief Keeping a session with the leading controller.
+#include "app/gateway_session.hpp"
+
+#include "app/role_runner.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::app {
+namespace {
+
+/// A controller that answers nothing for so long is left: a leader answers a beat within one round of its quorum and
+/// the wait for it, about 120 ms, and drained targets must be known everywhere within two seconds.
+constexpr milliseconds silenceLimit { 900 };
+
+link::hub_options hubOptions(const settings::settings& settings)
+{
+    link::hub_options options;
+    options.keepAlivePeriod = milliseconds(settings.linkKeepAliveMs);
+    return options;
+}
+
+} // namespace
+
+gateway_session::gateway_session(
+    link::event_loop& loop, const settings::settings& settings, gateway_session_callbacks callbacks)
+    : m_settings(settings)
+    , m_callbacks(std::move(callbacks))
+    , m_seeds(settings.controllers)
+    , m_nextAddress(std::hash<std::string>()(settings.id))
+    , m_hub(loop,
+          link::hub_handlers {
+              [this](link::channel_number channel, bool) { onOpened(channel); },
+              [this](link::channel_number channel) { onClosed(channel); },
+              [this](link::channel_number channel, const std::string& bytes) { onMessage(channel, bytes); },
+          },
+          hubOptions(settings))
+    , m_beats(loop, milliseconds(settings.heartbeatMs), [this] { beat(); })
+{
+    loop.post([this] { connect(); });
+}
+
+std::vector<std::string> gateway_session::addresses() const
+{
+    std::vector<std::string> all = m_controllers;
+    for (const auto& seed : m_seeds) {
+        if (std::find(all.begin(), all.end(), seed) == all.end())
+            all.push_back(seed);
+    }
+    return all;
+}
+
+void gateway_session::connect()
+{
+    if (m_channel != 0)
+        return;
+    const auto all = addresses();
+    if (all.empty())
+        return;
+    m_address = m_hint.empty() ? all[m_nextAddress++ % all.size()] : m_hint;
+    m_hint.clear();
+    m_silenceDeadline = steadyNow() + silenceLimit;
+    m_channel = m_hub.dial(m_address);
+}
+
+void gateway_session::onOpened(link::channel_number channel)
+{
+    if (channel != m_channel)
+        return;
+    m_open = true;
+    beat();
+}
+
+void gateway_session::onClosed(link::channel_number channel)
+{
+    if (channel != m_channel)
+        return;
+    if (m_isServed)
+        telemetry::logEvent(event_code::SessionLost,
+            { { "controller", m_address }, { "version", std::to_string(m_document.version) } },
+            telemetry::severity::Warning);
+    m_channel = 0;
+    m_open = false;
+    const bool wasServed = std::exchange(m_isServed, false);
+    if (wasServed || !m_hint.empty())
+        connect(); // otherwise the next beat does, so that refused connections don't follow each other at once
+}
+
+void gateway_session::leave(const std::string& next)
+{
+    m_hint = next == m_address ? std::string() : next;
+    m_hub.close(m_channel);
+}
+
+void gateway_session::beat()
+{
+    if (m_channel == 0) {
+        connect();
+        return;
+    }
+    if (steadyNow() >= m_silenceDeadline) {
+        leave({});
+        return;
+    }
+    if (!m_open)
+        return;
+    for (auto& id : m_callbacks.takeDarkTargets())
+        m_dark.push_back(std::move(id));
+    m_hub.send(m_channel,
+        link::encode(link::gateway_beat {
+            m_settings.id, ++m_sequence, m_document.version, m_targets.revision(), std::exchange(m_dark, {}) }));
+}
+
+void gateway_session::onMessage(link::channel_number channel, const std::string& bytes)
+{
+    const auto message = decodeOrClose(m_hub, channel, bytes);
+    const auto* update = message ? std::get_if<link::gateway_update>(&*message) : nullptr;
+    if (update != nullptr && channel == m_channel)
+        onUpdate(*update);
+}
+
+void gateway_session::onUpdate(const link::gateway_update& update)
+{
+    if (!update.leads) {
+        if (!update.leader.empty())
+            leave(update.leader);
+        return; // no leader is known there: silence ends the session
+    }
+    if (!std::exchange(m_isServed, true))
+        telemetry::logEvent(event_code::SessionOpened, { { "controller", m_address } });
+    m_silenceDeadline = steadyNow() + silenceLimit;
+    m_controllers = update.controllers;
+    m_gateways = std::max<std::size_t>(update.gateways, 1);
+    for (const auto& change : update.document) {
+        const std::uint64_t before = m_document.version;
+        if (!applyTextUpdate(m_document, change)) {
+            leave({}); // the next session tells what is held, and gets what follows from it
+            return;
+        }
+        if (m_document.version != before)
+            m_callbacks.documentChanged(m_document);
+    }
+    for (const auto& delta : update.targets) {
+        if (!m_targets.apply(delta)) {
+            leave({});
+            return;
+        }
+        m_callbacks.targetsChanged(m_targets);
+    }
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/gateway_session.hpp
@@ -0,0 +1,59 @@
+/// @file
+/// @brief A gateway's session with the controllers: finds the one that leads, and takes document and targets over.
+#pragma once
+
+#include "app/process.hpp"
+#include "app/registry_state.hpp"
+#include "buckthornrail/link/link_hub.hpp"
+
+namespace buckthornrail::app {
+
+struct gateway_session_callbacks {
+    std::function<void(const versioned_text&)> documentChanged;
+    std::function<void(const registry::target_view&)> targetsChanged;
+    std::function<std::vector<std::string>()> takeDarkTargets; ///< seen since the last call
+};
+
+/// @brief Lives on the loop thread. What it holds only ever gets newer, and first comes from a confirmed leader.
+class gateway_session {
+public:
+    gateway_session(link::event_loop& loop, const settings::settings& settings, gateway_session_callbacks callbacks);
+
+    /// @brief Gateways that have a session, as far as known.
+    [[nodiscard]] std::size_t gateways() const { return m_gateways; }
+    [[nodiscard]] const versioned_text& document() const { return m_document; }
+    [[nodiscard]] const registry::target_view& targets() const { return m_targets; }
+    /// @brief Takes other seeds over.
+    void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
+
+private:
+    void connect();
+    void beat();
+    void onOpened(link::channel_number channel);
+    void onClosed(link::channel_number channel);
+    void onMessage(link::channel_number channel, const std::string& bytes);
+    void onUpdate(const link::gateway_update& update);
+    void leave(const std::string& next);
+    [[nodiscard]] std::vector<std::string> addresses() const;
+
+    const settings::settings& m_settings;
+    gateway_session_callbacks m_callbacks;
+    std::vector<std::string> m_seeds;
+    std::vector<std::string> m_controllers; ///< as the leader told
+    std::string m_address; ///< of the controller dialled
+    std::string m_hint; ///< where the leader is said to be; empty: not known
+    std::size_t m_nextAddress = 0;
+    link::channel_number m_channel = 0;
+    bool m_open = false;
+    bool m_isServed = false; ///< this controller leads and has answered
+    std::uint64_t m_sequence = 0;
+    steady_time m_silenceDeadline {}; ///< without an answer until then another controller is tried
+    versioned_text m_document;
+    registry::target_view m_targets;
+    std::vector<std::string> m_dark; ///< not told yet
+    std::size_t m_gateways = 1;
+    link::link_hub m_hub;
+    periodic_task m_beats;
+};
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/layer_orders.cpp
@@ -0,0 +1,190 @@
+/// @file
+/// @brief Giving orders for layers.
+#include "app/layer_orders.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::app {
+namespace {
+
+/// After the last new target, or a change of leader, for so long nothing is planned. Targets of a fresh system announce
+/// themselves within about half a second of each other.
+constexpr milliseconds settleTime { 500 };
+/// A call to a target; a live one answers within a few milliseconds.
+constexpr milliseconds callPatience { 800 };
+/// An order that failed is tried again after so long.
+constexpr milliseconds retryPause { 700 };
+/// An order without effect for so long is given up and planned anew: ten layers load in 2 s, a whole accelerator in 7 s,
+/// and several loads at once share the weight store.
+constexpr milliseconds orderPatience { 20000 };
+/// Requests of usual size that a target should hold in memory beside its layers. A failure domain's whole traffic is
+/// about 60 at once at the usual load, and each is in every target of its path.
+constexpr double sequencesInMemory = 68;
+
+std::string rangeText(const registry::layer_range& range)
+{
+    return std::to_string(range.first) + "-" + std::to_string(range.end);
+}
+
+std::uint32_t capacityOf(const registry::target_record& record, const gateway::layered_engine& engine)
+{
+    for (const auto& kind : engine.kinds) {
+        if (kind.name != record.accelerator)
+            continue;
+        const double tokens = sequencesInMemory * (engine.usualPromptTokens + engine.usualAnswerTokens);
+        return std::min(engine.layers,
+            registry::layersThatFit(
+                { kind.memoryMb, engine.layerMb, engine.tokenBytes / std::max(engine.layers, 1U), tokens }));
+    }
+    return 0;
+}
+
+} // namespace
+
+layer_orders::layer_orders(link::event_loop& loop, const gateway::control_dialect& dialect)
+    : m_loop(loop)
+    , m_dialect(dialect)
+{
+}
+
+void layer_orders::begin(std::uint64_t fence, steady_time now)
+{
+    m_active = true;
+    m_fence = fence;
+    m_settledAt = now + settleTime;
+}
+
+void layer_orders::end()
+{
+    m_active = false;
+    for (auto& [id, order] : m_open) {
+        if (order.call)
+            order.call->cancel();
+    }
+    m_open.clear();
+}
+
+void layer_orders::step(
+    const registry::target_table& targets, const std::vector<gateway::service>& services, steady_time now)
+{
+    if (!m_active)
+        return;
+    if (targets.records().size() > m_knownTargets)
+        m_settledAt = std::max(m_settledAt, now + settleTime);
+    m_knownTargets = targets.records().size();
+    settle(targets, now);
+    if (now < m_settledAt)
+        return;
+    for (const auto& service : services) {
+        if (service.engine && service.engine->layers > 0)
+            plan(targets, service, now);
+    }
+    for (auto& [id, order] : m_open) {
+        const auto* record = targets.find(id);
+        if (record != nullptr && !order.isSent && !order.call && now >= order.nextTry)
+            ask(*record, order, now);
+    }
+}
+
+void layer_orders::settle(const registry::target_table& targets, steady_time now)
+{
+    std::erase_if(m_open, [&](auto& item) {
+        auto& order = item.second;
+        const auto* record = targets.find(item.first);
+        const bool isGone = record == nullptr || record->state != registry::target_state::Ready;
+        const bool isDone = !isGone && order.isSent && record->layers == order.layers;
+        if (!isGone && !isDone && now < order.deadline)
+            return false;
+        telemetry::logEvent(event_code::LayersSettled,
+            { { "target", item.first }, { "layers", rangeText(order.layers) },
+                { "outcome", isDone ? "held" : isGone ? "target_gone" : "given_up" } });
+        if (order.call)
+            order.call->cancel();
+        return true;
+    });
+}
+
+void layer_orders::plan(const registry::target_table& targets, const gateway::service& service, steady_time now)
+{
+    std::vector<registry::plan_target> candidates;
+    for (const auto& [id, record] : targets.records()) {
+        if (record.service != service.name || record.state != registry::target_state::Ready)
+            continue;
+        const auto open = m_open.find(id);
+        const bool isSettled = open == m_open.end();
+        candidates.push_back({ id, record.failureDomain, capacityOf(record, *service.engine),
+            isSettled ? record.layers : open->second.layers, isSettled });
+    }
+    for (const auto& step : registry::planLayers(candidates, service.engine->layers))
+        m_open[step.id] = { step.layers, now + orderPatience, now, false, nullptr };
+}
+
+void layer_orders::ask(const registry::target_record& record, open_order& order, steady_time now)
+{
+    order.call = net::http_call::start(m_loop, record.address, { m_dialect.writeReportCall(record.id), {} },
+        now + callPatience, [this, record](net::call_outcome outcome, const net::whole_response& response) {
+            onReport(record, outcome, response);
+        });
+}
+
+void layer_orders::onReport(
+    const registry::target_record& record, net::call_outcome outcome, const net::whole_response& response)
+{
+    const auto found = m_open.find(record.id);
+    if (found == m_open.end())
+        return;
+    found->second.call = nullptr;
+    found->second.nextTry = steadyNow() + retryPause;
+    if (outcome != net::call_outcome::Answered || response.head.status != 200) {
+        telemetry::logEvent(event_code::ReportReceived,
+            { { "target", record.id }, { "outcome", "none" }, { "status", std::to_string(response.head.status) } });
+        return;
+    }
+    const auto report = m_dialect.readReport(response.body);
+    if (!report) {
+        telemetry::logEvent(event_code::ReportReceived,
+            { { "target", record.id }, { "outcome", "unreadable" }, { "reason", report.error().reason } });
+        return;
+    }
+    if (report->isBusy)
+        return; // an order is being carried out, perhaps an earlier leader's: its end is waited for
+    if (report->layers == found->second.layers) {
+        found->second.isSent = true;
+        return;
+    }
+    give(record, *report);
+}
+
+void layer_orders::give(const registry::target_record& record, const gateway::target_report& report)
+{
+    auto& order = m_open[record.id];
+    telemetry::logEvent(event_code::LayersOrdered,
+        { { "target", record.id }, { "layers", rangeText(order.layers) }, { "held", rangeText(report.layers) },
+            { "fence", std::to_string(m_fence) }, { "revision", std::to_string(report.revision) } });
+    const auto [head, body] = m_dialect.writeOrder({ record.id, order.layers, m_fence, report.revision });
+    order.call = net::http_call::start(m_loop, record.address, { head, body }, steadyNow() + callPatience,
+        [this, record](net::call_outcome outcome, const net::whole_response& response) {
+            onTaken(record, outcome, response);
+        });
+}
+
+void layer_orders::onTaken(
+    const registry::target_record& record, net::call_outcome outcome, const net::whole_response& response)
+{
+    const auto found = m_open.find(record.id);
+    if (found == m_open.end())
+        return;
+    auto& order = found->second;
+    order.call = nullptr;
+    order.nextTry = steadyNow() + retryPause;
+    const bool isTaken = outcome == net::call_outcome::Answered && response.head.status < 300;
+    // Without an answer the order may have been taken; the next report tells, and its count guards against a second one.
+    order.isSent = isTaken;
+    if (isTaken)
+        return;
+    telemetry::logEvent(event_code::LayersSettled,
+        { { "target", record.id }, { "layers", rangeText(order.layers) }, { "outcome", "not_taken" },
+            { "status", std::to_string(response.head.status) } });
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/layer_orders.hpp
@@ -0,0 +1,52 @@
+/// @file
+/// @brief Carries out the plan of layers: orders to targets, fenced, one at a time each, with the state read before.
+#pragma once
+
+#include "app/process.hpp"
+#include "buckthornrail/gateway/dialect.hpp"
+#include "buckthornrail/net/http_service.hpp"
+#include "buckthornrail/registry/layer_plan.hpp"
+
+#include <map>
+
+namespace buckthornrail::app {
+
+/// @brief Lives on the loop thread of the controller that leads.
+class layer_orders {
+public:
+    layer_orders(link::event_loop& loop, const gateway::control_dialect& dialect);
+
+    /// @brief This controller leads from now on. @param fence higher than that of any earlier leader
+    void begin(std::uint64_t fence, steady_time now);
+    /// @brief It leads no more: what is under way is dropped.
+    void end();
+    /// @brief Plans, and gives the next orders.
+    void step(const registry::target_table& targets, const std::vector<gateway::service>& services, steady_time now);
+
+private:
+    /// An order from its decision until the target reports the layers, or gives no sign in time.
+    struct open_order {
+        registry::layer_range layers;
+        steady_time deadline {}; ///< given up then
+        steady_time nextTry {};
+        bool isSent = false; ///< the target took it
+        std::shared_ptr<net::http_call> call;
+    };
+
+    void settle(const registry::target_table& targets, steady_time now);
+    void plan(const registry::target_table& targets, const gateway::service& service, steady_time now);
+    void ask(const registry::target_record& record, open_order& order, steady_time now);
+    void give(const registry::target_record& record, const gateway::target_report& report);
+    void onReport(const registry::target_record& record, net::call_outcome outcome, const net::whole_response& response);
+    void onTaken(const registry::target_record& record, net::call_outcome outcome, const net::whole_response& response);
+
+    link::event_loop& m_loop;
+    const gateway::control_dialect& m_dialect;
+    bool m_active = false;
+    std::uint64_t m_fence = 0;
+    steady_time m_settledAt {}; ///< no plan before: targets that start together are planned together
+    std::size_t m_knownTargets = 0;
+    std::map<std::string, open_order> m_open;
+};
+
+} // namespace buckthornrail::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -3,7 +3,10 @@
 #include "app/control_shell.hpp"
 #include "app/controller.hpp"
 #include "app/entry.hpp"
+#include "app/gateway.hpp"
+#include "app/registry.hpp"
 #include "app/sidecar.hpp"
+#include "platform/dialects.hpp"
 
 #include <csignal>
 #include <iostream>
@@ -21,16 +24,25 @@
     int (*run)(const settings::settings&);
 };
 
+int runGateway(const settings::settings& values)
+{
+    return app::runGateway(values, platform::trafficDialect(), platform::controlDialect());
+}
+
+int runRegistry(const settings::settings& values) { return app::runRegistry(values, platform::controlDialect()); }
+
 constexpr std::array daemonCommands {
     daemon_command { settings::process_role::Entry, app::runEntry },
     daemon_command { settings::process_role::Sidecar, app::runSidecar },
     daemon_command { settings::process_role::Controller, app::runController },
+    daemon_command { settings::process_role::Gateway, runGateway },
+    daemon_command { settings::process_role::Registry, runRegistry },
 };
 
 void printUsage(std::ostream& out)
 {
     out << "buckthornrail " << version << ": routes language-model pipelines over mixed accelerators\n\n"
-        << "  buckthornrail entry|sidecar|controller --settings FILE [--check]\n"
+        << "  buckthornrail entry|sidecar|controller|gateway|registry --settings FILE [--check]\n"
         << "  buckthornrail ctl --help\n"
         << "  buckthornrail --version | --help\n";
 }
@@ -62,7 +74,7 @@
         std::cout << file << ": valid\n";
         return app::exitOk;
     }
-    telemetry::startLog("buckthornrail", loaded->logLevel);
+    telemetry::startLog(loaded->logLevel);
     return command.run(*loaded);
 }
 
--- /dev/null
+++ b/src/app/registry.cpp
@@ -0,0 +1,498 @@
+/// @file
+/// @brief Documents, announcements of targets and gateways' sessions, over the replicated log.
+#include "app/registry.hpp"
+
+#include "app/role_runner.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::app {
+namespace {
+
+constexpr milliseconds tickPeriod { 50 };
+/// Heartbeats of gateways that came meanwhile are answered after one round of the quorum.
+constexpr milliseconds confirmPeriod { 100 };
+constexpr milliseconds confirmPatience { 800 };
+/// An operator's call goes to another member after a second without an answer.
+constexpr milliseconds callPatience { 900 };
+/// A first member waits so long for word of an existing log before it forms one.
+constexpr milliseconds formPause { 300 };
+/// Missed heartbeats after which a target counts as lost; heartbeats come up to seconds late.
+constexpr int missedHeartbeats = 3;
+constexpr milliseconds heartbeatSlack { 400 };
+/// A gateway that has said nothing for so long doesn't count.
+constexpr milliseconds sessionLifetime { 2000 };
+/// A target that a gateway calls dark counts as lost once its own heartbeat is late, too.
+constexpr milliseconds darkSlack { 300 };
+constexpr std::size_t leastVoters = 2; ///< what is acknowledged stands on two disks
+
+net::whole_response errorResponse(int status, const std::string& reason)
+{
+    std::string body = "{\"reason\":\"";
+    for (const char symbol : reason) {
+        if (symbol == '"' || symbol == '\\')
+            body += '\\';
+        body += static_cast<unsigned char>(symbol) < ' ' ? ' ' : symbol;
+    }
+    return net::plainResponse(status, body + "\"}");
+}
+
+void logCall(const std::string& what, int status, const std::string& detail)
+{
+    telemetry::logEvent(event_code::OperatorCall,
+        { { "what", what }, { "status", std::to_string(status) }, { "detail", detail } });
+}
+
+std::string withPort(const std::string& address, const std::string& other)
+{
+    return address.substr(0, address.rfind(':')) + other.substr(other.rfind(':'));
+}
+
+} // namespace
+
+registry_role::registry_role(link::event_loop& loop, const settings::settings& settings,
+    const gateway::control_dialect& dialect, telemetry::metrics& metrics)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_dialect(dialect)
+    , m_metrics(metrics)
+    , m_orders(loop, dialect)
+{
+}
+
+registry_role::~registry_role() = default;
+
+tl::expected<void, failure> registry_role::start()
+{
+    link::hub_options hubOptions;
+    hubOptions.keepAlivePeriod = milliseconds(m_settings.linkKeepAliveMs);
+    m_hub = std::make_unique<link::link_hub>(m_loop,
+        link::hub_handlers {
+            [this](link::channel_number channel, bool inbound) {
+                if (!inbound)
+                    m_log->onOpened(channel);
+            },
+            [this](link::channel_number channel) {
+                m_log->onClosed(channel);
+                m_sessions.erase(channel);
+            },
+            [this](link::channel_number channel, const std::string& bytes) { onMessage(channel, bytes); },
+        },
+        hubOptions);
+    replicated_log_options options;
+    options.dataFolder = m_settings.dataFolder;
+    options.ownAddress = m_settings.reachableAddress();
+    options.seeds = m_settings.controllers;
+    options.electionTimeoutMs = m_settings.electionTimeoutMs;
+    options.snapshotEntries = m_settings.snapshotEntries;
+    options.admitsUnlisted = true;
+    options.dropsDeadMembers = true;
+    m_log = std::make_unique<replicated_log>(m_loop, *m_hub, m_state, std::move(options));
+    m_log->changed = [this] { onChanged(); };
+    m_log->leadershipChanged = [this](bool leads) {
+        m_targetLeases.clear();
+        if (leads)
+            m_orders.begin(m_log->replica().term(), steadyNow());
+        else
+            m_orders.end();
+        for (auto& [channel, one] : m_sessions)
+            one.isConfirmed = false;
+    };
+    if (auto started = m_log->start(); !started)
+        return started;
+    if (m_hub->listen(m_settings.linkAddress) == 0)
+        return tl::make_unexpected(failure { result_code::BadSettings, "can't listen on " + m_settings.linkAddress });
+    m_control = std::make_unique<net::http_service>(
+        m_loop, [this](const net::whole_request& request, net::responder respond) { onCall(request, respond); });
+    if (m_control->listen(m_settings.httpAddress) == 0)
+        return tl::make_unexpected(failure { result_code::BadSettings, "can't listen on " + m_settings.httpAddress });
+    m_formDeadline = steadyNow() + formPause;
+    m_ticker = std::make_unique<periodic_task>(m_loop, tickPeriod, [this] { tick(); });
+    return {};
+}
+
+void registry_role::stop(std::function<void()> done)
+{
+    constexpr milliseconds handOverPeriod { 300 };
+    m_log->stop();
+    m_loop.runAt(steadyNow() + handOverPeriod, std::move(done));
+}
+
+void registry_role::formWhenFirst()
+{
+    const bool isFirst = m_settings.bootstrap == "true" && !m_settings.controllers.empty()
+        && m_settings.controllers.front() == m_settings.reachableAddress();
+    const bool isBlank = m_log->replica().lastIndex() == 0 && m_log->replica().term() == 0;
+    if (!isFirst || !isBlank || steadyNow() < m_formDeadline || m_log->knowsOtherLog())
+        return;
+    if (const auto formed = m_log->initialize(); !formed)
+        telemetry::logEvent(event_code::MemberChanged, { { "reason", formed.error().reason } });
+}
+
+bool registry_role::isSafeToWrite() const
+{
+    const auto& members = m_log->replica().members();
+    const auto voters = std::count_if(members.begin(), members.end(), [](const auto& one) { return one.voter; });
+    return m_settings.controllers.size() < leastVoters || voters >= static_cast<std::ptrdiff_t>(leastVoters);
+}
+
+void registry_role::onCall(const net::whole_request& request, net::responder respond)
+{
+    if (request.head.target == "/metrics") {
+        respond(net::plainResponse(200, m_metrics.text(), "text/plain"));
+        return;
+    }
+    if (request.head.target == "/status") {
+        respond(statusPage());
+        return;
+    }
+    auto call = m_dialect.readCall(request.head, request.body);
+    if (auto* publish = std::get_if<gateway::publish_call>(&call)) {
+        onPublish(std::move(*publish), respond);
+    } else if (std::holds_alternative<gateway::read_call>(call)) {
+        onRead(respond);
+    } else if (const auto* announce = std::get_if<gateway::announce_call>(&call)) {
+        onAnnounce(announce->record, respond);
+    } else {
+        const auto& unreadable = std::get<gateway::unreadable_call>(call);
+        logCall(request.head.method + " " + request.head.target, unreadable.status, unreadable.reason);
+        respond(errorResponse(unreadable.status, unreadable.reason));
+    }
+}
+
+void registry_role::onPublish(gateway::publish_call call, const net::responder& respond)
+{
+    constexpr int invalid = 400;
+    constexpr int conflict = 409;
+    const auto read = m_dialect.readDocument(call.text);
+    if (!read) {
+        logCall("publish", invalid, read.error().reason);
+        respond(errorResponse(invalid, read.error().reason));
+        return;
+    }
+    const std::uint64_t version = call.version;
+    const auto settled = [this, version, text = call.text, respond] {
+        const auto& held = m_state.document();
+        const bool differs = held.version == version && held.text != text;
+        const int status = differs ? conflict : 200;
+        logCall("publish", status, "version " + std::to_string(version) + ", held " + std::to_string(held.version));
+        respond(differs ? errorResponse(conflict, "the version is held with other content")
+                        : net::plainResponse(200, "{}"));
+    };
+    if (version <= m_state.document().version) {
+        settled();
+        return;
+    }
+    if (!isSafeToWrite()) {
+        logCall("publish", 503, "fewer than two members vote");
+        respond(errorResponse(503, "fewer than two members vote yet"));
+        return;
+    }
+    const std::string id = randomName();
+    m_log->submit(
+        id, encodePublish(id, { version, std::move(call.text) }),
+        [settled, respond](bool committed) {
+            if (committed) {
+                settled();
+                return;
+            }
+            logCall("publish", 503, "not committed in time");
+            respond(errorResponse(503, "no quorum committed the change in time"));
+        },
+        callPatience);
+}
+
+void registry_role::onRead(const net::responder& respond)
+{
+    m_log->confirm(
+        [this, respond](bool current) {
+            const auto& held = m_state.document();
+            if (!current || held.version == 0) {
+                logCall("read", 503, current ? "nothing published" : "not confirmed");
+                respond(errorResponse(503, "the newest document isn't known here"));
+                return;
+            }
+            logCall("read", 200, "version " + std::to_string(held.version));
+            respond(net::plainResponse(200, held.text));
+        },
+        callPatience);
+}
+
+void registry_role::onAnnounce(const registry::target_record& record, const net::responder& respond)
+{
+    heard(record);
+    const auto answer = [this, respond] {
+        respond(net::plainResponse(200, m_dialect.writeAnnounceAnswer(leaderControlAddress())));
+    };
+    const auto* known = m_state.targets().find(record.id);
+    const bool isLeaving
+        = record.state == registry::target_state::Draining || record.state == registry::target_state::Gone;
+    const bool isKnownLeaving = known != nullptr
+        && (known->state == registry::target_state::Gone || known->state == record.state);
+    if (isLeaving && !isKnownLeaving) {
+        // Acknowledged only once it stands in the log: whoever leads next keeps work away from it as well.
+        submitTargets({ record }, [record, answer, respond](bool committed) {
+            logCall("announce", committed ? 200 : 503,
+                record.id + " " + std::string(nameIn(registry::targetStateNames, record.state)));
+            if (committed)
+                answer();
+            else
+                respond(errorResponse(503, "no quorum committed the announcement in time"));
+        });
+        return;
+    }
+    const bool isNews = known == nullptr || (registry::differsFrom(*known, record) && record.sequence >= known->sequence);
+    if (!isLeaving && isNews && m_submitted.insert(record.id).second)
+        submitTargets({ record }, [this, id = record.id](bool) { m_submitted.erase(id); });
+    answer();
+}
+
+void registry_role::heard(const registry::target_record& record)
+{
+    auto& sequence = m_heardSequences[record.id];
+    if (record.sequence < sequence)
+        return;
+    sequence = record.sequence;
+    m_targetLeases[record.id]
+        = steadyNow() + milliseconds(m_settings.targetHeartbeatMs) * missedHeartbeats + heartbeatSlack;
+    if (!m_log->isLeader())
+        m_log->sendToLeader(link::target_heard { record.id, record.sequence });
+}
+
+void registry_role::onMessage(link::channel_number channel, const std::string& bytes)
+{
+    const auto message = decodeOrClose(*m_hub, channel, bytes);
+    if (!message || m_log->onMessage(channel, *message))
+        return;
+    if (const auto* beat = std::get_if<link::gateway_beat>(&*message)) {
+        onBeat(channel, *beat);
+    } else if (const auto* target = std::get_if<link::target_heard>(&*message)) {
+        registry::target_record record;
+        record.id = target->id;
+        record.sequence = target->sequence;
+        if (m_log->isLeader())
+            heard(record);
+    }
+}
+
+void registry_role::onBeat(link::channel_number channel, const link::gateway_beat& beat)
+{
+    auto& one = m_sessions[channel];
+    if (one.instance.empty())
+        telemetry::logEvent(event_code::SessionOpened, { { "gateway", beat.instance } });
+    one.instance = beat.instance;
+    one.documentVersion = beat.documentVersion;
+    one.targetRevision = beat.targetRevision;
+    one.waitingSequence = beat.sequence;
+    one.deadline = steadyNow() + sessionLifetime;
+    for (const auto& id : beat.darkTargets)
+        onDark(id);
+    if (m_log->isLeader())
+        return; // answered after the next confirmation
+    one.isConfirmed = false;
+    link::gateway_update update;
+    update.sequence = beat.sequence;
+    update.leader = m_log->leaderAddress();
+    m_hub->send(channel, link::encode(link::message(update)));
+}
+
+void registry_role::onDark(const std::string& targetId)
+{
+    const auto lease = m_targetLeases.find(targetId);
+    if (!m_log->isLeader() || lease == m_targetLeases.end())
+        return;
+    // The lease ends missedHeartbeats periods after the last heartbeat: here one period and the slack are enough.
+    const milliseconds saved = milliseconds(m_settings.targetHeartbeatMs) * (missedHeartbeats - 1) - darkSlack;
+    const steady_time early = lease->second - saved;
+    if (steadyNow() >= early)
+        lease->second = steadyNow();
+}
+
+void registry_role::tick()
+{
+    const steady_time now = steadyNow();
+    formWhenFirst();
+    std::erase_if(m_sessions, [now](const auto& item) {
+        const bool isOver = now >= item.second.deadline;
+        if (isOver)
+            telemetry::logEvent(event_code::SessionLost, { { "gateway", item.second.instance } });
+        return isOver;
+    });
+    confirmSessions();
+    if (std::exchange(m_pushNeeded, false))
+        pushAll();
+    if (m_log->isLeader()) {
+        expireTargets();
+        readDocument();
+        m_orders.step(m_state.targets(), m_services, now);
+    }
+    m_metrics.gauge("is_leader", m_log->isLeader() ? 1 : 0);
+    m_metrics.gauge("commit_index", static_cast<double>(m_log->replica().commitIndex()));
+    m_metrics.gauge("sessions", static_cast<double>(m_sessions.size()));
+}
+
+void registry_role::confirmSessions()
+{
+    const steady_time now = steadyNow();
+    const bool anyWaits = std::any_of(
+        m_sessions.begin(), m_sessions.end(), [](const auto& item) { return item.second.waitingSequence != 0; });
+    if (!m_log->isLeader() || m_confirming || !anyWaits || now < m_confirmDeadline)
+        return;
+    m_confirmDeadline = now + confirmPeriod;
+    m_confirming = true;
+    std::map<link::channel_number, std::uint64_t> waiting;
+    for (auto& [channel, one] : m_sessions) {
+        if (one.waitingSequence != 0)
+            waiting[channel] = std::exchange(one.waitingSequence, 0);
+    }
+    m_log->confirm(
+        [this, waiting](bool current) {
+            m_confirming = false;
+            if (!current || !m_log->isLeader())
+                return;
+            for (const auto& [channel, sequence] : waiting) {
+                const auto found = m_sessions.find(channel);
+                if (found == m_sessions.end())
+                    continue;
+                found->second.isConfirmed = true;
+                sendUpdate(channel, found->second, sequence);
+            }
+        },
+        confirmPatience);
+}
+
+void registry_role::pushAll()
+{
+    if (!m_log->isLeader())
+        return;
+    for (auto& [channel, one] : m_sessions) {
+        const bool isBehind = one.documentVersion < m_state.document().version
+            || one.targetRevision != m_state.targets().revision();
+        if (one.isConfirmed && isBehind)
+            sendUpdate(channel, one, 0);
+    }
+}
+
+void registry_role::sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence)
+{
+    link::gateway_update update;
+    update.sequence = sequence;
+    update.leads = true;
+    update.leader = m_settings.reachableAddress();
+    update.document = m_state.documentUpdate(one.documentVersion);
+    if (one.targetRevision != m_state.targets().revision())
+        update.targets.push_back(m_state.targets().changesSince(one.targetRevision));
+    for (const auto& member : m_log->replica().members())
+        update.controllers.push_back(member.address);
+    update.gateways = static_cast<std::uint32_t>(std::max<std::size_t>(m_sessions.size(), 1));
+    one.documentVersion = std::max(one.documentVersion, m_state.document().version);
+    one.targetRevision = m_state.targets().revision();
+    m_hub->send(channel, link::encode(link::message(update)));
+}
+
+void registry_role::onChanged()
+{
+    // Gateways are told before the acknowledgement goes out: the next leader may not be there to tell them in time.
+    pushAll();
+    for (const auto& [id, record] : m_state.targets().records()) {
+        if (record.revision <= m_loggedRevision)
+            continue;
+        telemetry::logEvent(event_code::TargetChanged,
+            { { "target", id }, { "service", record.service },
+                { "state", std::string(nameIn(registry::targetStateNames, record.state)) },
+                { "layers", std::to_string(record.layers.first) + "-" + std::to_string(record.layers.end) },
+                { "sequence", std::to_string(record.sequence) }, { "revision", std::to_string(record.revision) } });
+    }
+    m_loggedRevision = m_state.targets().revision();
+}
+
+void registry_role::expireTargets()
+{
+    const steady_time now = steadyNow();
+    std::vector<registry::target_record> lost;
+    for (const auto& [id, record] : m_state.targets().records()) {
+        if (record.state == registry::target_state::Gone || record.state == registry::target_state::Lost)
+            continue;
+        // A new leader has heard nobody yet: each target gets a whole lease to come.
+        const milliseconds lease
+            = milliseconds(m_settings.targetHeartbeatMs) * missedHeartbeats + heartbeatSlack;
+        const auto deadline = m_targetLeases.try_emplace(id, now + lease).first;
+        if (now < deadline->second)
+            continue;
+        deadline->second = now + lease;
+        registry::target_record gone = record;
+        gone.state = registry::target_state::Lost;
+        gone.layers = {};
+        gone.sequence = std::max(record.sequence, m_heardSequences[id]);
+        telemetry::logEvent(event_code::InstanceLost, { { "instance", id }, { "address", record.address } },
+            telemetry::severity::Warning);
+        lost.push_back(std::move(gone));
+    }
+    if (!lost.empty())
+        submitTargets(std::move(lost), [](bool) {});
+}
+
+void registry_role::submitTargets(std::vector<registry::target_record> records, std::function<void(bool)> done)
+{
+    const std::string id = randomName();
+    m_log->submit(id, encodeTargets(id, records), std::move(done), callPatience);
+}
+
+void registry_role::readDocument()
+{
+    const auto& held = m_state.document();
+    if (held.version == m_readVersion)
+        return;
+    m_readVersion = held.version;
+    auto read = m_dialect.readDocument(held.text);
+    if (read)
+        m_services = std::move(read->services);
+}
+
+std::string registry_role::leaderControlAddress() const
+{
+    const std::string leader = m_log->leaderAddress();
+    return leader.empty() ? std::string() : withPort(leader, m_settings.httpAddress);
+}
+
+net::whole_response registry_role::statusPage() const
+{
+    std::string text = "leader " + m_log->leaderAddress() + "\nterm " + std::to_string(m_log->replica().term())
+        + "\ndocument " + std::to_string(m_state.document().version) + "\ngateways "
+        + std::to_string(m_sessions.size()) + "\n";
+    for (const auto& member : m_log->replica().members())
+        text += "member " + member.address + (member.voter ? " voter\n" : " learner\n");
+    for (const auto& [id, record] : m_state.targets().records()) {
+        text += "target " + id + " " + record.service + " " + record.address + " "
+            + std::string(nameIn(registry::targetStateNames, record.state)) + " "
+            + std::to_string(record.layers.first) + "-" + std::to_string(record.layers.end) + "\n";
+    }
+    return net::plainResponse(200, text, "text/plain");
+}
+
+int runRegistry(const settings::settings& settings, const gateway::control_dialect& dialect)
+{
+    link::event_loop loop;
+    telemetry::metrics metrics;
+    std::unique_ptr<registry_role> role;
+    const signal_watch watch(loop, [&] {
+        telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
+        role->stop([&loop] { loop.stop(); });
+    });
+    role = std::make_unique<registry_role>(loop, settings, dialect, metrics);
+    if (const auto started = role->start(); !started) {
+        telemetry::logEvent(event_code::SettingsRejected, { { "reason", started.error().reason } },
+            telemetry::severity::Error);
+        return exitFailure;
+    }
+    telemetry::logEvent(event_code::ProcessStarted,
+        { { "role", "registry" }, { "instance", settings.id }, { "link", settings.linkAddress },
+            { "http", settings.httpAddress } });
+    const periodic_task logs(loop, milliseconds(100), [] { telemetry::flushLog(); });
+    loop.run();
+    role.reset();
+    telemetry::logEvent(event_code::ProcessStopped, { { "instance", settings.id } });
+    return exitOk;
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/registry.hpp
@@ -0,0 +1,83 @@
+/// @file
+/// @brief The registry role: a controller before gateways that reach targets without sidecars.
+#pragma once
+
+#include "app/layer_orders.hpp"
+#include "app/registry_state.hpp"
+
+#include <set>
+
+namespace buckthornrail::app {
+
+/// @brief Lives on the loop thread.
+class registry_role {
+public:
+    registry_role(link::event_loop& loop, const settings::settings& settings, const gateway::control_dialect& dialect,
+        telemetry::metrics& metrics);
+    registry_role(const registry_role&) = delete;
+    registry_role& operator=(const registry_role&) = delete;
+    ~registry_role();
+
+    tl::expected<void, failure> start();
+    void stop(std::function<void()> done);
+
+private:
+    /// A gateway's session.
+    struct session {
+        instance_id instance;
+        std::uint64_t documentVersion = 0;
+        std::uint64_t targetRevision = 0;
+        std::uint64_t waitingSequence = 0; ///< beat that wants an answer; 0: none
+        bool isConfirmed = false; ///< a quorum has confirmed this controller since the session began
+        steady_time deadline {};
+    };
+
+    void onCall(const net::whole_request& request, net::responder respond);
+    void onPublish(gateway::publish_call call, const net::responder& respond);
+    void onRead(const net::responder& respond);
+    void onAnnounce(const registry::target_record& record, const net::responder& respond);
+    void onMessage(link::channel_number channel, const std::string& bytes);
+    void onBeat(link::channel_number channel, const link::gateway_beat& beat);
+    void onDark(const std::string& targetId);
+    void heard(const registry::target_record& record);
+
+    void tick();
+    void confirmSessions();
+    void pushAll();
+    void sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence);
+    void expireTargets();
+    void submitTargets(std::vector<registry::target_record> records, std::function<void(bool)> done);
+    void onChanged();
+    void formWhenFirst();
+    void readDocument();
+    [[nodiscard]] bool isSafeToWrite() const;
+    [[nodiscard]] std::string leaderControlAddress() const;
+    [[nodiscard]] net::whole_response statusPage() const;
+
+    link::event_loop& m_loop;
+    const settings::settings& m_settings;
+    const gateway::control_dialect& m_dialect;
+    telemetry::metrics& m_metrics;
+    registry_state m_state;
+    std::unique_ptr<link::link_hub> m_hub;
+    std::unique_ptr<replicated_log> m_log;
+    std::unique_ptr<net::http_service> m_control;
+    layer_orders m_orders;
+    std::vector<gateway::service> m_services; ///< of the document in force
+    std::uint64_t m_readVersion = 0; ///< of that document
+    std::uint64_t m_loggedRevision = 0; ///< changes of targets up to it are in the log
+    std::map<link::channel_number, session> m_sessions;
+    std::map<std::string, steady_time> m_targetLeases; ///< only the leader's counts
+    std::map<std::string, std::uint64_t> m_heardSequences;
+    std::set<std::string> m_submitted; ///< announcements on their way into the log
+    steady_time m_formDeadline {};
+    steady_time m_confirmDeadline {};
+    bool m_confirming = false;
+    bool m_pushNeeded = false;
+    std::unique_ptr<periodic_task> m_ticker;
+};
+
+/// @brief Runs the role until SIGTERM. @return the exit status
+int runRegistry(const settings::settings& settings, const gateway::control_dialect& dialect);
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/registry_state.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// @brief The replicated state of the controllers before gateways: the published document and the targets.
+#pragma once
+
+#include "app/replicated_log.hpp"
+#include "buckthornrail/registry/target_record.hpp"
+
+#include <deque>
+
+namespace buckthornrail::app {
+
+/// A text under its version.
+struct versioned_text {
+    std::uint64_t version = 0;
+    std::string text;
+};
+
+/// @brief What turns one text into a newer one, as the bytes between their common ends.
+link::text_update makeTextUpdate(const versioned_text& held, const versioned_text& wanted);
+/// @return false when the update doesn't follow from what is held
+bool applyTextUpdate(versioned_text& held, const link::text_update& update);
+
+/// @brief Deterministic. The highest version of the document is in force; others change nothing.
+class registry_state : public replicated_state {
+public:
+    std::string applyCommand(const std::string& bytes) override;
+    [[nodiscard]] std::string saveState() const override;
+    tl::expected<void, failure> restoreState(const std::string& bytes) override;
+
+    [[nodiscard]] const versioned_text& document() const { return m_document; }
+    [[nodiscard]] const registry::target_table& targets() const { return m_targets; }
+    /// @brief What a receiver of that version lacks; nothing when it is current.
+    [[nodiscard]] std::vector<link::text_update> documentUpdate(std::uint64_t held) const;
+
+private:
+    void publish(std::uint64_t version, std::string text);
+
+    versioned_text m_document;
+    std::deque<versioned_text> m_earlier; ///< not saved: only for short updates
+    registry::target_table m_targets;
+};
+
+/// @brief A command that publishes a document. @param id unique
+std::string encodePublish(const std::string& id, const versioned_text& document);
+/// @brief A command that takes announcements into the table.
+std::string encodeTargets(const std::string& id, const std::vector<registry::target_record>& records);
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/replicated_log.cpp
@@ -0,0 +1,474 @@
+/// @file
+/// @brief Driving a replica: events in, effects carried out in order.
+#include "app/replicated_log.hpp"
+
+#include "buckthornrail/agreement/admission.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::app {
+namespace {
+
+constexpr milliseconds tickPeriod { 20 };
+constexpr milliseconds slowTickPeriod { 200 };
+constexpr milliseconds commandResend { 500 };
+constexpr milliseconds joinWishLifetime { 2000 };
+/// A failed disk is read again after so long: it may have been full or hung for a moment.
+constexpr milliseconds recoverPeriod { 500 };
+/// A peer that can't be reached is dialled again after so long.
+constexpr milliseconds dialPause { 300 };
+/// A voter out of reach for so long may be replaced by a learner that stands ready. Longer than a restart takes.
+constexpr milliseconds replaceAfter { 2500 };
+/// Without a learner a voter is only dropped where one more than needed votes, and after longer.
+constexpr milliseconds dropAfter { 8000 };
+constexpr std::size_t maxJoinWishes = 16;
+
+agreement::replica_options replicaOptions(std::uint32_t electionTimeoutMs)
+{
+    agreement::replica_options options;
+    options.electionTimeoutMin = milliseconds(electionTimeoutMs);
+    options.electionTimeoutMax = milliseconds(2 * electionTimeoutMs);
+    options.heartbeatInterval = milliseconds(std::max<std::uint32_t>(electionTimeoutMs / 7, 10));
+    return options;
+}
+
+} // namespace
+
+replicated_log::replicated_log(
+    link::event_loop& loop, link::link_hub& hub, replicated_state& state, replicated_log_options options)
+    : m_loop(loop)
+    , m_hub(hub)
+    , m_state(state)
+    , m_options(std::move(options))
+{
+}
+
+replicated_log::~replicated_log() = default;
+
+tl::expected<void, failure> replicated_log::start()
+{
+    if (auto opened = openStore(); !opened)
+        return opened;
+    for (const auto& address : m_options.seeds) {
+        if (address != m_options.ownAddress)
+            m_peers[address] = {};
+    }
+    dialPeers();
+    m_ticker = std::make_unique<periodic_task>(m_loop, tickPeriod, [this] { tick(); });
+    m_slowTicker = std::make_unique<periodic_task>(m_loop, slowTickPeriod, [this] { slowTick(); });
+    return {};
+}
+
+tl::expected<void, failure> replicated_log::openStore()
+{
+    if (!m_device) {
+        auto device = storage::openFolder(m_options.dataFolder);
+        if (!device)
+            return tl::make_unexpected(device.error());
+        m_device = std::move(*device);
+    }
+    m_store = std::make_unique<storage::log_store>(*m_device);
+    const auto self = m_store->loadIdentity(randomNumber());
+    if (!self)
+        return tl::make_unexpected(self.error());
+    auto loaded = m_store->load();
+    if (!loaded)
+        return tl::make_unexpected(loaded.error());
+    const bool isReopened = m_replica != nullptr;
+    if (loaded->base.index > 0 || isReopened) {
+        if (auto restored = m_state.restoreState(loaded->base.state); !restored)
+            return restored;
+    }
+    m_applied = loaded->base.index;
+    m_replica = std::make_unique<agreement::replica>(
+        *self, std::move(*loaded), replicaOptions(m_options.electionTimeoutMs), randomNumber(), steadyNow());
+    return {};
+}
+
+void replicated_log::stop()
+{
+    m_replica->transferLeadership();
+    flush();
+}
+
+tl::expected<void, failure> replicated_log::initialize()
+{
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.initialized) {
+            return tl::make_unexpected(
+                failure { result_code::AlreadyInitialized, "controller " + address + " holds a log" });
+        }
+    }
+    auto done = m_replica->initialize(m_options.ownAddress, steadyNow());
+    scheduleFlush();
+    return done;
+}
+
+void replicated_log::submit(const std::string& id, std::string bytes, done_callback done, milliseconds patience)
+{
+    const steady_time now = steadyNow();
+    m_commands[id] = { std::move(bytes), std::move(done), now + patience, now };
+    resendCommands();
+    scheduleFlush();
+}
+
+void replicated_log::confirm(std::function<void(bool)> callback, milliseconds patience)
+{
+    const std::uint64_t readId = ++m_lastReadId;
+    m_confirmations[readId] = { std::move(callback), steadyNow() + patience, 0 };
+    m_replica->confirmRead(readId);
+    scheduleFlush();
+}
+
+bool replicated_log::onOpened(link::channel_number channel)
+{
+    for (auto& [address, peer] : m_peers) {
+        if (peer.channel != channel)
+            continue;
+        peer.open = true;
+        telemetry::logEvent(event_code::LinkOpened, { { "peer", address } });
+        dialPeers(); // introduces this member at once
+        return true;
+    }
+    return false;
+}
+
+bool replicated_log::onClosed(link::channel_number channel)
+{
+    for (auto& [address, peer] : m_peers) {
+        if (peer.channel != channel)
+            continue;
+        if (peer.open)
+            telemetry::logEvent(event_code::LinkClosed, { { "peer", address } }, telemetry::severity::Warning);
+        peer.channel = 0;
+        peer.dialDeadline = peer.open ? steady_time {} : steadyNow() + dialPause;
+        peer.open = false;
+        return true;
+    }
+    return false;
+}
+
+bool replicated_log::onMessage(link::channel_number /*channel*/, const link::message& message)
+{
+    if (const auto* peer = std::get_if<agreement::peer_message>(&message)) {
+        m_replica->receive(*peer, steadyNow());
+    } else if (const auto* forwarded = std::get_if<link::forward_command>(&message)) {
+        m_replica->propose(forwarded->bytes);
+    } else if (const auto* join = std::get_if<link::join_request>(&message)) {
+        noteWish(join->member, join->address);
+    } else if (const auto* hello = std::get_if<link::controller_hello>(&message)) {
+        const auto known = m_peers.find(hello->address);
+        if (known != m_peers.end())
+            known->second.initialized = hello->initialized;
+        const auto& members = m_replica->members();
+        const bool isMember = std::any_of(
+            members.begin(), members.end(), [hello](const auto& member) { return member.id == hello->member; });
+        if (hello->initialized && !isMember && isLeader() && m_options.admitsUnlisted)
+            noteWish(hello->member, hello->address); // it was dropped while it was away
+    } else {
+        return false;
+    }
+    scheduleFlush();
+    return true;
+}
+
+void replicated_log::noteWish(agreement::member_id id, const std::string& address)
+{
+    if (!isLeader())
+        sendToLeader(link::join_request { id, address });
+    if (m_joins.contains(id) || m_joins.size() < maxJoinWishes)
+        m_joins[id] = { address, steadyNow() + joinWishLifetime };
+}
+
+bool replicated_log::sendToLeader(const link::message& message)
+{
+    const std::string address = leaderAddress();
+    const auto found = m_peers.find(address);
+    if (found == m_peers.end() || !found->second.open)
+        return false;
+    return m_hub.send(found->second.channel, link::encode(message));
+}
+
+std::string replicated_log::leaderAddress() const
+{
+    for (const auto& member : m_replica->members()) {
+        if (member.id == m_replica->leader())
+            return member.address;
+    }
+    return {};
+}
+
+bool replicated_log::knowsOtherLog() const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [](const auto& item) { return item.second.initialized; });
+}
+
+void replicated_log::dialPeers()
+{
+    const steady_time now = steadyNow();
+    const auto& members = m_replica->members();
+    for (const auto& member : members) {
+        if (member.address != m_options.ownAddress)
+            m_peers.try_emplace(member.address);
+    }
+    std::erase_if(m_peers, [&](const auto& item) {
+        const auto& seeds = m_options.seeds;
+        const bool isMember = std::any_of(
+            members.begin(), members.end(), [&item](const auto& member) { return member.address == item.first; });
+        return item.second.channel == 0 && !isMember
+            && std::find(seeds.begin(), seeds.end(), item.first) == seeds.end();
+    });
+    const bool isBlank = members.empty();
+    for (auto& [address, peer] : m_peers) {
+        if (peer.channel == 0 && now >= peer.dialDeadline)
+            peer.channel = m_hub.dial(address);
+        sendToPeer(address, link::controller_hello { m_replica->self(), m_options.ownAddress, !isBlank });
+        if (isBlank)
+            sendToPeer(address, link::join_request { m_replica->self(), m_options.ownAddress });
+    }
+}
+
+void replicated_log::sendToPeer(const std::string& address, const link::message& message)
+{
+    const auto found = m_peers.find(address);
+    if (found != m_peers.end() && found->second.open)
+        m_hub.send(found->second.channel, link::encode(message));
+}
+
+void replicated_log::tick()
+{
+    m_replica->tick(steadyNow());
+    scheduleFlush();
+}
+
+void replicated_log::slowTick()
+{
+    recoverWhenPossible();
+    dialPeers();
+    admitMembers();
+    resendCommands();
+    scheduleFlush();
+}
+
+void replicated_log::scheduleFlush()
+{
+    if (m_flushScheduled)
+        return;
+    m_flushScheduled = true;
+    m_loop.post([this] {
+        m_flushScheduled = false;
+        flush();
+    });
+}
+
+void replicated_log::flush()
+{
+    while (true) {
+        const agreement::effects effects = m_replica->takeEffects();
+        if (!persist(effects))
+            return;
+        for (const auto& message : effects.messages)
+            deliver(message);
+        applyCommitted(effects.committed);
+        for (const auto& read : effects.reads) {
+            const auto found = m_confirmations.find(read.readId);
+            if (found != m_confirmations.end())
+                found->second.index = std::max<agreement::log_index>(read.index, 1);
+        }
+        releaseConfirmations();
+        const bool idle = !effects.needsPersist() && effects.messages.empty() && effects.committed.empty();
+        if (idle)
+            break;
+    }
+    saveSnapshotWhenDue();
+    watchLeadership();
+}
+
+void replicated_log::deliver(const agreement::peer_message& message)
+{
+    const auto& members = m_replica->members();
+    const auto to
+        = std::find_if(members.begin(), members.end(), [&](const auto& member) { return member.id == message.to; });
+    if (to != members.end()) {
+        sendToPeer(to->address, message);
+        return;
+    }
+    // An answer to a leader that this blank or outdated replica doesn't know yet.
+    for (const auto& [address, peer] : m_peers)
+        sendToPeer(address, message);
+}
+
+bool replicated_log::persist(const agreement::effects& effects)
+{
+    if (!effects.needsPersist())
+        return true;
+    const auto saved = m_store->persist(effects);
+    if (!saved) {
+        disable(saved.error());
+        return false;
+    }
+    if (!effects.installed)
+        return true;
+    if (auto restored = m_state.restoreState(effects.installed->state); !restored) {
+        disable(restored.error());
+        return false;
+    }
+    m_applied = effects.installed->index;
+    if (changed)
+        changed();
+    return true;
+}
+
+void replicated_log::applyCommitted(const std::vector<agreement::log_entry>& entries)
+{
+    for (const auto& entry : entries) {
+        m_applied = entry.index;
+        if (entry.kind == agreement::entry_kind::Members)
+            telemetry::logEvent(event_code::MemberChanged,
+                { { "members", std::to_string(entry.members.size()) }, { "index", std::to_string(entry.index) } });
+        if (entry.kind != agreement::entry_kind::Command)
+            continue;
+        const std::string id = m_state.applyCommand(entry.command);
+        if (id.empty())
+            telemetry::logEvent(event_code::MessageRejected, { { "index", std::to_string(entry.index) } });
+        const auto waiting = m_commands.find(id);
+        if (waiting == m_commands.end())
+            continue;
+        const auto done = std::move(waiting->second.done);
+        m_commands.erase(waiting);
+        done(true);
+    }
+    if (!entries.empty() && changed)
+        changed();
+}
+
+void replicated_log::releaseConfirmations()
+{
+    const steady_time now = steadyNow();
+    std::vector<std::pair<std::function<void(bool)>, bool>> answered;
+    for (auto at = m_confirmations.begin(); at != m_confirmations.end();) {
+        const auto& waiting = at->second;
+        const bool current = waiting.index != 0 && m_applied >= waiting.index;
+        if (!current && now < waiting.deadline) {
+            ++at;
+            continue;
+        }
+        answered.emplace_back(waiting.callback, current);
+        at = m_confirmations.erase(at);
+    }
+    for (const auto& [callback, current] : answered)
+        callback(current);
+}
+
+void replicated_log::saveSnapshotWhenDue()
+{
+    const bool isDue = m_applied - m_replica->baseIndex() >= m_options.snapshotEntries;
+    if (m_replica->role() == agreement::replica_role::Faulted || !isDue)
+        return;
+    const auto base = m_replica->compact(m_applied, m_state.saveState());
+    const auto saved = m_store->saveSnapshot(base, m_replica->hardState(), m_replica->entriesAfterBase());
+    if (!saved) {
+        disable(saved.error());
+        return;
+    }
+    telemetry::logEvent(event_code::SnapshotSaved,
+        { { "index", std::to_string(base.index) }, { "bytes", std::to_string(base.state.size()) } });
+}
+
+void replicated_log::resendCommands()
+{
+    const steady_time now = steadyNow();
+    std::vector<done_callback> late;
+    for (auto at = m_commands.begin(); at != m_commands.end();) {
+        auto& waiting = at->second;
+        if (now >= waiting.deadline) {
+            late.push_back(std::move(waiting.done));
+            at = m_commands.erase(at);
+            continue;
+        }
+        if (now >= waiting.resendDeadline) {
+            waiting.resendDeadline = now + commandResend;
+            if (!m_replica->propose(waiting.bytes))
+                sendToLeader(link::forward_command { waiting.bytes });
+        }
+        ++at;
+    }
+    for (const auto& done : late)
+        done(false);
+}
+
+void replicated_log::admitMembers()
+{
+    const steady_time now = steadyNow();
+    std::erase_if(m_joins, [now](const auto& item) { return now >= item.second.deadline; });
+    if (!isLeader()) {
+        m_deadAfter.clear();
+        return;
+    }
+    std::vector<agreement::join_wish> wishes;
+    for (const auto& [id, wish] : m_joins) {
+        const auto& listed = m_options.seeds;
+        if (m_options.admitsUnlisted || std::find(listed.begin(), listed.end(), wish.address) != listed.end())
+            wishes.push_back({ id, wish.address });
+    }
+    std::vector<agreement::member_id> replaceable;
+    std::vector<agreement::member_id> droppable;
+    for (const auto& member : m_replica->members()) {
+        if (!m_options.dropsDeadMembers || m_replica->isReachable(member.id, now)) {
+            m_deadAfter.erase(member.id);
+            continue;
+        }
+        const steady_time since = m_deadAfter.try_emplace(member.id, now).first->second;
+        if (now >= since + replaceAfter)
+            replaceable.push_back(member.id);
+        if (now >= since + dropAfter)
+            droppable.push_back(member.id);
+    }
+    auto next = agreement::nextMembers(*m_replica, wishes, now);
+    if (!next)
+        next = agreement::withoutDead(*m_replica, replaceable, droppable, now);
+    if (next)
+        (void)m_replica->proposeMembers(std::move(*next)); // refused while another change is open; asked again
+}
+
+void replicated_log::watchLeadership()
+{
+    const bool leads = isLeader();
+    if (leads == m_wasLeader)
+        return;
+    m_wasLeader = leads;
+    telemetry::logEvent(leads ? event_code::LeaderElected : event_code::LeaderLost,
+        { { "address", m_options.ownAddress }, { "term", std::to_string(m_replica->term()) } });
+    if (leadershipChanged)
+        leadershipChanged(leads);
+}
+
+void replicated_log::disable(const failure& why)
+{
+    m_replica->fault();
+    m_recoverDeadline = steadyNow() + recoverPeriod;
+    telemetry::logEvent(event_code::StorageFault,
+        { { "code", std::to_string(static_cast<int>(why.code)) }, { "reason", why.reason } },
+        telemetry::severity::Error);
+}
+
+void replicated_log::recoverWhenPossible()
+{
+    if (m_replica->role() != agreement::replica_role::Faulted || steadyNow() < m_recoverDeadline)
+        return;
+    m_recoverDeadline = steadyNow() + recoverPeriod;
+    // Nothing was promised since the failed write: what stands on disk now is all that counts, as after a restart.
+    const auto opened = openStore();
+    if (!opened)
+        return;
+    const auto probed = m_store->probe();
+    if (!probed) {
+        m_replica->fault();
+        return;
+    }
+    telemetry::logEvent(event_code::StorageRegained, { { "index", std::to_string(m_replica->lastIndex()) } });
+    if (changed)
+        changed();
+}
+
+} // namespace buckthornrail::app
--- a/src/app/role_runner.hpp
+++ b/src/app/role_runner.hpp
@@ -46,6 +46,7 @@
     telemetry::logEvent(event_code::ProcessStarted,
         { { "role", std::string(nameIn(settings::processRoleNames, kind)) }, { "instance", settings.id },
             { "link", settings.linkAddress }, { "http", settings.httpAddress } });
+    const periodic_task logs(loop, milliseconds(100), [] { telemetry::flushLog(); });
     loop.run();
     server->reset();
     role.reset();
--- a/src/buckthornrail/agreement/admission.cpp
+++ b/src/buckthornrail/agreement/admission.cpp
@@ -52,4 +52,31 @@
     return std::nullopt;
 }
 
+std::optional<std::vector<member>> withoutDead(const replica& leader, std::span<const member_id> replaceable,
+    std::span<const member_id> droppable, steady_time now)
+{
+    const auto& members = leader.members();
+    const auto isIn = [](std::span<const member_id> list, member_id id) {
+        return std::find(list.begin(), list.end(), id) != list.end();
+    };
+    const auto voters = std::count_if(members.begin(), members.end(), [](const member& one) { return one.voter; });
+    const auto reachable = std::count_if(members.begin(), members.end(),
+        [&](const member& one) { return one.voter && leader.isReachable(one.id, now); });
+    for (const auto& one : members) {
+        const bool isSurplus = one.voter && voters >= 4 && voters % 2 == 0 && isIn(replaceable, one.id);
+        const bool blocksPlace = members.size() >= maxMembers && isIn(droppable, one.id);
+        const bool isDeadLearner = !one.voter && isIn(droppable, one.id);
+        if (!isSurplus && !blocksPlace && !isDeadLearner)
+            continue;
+        const auto votersLeft = voters - (one.voter ? 1 : 0);
+        if (reachable < votersLeft / 2 + 1)
+            continue;
+        std::vector<member> left;
+        std::copy_if(members.begin(), members.end(), std::back_inserter(left),
+            [&one](const member& other) { return other.id != one.id; });
+        return left;
+    }
+    return std::nullopt;
+}
+
 } // namespace buckthornrail::agreement
--- /dev/null
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -0,0 +1,405 @@
+/// @file
+/// @brief Decisions over the life of a request.
+#include "buckthornrail/gateway/exchange.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace buckthornrail::gateway {
+namespace {
+
+/// Statuses that promise that a request has not run; a target's own promise is told by its answer's mark alone.
+constexpr std::array promisingStatuses { 408, 421, 429, 503 };
+constexpr int firstServerError = 500;
+constexpr int firstFailure = 300;
+
+bool isPromise(int status)
+{
+    return std::find(promisingStatuses.begin(), promisingStatuses.end(), status) != promisingStatuses.end();
+}
+
+milliseconds between(steady_time from, steady_time to)
+{
+    return std::chrono::duration_cast<milliseconds>(to - from);
+}
+
+std::string inMs(milliseconds time) { return std::to_string(time.count()); }
+
+} // namespace
+
+exchange::exchange(exchange_request request, exchange_port& port, target_pool& pool, repeat_budget& budget,
+    std::size_t gateways, const exchange_options& options)
+    : m_request(std::move(request))
+    , m_port(port)
+    , m_pool(pool)
+    , m_budget(budget)
+    , m_gateways(gateways)
+    , m_options(options)
+    , m_lastEventId(m_request.lastEventId)
+{
+}
+
+void exchange::start(steady_time now)
+{
+    m_budget.noteRequest(now);
+    const auto where = m_pool.select(m_request.service, m_excluded, now);
+    if (!where) {
+        finish(result_code::NoTarget, ran_state::No, "no usable target or path", now);
+        return;
+    }
+    open(*where, now);
+}
+
+void exchange::onSent(steady_time now)
+{
+    m_sent = true;
+    m_moveAt = now + m_options.moveUnstartedAfter;
+    m_askAt = now + m_options.askAfter;
+    scheduleWake(now);
+}
+
+void exchange::onHead(const target_answer& answer, steady_time now)
+{
+    if (!m_attemptOpen)
+        return;
+    m_answer = answer;
+    const auto& first = m_where.parts.front().targetId;
+    if (answer.notRun) {
+        const bool isFull = answer.status == 503 && answer.faultyAddress.empty();
+        const std::string faulty = answer.faultyAddress.empty() ? first : m_pool.idAt(answer.faultyAddress);
+        if (isFull)
+            m_pool.wasFull(first, now);
+        else
+            m_pool.failed(faulty, now);
+        m_excluded.insert(faulty);
+        closeAttempt();
+        tryNext({ ran_state::No, false, "refused with status " + std::to_string(answer.status) + " by " + faulty }, now);
+        return;
+    }
+    if (!answer.isOwn) {
+        blame(first, false, now);
+        closeAttempt();
+        tryNext({ ran_state::Unknown, false, "an answer of status " + std::to_string(answer.status) + " to something else" },
+            now);
+        return;
+    }
+    if (answer.status < firstFailure)
+        return;
+    const attempt_end end { ran_state::Yes, false, "failed with status " + std::to_string(answer.status) };
+    const bool isFault = answer.status >= firstServerError;
+    if (isFault)
+        blame(first, false, now);
+    // A promise that the target didn't make can't go to the caller; other failures go as they are if nothing is left.
+    if (isPromise(answer.status) || (isFault && whyNoRepeat(end, now).empty())) {
+        closeAttempt();
+        tryNext(end, now);
+    }
+}
+
+void exchange::onBody(steady_time now)
+{
+    if (!m_attemptOpen || !m_answer)
+        return;
+    const auto first = m_where.parts.front().targetId;
+    const int status = m_answer->status;
+    if (m_request.isStream() && m_answer->isEventStream && status < firstFailure) {
+        onLost(attempt_loss::Broken, now);
+        return;
+    }
+    closeAttempt();
+    if (status < firstServerError)
+        m_pool.succeeded(first, static_cast<double>(between(m_attemptStart, now).count()));
+    m_port.passOn();
+    m_over = true;
+    m_port.note(event_code::RequestFinished,
+        { { "request", m_request.id }, { "route", m_request.chosen->name }, { "outcome", "passed_on" },
+            { "status", std::to_string(status) }, { "attempts", std::to_string(m_tries) }, { "target", first },
+            { "ms", inMs(between(m_request.arrived, now)) } });
+}
+
+void exchange::onEvent(std::string_view bytes, std::optional<std::uint64_t> id, steady_time now)
+{
+    if (!m_attemptOpen || !m_answer)
+        return;
+    if (id && m_lastEventId && *id <= *m_lastEventId)
+        return; // the caller has it
+    if (id && m_lastEventId && *id != *m_lastEventId + 1) {
+        blameFirst(now);
+        closeAttempt();
+        tryNext({ ran_state::Yes, false, "event " + std::to_string(*id) + " after " + std::to_string(*m_lastEventId) },
+            now);
+        return;
+    }
+    if (id)
+        m_lastEventId = id;
+    if (!m_streamBegun) {
+        m_streamBegun = true;
+        m_firstEvent = between(m_request.arrived, now);
+        m_port.beginStream();
+    } else {
+        m_longestGap = std::max(m_longestGap, between(m_lastEventAt, now));
+    }
+    ++m_events;
+    m_lastEventAt = now;
+    m_openAsks = 0;
+    m_askAt = now + m_options.askAfter;
+    m_moveAt = now + m_options.moveAfter;
+    m_port.passEvent(bytes);
+}
+
+void exchange::onStreamEnd(steady_time now)
+{
+    if (!m_attemptOpen || !m_answer)
+        return;
+    if (!m_streamBegun) {
+        onLost(attempt_loss::Broken, now);
+        return;
+    }
+    for (const auto& part : m_where.parts)
+        m_pool.succeeded(part.targetId, static_cast<double>(between(m_attemptStart, now).count()));
+    closeAttempt();
+    m_port.endStream();
+    m_over = true;
+    m_port.note(event_code::RequestFinished,
+        { { "request", m_request.id }, { "route", m_request.chosen->name }, { "outcome", "streamed" },
+            { "events", std::to_string(m_events) }, { "attempts", std::to_string(m_tries) },
+            { "first_ms", inMs(m_firstEvent) }, { "gap_ms", inMs(m_longestGap) },
+            { "ms", inMs(between(m_request.arrived, now)) } });
+}
+
+void exchange::onLost(attempt_loss how, steady_time now)
+{
+    if (!m_attemptOpen)
+        return;
+    const auto first = m_where.parts.front().targetId;
+    const bool notReached = how == attempt_loss::NotReached && !m_sent;
+    blame(first, notReached, now);
+    closeAttempt();
+    if (notReached) {
+        tryNext({ ran_state::No, true, "no connection to " + first }, now);
+        return;
+    }
+    const bool garbled = how == attempt_loss::Garbled;
+    tryNext({ ran_state::Unknown, !garbled, (garbled ? "garbled by " : "cut off by ") + first }, now);
+}
+
+void exchange::onReport(bool answered, const std::string& faultyAddress, steady_time now)
+{
+    if (!m_attemptOpen)
+        return;
+    if (answered)
+        m_openAsks = 0;
+    const bool firstIsDark = !answered && m_openAsks >= m_options.unansweredAsks;
+    const std::string faulty = firstIsDark ? m_where.parts.front().targetId
+        : faultyAddress.empty()            ? std::string()
+                                           : m_pool.idAt(faultyAddress);
+    if (faulty.empty())
+        return;
+    blame(faulty, true, now);
+    const attempt_end end { ran_state::Unknown, true, "held up by " + faulty };
+    if (!whyNoRepeat(end, now).empty())
+        return; // it may still go on by itself
+    closeAttempt();
+    tryNext(end, now);
+}
+
+void exchange::onTimer(steady_time now)
+{
+    if (m_over)
+        return;
+    if (now >= m_request.deadline) {
+        if (m_attemptOpen)
+            closeAttempt();
+        const bool mayHaveRun = m_mayHaveRun || m_sent;
+        finish(mayHaveRun ? result_code::OutcomeUnknown : result_code::DeadlinePassed,
+            mayHaveRun ? ran_state::Unknown : ran_state::No, "no time left", now);
+        return;
+    }
+    if (!m_attemptOpen || !m_sent) {
+        scheduleWake(now);
+        return;
+    }
+    const attempt_end slow { ran_state::Unknown, false, "silent for too long" };
+    if (hasPath()) {
+        if (now >= m_moveAt && whyNoRepeat(slow, now).empty()) {
+            for (const auto& part : m_where.parts)
+                m_excluded.insert(part.targetId);
+            closeAttempt();
+            tryNext(slow, now);
+            return;
+        }
+        if (now >= m_askAt) {
+            m_askAt = now + m_options.askAgainAfter;
+            ++m_openAsks;
+            m_port.askForReport();
+            if (m_over || !m_attemptOpen)
+                return;
+        }
+    } else if (m_request.chosen->kind == request_kind::Safe && !m_answer && now >= m_moveAt
+        && whyNoRepeat(slow, now).empty()) {
+        const auto first = m_where.parts.front().targetId;
+        m_pool.succeeded(first, static_cast<double>(between(m_attemptStart, now).count()));
+        m_excluded.insert(first);
+        closeAttempt();
+        tryNext(slow, now);
+        return;
+    }
+    scheduleWake(now);
+}
+
+void exchange::onCallerGone(steady_time now)
+{
+    if (m_over)
+        return;
+    if (m_attemptOpen)
+        closeAttempt();
+    m_over = true;
+    m_port.note(event_code::RequestFinished,
+        { { "request", m_request.id }, { "route", m_request.chosen->name }, { "outcome", "caller_left" },
+            { "events", std::to_string(m_events) }, { "attempts", std::to_string(m_tries) },
+            { "ms", inMs(between(m_request.arrived, now)) } });
+}
+
+void exchange::tryNext(const attempt_end& last, steady_time now)
+{
+    const bool mayHaveRun = last.ran != ran_state::No;
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    if (mayHaveRun && !last.targetEnded)
+        ++m_countedAttempts;
+    m_port.note(event_code::AttemptLost,
+        { { "request", m_request.id }, { "attempt", std::to_string(m_tries) }, { "reason", last.reason },
+            { "ran", std::string(nameOf(last.ran)) }, { "events", std::to_string(m_events) } });
+    const std::string why = whyNoRepeat(last, now);
+    if (!why.empty()) {
+        giveUp(last.reason + "; " + why, now);
+        return;
+    }
+    auto where = m_pool.select(m_request.service, m_excluded, now);
+    if (!where && !m_excluded.empty()) {
+        // Better one that failed before than none: it may have been a moment's fault.
+        m_excluded.clear();
+        where = m_pool.select(m_request.service, m_excluded, now);
+    }
+    if (!where) {
+        giveUp(last.reason + "; no other target or path", now);
+        return;
+    }
+    const bool arrived = mayHaveRun || !last.targetEnded;
+    if (arrived && !m_budget.take(m_gateways, now)) {
+        giveUp(last.reason + "; the budget of repeats is spent", now);
+        return;
+    }
+    open(*where, now);
+}
+
+std::string exchange::whyNoRepeat(const attempt_end& last, steady_time now)
+{
+    const bool mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
+    if (mayHaveRun && !m_request.mayRepeat())
+        return "it may have run and must not be repeated";
+    if (m_streamBegun && !m_lastEventId)
+        return "the stream's events have no ids to go on from";
+    const bool counts = last.ran != ran_state::No && !last.targetEnded;
+    if (m_countedAttempts + (counts ? 1 : 0) >= m_request.chosen->maxAttempts)
+        return "the route's attempts are used up";
+    if (m_tries >= m_options.mostTries)
+        return "tried often enough";
+    if (now + m_options.shortestUseful >= m_request.deadline)
+        return "no time left";
+    return {};
+}
+
+void exchange::open(const selection& where, steady_time now)
+{
+    m_where = where;
+    m_answer.reset();
+    m_sent = false;
+    m_attemptOpen = true;
+    m_openAsks = 0;
+    m_attemptStart = now;
+    ++m_tries;
+    m_moveAt = now + m_options.moveUnstartedAfter;
+    m_askAt = now + m_options.askAfter;
+    m_pool.began(m_where, m_request.size);
+    m_port.note(event_code::RouteChosen,
+        { { "request", m_request.id }, { "route", m_request.chosen->name },
+            { "version", std::to_string(m_request.document->document().version) },
+            { "attempt", std::to_string(m_tries) }, { "chosen", describe(where) }, { "candidates", where.summary },
+            { "left_ms", inMs(between(now, m_request.deadline)) } });
+    scheduleWake(now);
+    m_port.openAttempt(m_tries, m_where, m_lastEventId);
+}
+
+void exchange::closeAttempt()
+{
+    m_attemptOpen = false;
+    m_pool.ended(m_where, m_request.size);
+    m_port.cancelAttempt();
+}
+
+void exchange::giveUp(const std::string& reason, steady_time now)
+{
+    if (m_mayHaveRun)
+        finish(result_code::TargetFailed, ran_state::Unknown, reason, now);
+    else
+        finish(result_code::Busy, ran_state::No, reason, now);
+}
+
+void exchange::finish(result_code code, ran_state ran, const std::string& reason, steady_time now)
+{
+    m_over = true;
+    m_port.note(m_streamBegun || ran != ran_state::No ? event_code::RequestFinished : event_code::RouteRefused,
+        { { "request", m_request.id }, { "route", m_request.chosen->name },
+            { "outcome", m_streamBegun ? "broken_off" : "refused" },
+            { "code", std::to_string(static_cast<int>(code)) }, { "ran", std::string(nameOf(ran)) },
+            { "reason", reason }, { "events", std::to_string(m_events) }, { "attempts", std::to_string(m_tries) },
+            { "ready", std::to_string(m_pool.readyCount(m_request.service)) },
+            { "ms", inMs(between(m_request.arrived, now)) } });
+    if (m_streamBegun)
+        m_port.breakOff();
+    else
+        m_port.answer(code, ran, reason);
+}
+
+void exchange::scheduleWake(steady_time now)
+{
+    steady_time when = m_request.deadline;
+    if (m_attemptOpen && m_sent && hasPath())
+        when = std::min({ when, m_askAt, m_moveAt > now ? m_moveAt : when });
+    if (m_attemptOpen && m_sent && !hasPath() && m_request.chosen->kind == request_kind::Safe && !m_answer) {
+        const auto patience = std::chrono::duration_cast<milliseconds>(
+            m_request.chosen->latencyTarget * m_options.retryPart);
+        m_moveAt = m_attemptStart + patience;
+        if (m_moveAt > now)
+            when = std::min(when, m_moveAt);
+    }
+    m_port.wakeAt(when);
+}
+
+void exchange::blameFirst(steady_time now) { blame(m_where.parts.front().targetId, false, now); }
+
+void exchange::blame(const std::string& targetId, bool dark, steady_time now)
+{
+    m_excluded.insert(targetId);
+    if (dark)
+        m_pool.wentDark(targetId, now);
+    else
+        m_pool.failed(targetId, now);
+    m_port.note(event_code::TargetAvoided,
+        { { "request", m_request.id }, { "target", targetId }, { "reason", dark ? "dark" : "failed" } });
+}
+
+std::string exchange::describe(const selection& where) const
+{
+    std::string text;
+    for (const auto& part : where.parts) {
+        if (!text.empty())
+            text += ',';
+        text += part.targetId;
+        if (!part.layers.isEmpty())
+            text += "=" + std::to_string(part.layers.first) + "-" + std::to_string(part.layers.end);
+    }
+    return text;
+}
+
+} // namespace buckthornrail::gateway
--- /dev/null
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -0,0 +1,254 @@
+/// @file
+/// @brief Choosing among targets.
+#include "buckthornrail/gateway/target_pool.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornrail::gateway {
+namespace {
+
+constexpr double bytesPerMb = 1e6;
+/// Weight of the newest answer in a target's moving average: about the last ten count.
+constexpr double newestWeight = 0.2;
+/// Taken for a target that hasn't answered yet, so that it is tried beside known ones.
+constexpr double unknownAnswerMs = 10;
+/// A target in another domain must be so much sooner to be chosen: bytes between domains are paid for.
+constexpr double farFactor = 1.3;
+/// A share of choices is drawn at random, so that a target that was slow once is measured again.
+constexpr double exploreShare = 0.02;
+/// From this share of its memory on, a target's cost rises steeply: a full engine preempts requests.
+constexpr double comfortableMemory = 0.6;
+constexpr double fullMemoryFactor = 20;
+/// Costs are varied by so much, so that gateways don't all pick the same of two equal targets.
+constexpr double jitterShare = 0.1;
+
+} // namespace
+
+target_pool::target_pool(pool_options options, std::uint64_t seed)
+    : m_options(std::move(options))
+    , m_random(seed)
+    , m_domains { m_options.ownDomain }
+{
+}
+
+void target_pool::update(const std::map<std::string, registry::target_record>& records)
+{
+    std::erase_if(m_targets, [&records](const auto& item) { return !records.contains(item.first); });
+    for (const auto& [id, record] : records) {
+        auto& target = m_targets[id];
+        const bool cameBack
+            = target.record.state == registry::target_state::Lost && record.state == registry::target_state::Ready;
+        target.record = record;
+        target.domain = domainNumber(record.failureDomain);
+        if (cameBack)
+            target.avoidUntil = {};
+        describeAccelerator(target);
+    }
+}
+
+void target_pool::setEngine(const std::string& service, const std::optional<layered_engine>& engine)
+{
+    if (engine)
+        m_engines[service] = *engine;
+    else
+        m_engines.erase(service);
+    for (auto& [id, target] : m_targets)
+        describeAccelerator(target);
+}
+
+void target_pool::describeAccelerator(pool_target& target) const
+{
+    const auto engine = m_engines.find(target.record.service);
+    if (engine == m_engines.end())
+        return;
+    for (const auto& kind : engine->second.kinds) {
+        if (kind.name != target.record.accelerator)
+            continue;
+        target.stepFactor = kind.stepFactor;
+        const double weightsMb = engine->second.layerMb * target.record.layers.size();
+        const double tokenLayerMb = engine->second.tokenBytes / bytesPerMb / std::max(engine->second.layers, 1U);
+        target.memoryTokenLayers = tokenLayerMb > 0 ? std::max(0.0, kind.memoryMb - weightsMb) / tokenLayerMb : 0;
+    }
+}
+
+std::size_t target_pool::domainNumber(const std::string& name)
+{
+    const auto known = std::find(m_domains.begin(), m_domains.end(), name);
+    if (known != m_domains.end())
+        return static_cast<std::size_t>(known - m_domains.begin());
+    m_domains.push_back(name);
+    return m_domains.size() - 1;
+}
+
+std::optional<selection> target_pool::select(
+    const std::string& service, const std::set<std::string>& excluded, steady_time now)
+{
+    const auto engine = m_engines.find(service);
+    if (engine != m_engines.end() && engine->second.layers > 0)
+        return selectPath(service, engine->second, excluded, now);
+    return selectOne(service, excluded, now);
+}
+
+std::vector<target_pool::pool_target*> target_pool::usable(
+    const std::string& service, const std::set<std::string>& excluded, bool evenAvoided, steady_time now)
+{
+    std::vector<pool_target*> found;
+    for (auto& [id, target] : m_targets) {
+        if (target.record.service != service || target.record.state != registry::target_state::Ready)
+            continue;
+        if (excluded.contains(id) || (!evenAvoided && now < target.avoidUntil))
+            continue;
+        found.push_back(&target);
+    }
+    return found;
+}
+
+double target_pool::msPerLayer(const pool_target& target, const layered_engine& engine) const
+{
+    const double sequences = target.sequences * static_cast<double>(m_gateways);
+    const double tokenMs = target.stepFactor * (engine.stepMs + engine.stepMsPerSequence * sequences);
+    const double usedShare = target.memoryTokenLayers > 0
+        ? target.tokenLayers * static_cast<double>(m_gateways) / target.memoryTokenLayers
+        : 1;
+    const double crowding = 1 + fullMemoryFactor * std::max(0.0, usedShare - comfortableMemory);
+    return tokenMs / std::max(engine.layers, 1U) * crowding;
+}
+
+std::optional<selection> target_pool::selectPath(
+    const std::string& service, const layered_engine& engine, const std::set<std::string>& excluded, steady_time now)
+{
+    std::uniform_real_distribution<double> jitter(1, 1 + jitterShare);
+    for (const bool evenAvoided : { false, true }) {
+        const auto targets = usable(service, excluded, evenAvoided, now);
+        std::vector<path_candidate> candidates;
+        candidates.reserve(targets.size());
+        for (const auto* target : targets)
+            candidates.push_back(
+                { target->record.layers, target->domain, msPerLayer(*target, engine) * jitter(m_random) });
+        const auto path = findPath(candidates, engine.layers, m_domains.size(), 0);
+        if (path.empty())
+            continue;
+        selection chosen;
+        for (const auto& part : path) {
+            const auto& record = targets[part.candidate]->record;
+            chosen.parts.push_back({ record.id, record.address, part.layers });
+        }
+        chosen.summary = std::to_string(targets.size()) + " usable, " + std::to_string(path.size()) + " parts"
+            + (evenAvoided ? ", with avoided ones" : "");
+        return chosen;
+    }
+    return std::nullopt;
+}
+
+std::optional<selection> target_pool::selectOne(
+    const std::string& service, const std::set<std::string>& excluded, steady_time now)
+{
+    auto targets = usable(service, excluded, false, now);
+    const bool evenAvoided = targets.empty();
+    if (evenAvoided)
+        targets = usable(service, excluded, true, now);
+    if (targets.empty())
+        return std::nullopt;
+    std::uniform_real_distribution<double> draw(0, 1);
+    const bool explores = draw(m_random) < exploreShare;
+    const pool_target* best = nullptr;
+    double bestCost = 0;
+    for (const auto* target : targets) {
+        const double waiting = target->sequences * static_cast<double>(m_gateways) / std::max(target->record.slots, 1U);
+        const double answerMs = target->answerMs > 0 ? target->answerMs : unknownAnswerMs;
+        double cost = answerMs * (1 + waiting) * (target->domain == 0 ? 1 : farFactor) * (1 + jitterShare * draw(m_random));
+        if (explores)
+            cost = draw(m_random);
+        if (best == nullptr || cost < bestCost) {
+            best = target;
+            bestCost = cost;
+        }
+    }
+    selection chosen;
+    chosen.parts.push_back({ best->record.id, best->record.address, {} });
+    chosen.summary = std::to_string(targets.size()) + " usable, expected "
+        + std::to_string(static_cast<int>(std::lround(bestCost))) + " ms" + (evenAvoided ? ", avoided" : "");
+    return chosen;
+}
+
+void target_pool::began(const selection& chosen, const request_size& size)
+{
+    for (const auto& part : chosen.parts) {
+        const auto found = m_targets.find(part.targetId);
+        if (found == m_targets.end())
+            continue;
+        found->second.sequences += 1;
+        found->second.tokenLayers += (size.promptTokens + size.answerTokens) * part.layers.size();
+    }
+}
+
+void target_pool::ended(const selection& chosen, const request_size& size)
+{
+    for (const auto& part : chosen.parts) {
+        const auto found = m_targets.find(part.targetId);
+        if (found == m_targets.end())
+            continue;
+        auto& target = found->second;
+        target.sequences = std::max(0.0, target.sequences - 1);
+        target.tokenLayers
+            = std::max(0.0, target.tokenLayers - (size.promptTokens + size.answerTokens) * part.layers.size());
+    }
+}
+
+void target_pool::succeeded(const std::string& targetId, double answerMs)
+{
+    const auto found = m_targets.find(targetId);
+    if (found == m_targets.end())
+        return;
+    auto& target = found->second;
+    target.failuresInRow = 0;
+    target.answerMs
+        = target.answerMs == 0 ? answerMs : (1 - newestWeight) * target.answerMs + newestWeight * answerMs;
+}
+
+void target_pool::failed(const std::string& targetId, steady_time now)
+{
+    const auto found = m_targets.find(targetId);
+    if (found == m_targets.end())
+        return;
+    auto& target = found->second;
+    const auto doubled = m_options.firstPause * (1U << std::min<std::size_t>(target.failuresInRow, 8));
+    ++target.failuresInRow;
+    target.avoidUntil = std::max(target.avoidUntil, now + std::min<milliseconds>(doubled, m_options.longestPause));
+}
+
+void target_pool::wasFull(const std::string& targetId, steady_time now)
+{
+    const auto found = m_targets.find(targetId);
+    if (found != m_targets.end())
+        found->second.avoidUntil = std::max(found->second.avoidUntil, now + m_options.fullPause);
+}
+
+void target_pool::wentDark(const std::string& targetId, steady_time now)
+{
+    const auto found = m_targets.find(targetId);
+    if (found == m_targets.end())
+        return;
+    found->second.avoidUntil = std::max(found->second.avoidUntil, now + m_options.darkPause);
+    m_newlyDark.push_back(targetId);
+}
+
+std::string target_pool::idAt(const std::string& address) const
+{
+    for (const auto& [id, target] : m_targets) {
+        const bool isOver = target.record.state == registry::target_state::Gone;
+        if (!isOver && target.record.address == address)
+            return id;
+    }
+    return {};
+}
+
+std::size_t target_pool::readyCount(const std::string& service) const
+{
+    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [&service](const auto& item) {
+        return item.second.record.service == service && item.second.record.state == registry::target_state::Ready;
+    }));
+}
+
+} // namespace buckthornrail::gateway
--- /dev/null
+++ b/src/buckthornrail/http1/event_stream.cpp
@@ -0,0 +1,68 @@
+/// @file
+/// @brief Finding the ends of events.
+#include "buckthornrail/http1/event_stream.hpp"
+
+#include <charconv>
+
+namespace buckthornrail::http1 {
+namespace {
+
+constexpr std::string_view idPrefix = "id:";
+
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+        if (!line.starts_with(idPrefix))
+            continue;
+        line.remove_prefix(idPrefix.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        const auto [stop, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (error == std::errc())
+            return id;
+    }
+    return std::nullopt;
+}
+
+/// Offset after the next blank line, or npos.
+std::size_t endOfEvent(std::string_view text, std::size_t from)
+{
+    while (true) {
+        const auto end = text.find('\n', from);
+        if (end == std::string_view::npos)
+            return end;
+        std::size_t next = end + 1;
+        if (next < text.size() && text[next] == '\r')
+            ++next;
+        if (next < text.size() && text[next] == '\n')
+            return next + 1;
+        from = end + 1;
+    }
+}
+
+} // namespace
+
+std::vector<stream_event> event_stream_reader::put(std::string_view bytes)
+{
+    m_pending.append(bytes);
+    std::vector<stream_event> events;
+    std::size_t start = 0;
+    while (true) {
+        const auto end = endOfEvent(m_pending, start);
+        if (end == std::string::npos)
+            break;
+        stream_event event;
+        event.bytes = m_pending.substr(start, end - start);
+        event.id = idOf(event.bytes);
+        events.push_back(std::move(event));
+        start = end;
+    }
+    m_pending.erase(0, start);
+    return events;
+}
+
+} // namespace buckthornrail::http1
--- /dev/null
+++ b/src/buckthornrail/http1/message.cpp
@@ -0,0 +1,135 @@
+/// @file
+/// @brief Reading and writing heads.
+#include "buckthornrail/http1/message.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace buckthornrail::http1 {
+namespace {
+
+constexpr std::array<std::string_view, 9> connectionFields { "Connection", "Keep-Alive", "Proxy-Connection",
+    "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade" };
+
+char lower(char symbol) { return symbol >= 'A' && symbol <= 'Z' ? static_cast<char>(symbol + ('a' - 'A')) : symbol; }
+
+std::string_view trimmed(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+void appendFields(std::string& out, const std::vector<field>& fields)
+{
+    for (const auto& one : fields) {
+        out += one.name;
+        out += ": ";
+        out += one.value;
+        out += "\r\n";
+    }
+}
+
+void appendStatusLine(std::string& out, const response_head& head)
+{
+    out += "HTTP/1.1 " + std::to_string(head.status) + " ";
+    out += head.reason.empty() ? "Status" : head.reason;
+    out += "\r\n";
+}
+
+} // namespace
+
+bool sameName(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
+std::optional<std::string_view> valueOf(const std::vector<field>& fields, std::string_view name)
+{
+    for (const auto& one : fields) {
+        if (sameName(one.name, name))
+            return one.value;
+    }
+    return std::nullopt;
+}
+
+void removeFields(std::vector<field>& fields, std::string_view name)
+{
+    std::erase_if(fields, [name](const field& one) { return sameName(one.name, name); });
+}
+
+void removeConnectionFields(std::vector<field>& fields)
+{
+    std::vector<std::string> named;
+    for (const auto& one : fields) {
+        if (!sameName(one.name, "Connection"))
+            continue;
+        std::string_view rest = one.value;
+        while (!rest.empty()) {
+            const auto comma = rest.find(',');
+            named.emplace_back(trimmed(rest.substr(0, comma)));
+            rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+        }
+    }
+    for (const auto& name : named)
+        removeFields(fields, name);
+    for (const auto name : connectionFields)
+        removeFields(fields, name);
+}
+
+std::string formatRequest(const request_head& head, std::string_view body)
+{
+    std::string out;
+    out.reserve(512 + body.size());
+    out += head.method;
+    out += ' ';
+    out += head.target;
+    out += " HTTP/1.1\r\n";
+    appendFields(out, head.fields);
+    const bool usuallyHasBody = head.method != "GET" && head.method != "HEAD" && head.method != "DELETE";
+    if (!body.empty() || usuallyHasBody)
+        out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    out += "\r\n";
+    out += body;
+    return out;
+}
+
+std::string formatResponse(const response_head& head, std::string_view body, bool keepAlive)
+{
+    std::string out;
+    out.reserve(256 + body.size());
+    appendStatusLine(out, head);
+    appendFields(out, head.fields);
+    out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    if (!keepAlive)
+        out += "Connection: close\r\n";
+    out += "\r\n";
+    out += body;
+    return out;
+}
+
+std::string formatChunkedHead(const response_head& head, bool keepAlive)
+{
+    std::string out;
+    appendStatusLine(out, head);
+    appendFields(out, head.fields);
+    out += "Transfer-Encoding: chunked\r\n";
+    if (!keepAlive)
+        out += "Connection: close\r\n";
+    out += "\r\n";
+    return out;
+}
+
+std::string formatChunk(std::string_view bytes)
+{
+    std::array<char, 20> size {};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string out(size.data(), static_cast<std::size_t>(length));
+    out += bytes;
+    out += "\r\n";
+    return out;
+}
+
+} // namespace buckthornrail::http1
--- /dev/null
+++ b/src/buckthornrail/http1/message_parser.cpp
@@ -0,0 +1,205 @@
+/// @file
+/// @brief Boost.Beast's parser, made to hand out heads and parts of bodies.
+#include "buckthornrail/http1/message_parser.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <type_traits>
+#include <utility>
+
+namespace buckthornrail::http1 {
+namespace {
+
+namespace beast = boost::beast;
+using beast::error_code;
+
+template <typename Head>
+class collecting_parser : public beast::http::basic_parser<std::is_same_v<Head, request_head>> {
+    static constexpr bool isRequest = std::is_same_v<Head, request_head>;
+
+public:
+    Head head;
+    std::string body;
+    bool headDone = false;
+
+private:
+    void on_request_impl(
+        beast::http::verb, beast::string_view method, beast::string_view target, int, error_code& /*error*/) override
+    {
+        if constexpr (isRequest) {
+            head.method.assign(method.data(), method.size());
+            head.target.assign(target.data(), target.size());
+        }
+    }
+    void on_response_impl(int code, beast::string_view reason, int, error_code& /*error*/) override
+    {
+        if constexpr (!isRequest) {
+            head.status = code;
+            head.reason.assign(reason.data(), reason.size());
+        }
+    }
+    void on_field_impl(
+        beast::http::field, beast::string_view name, beast::string_view value, error_code& /*error*/) override
+    {
+        head.fields.push_back({ std::string(name), std::string(value) });
+    }
+    void on_header_impl(error_code& /*error*/) override
+    {
+        headDone = true;
+        head.keepAlive = this->keep_alive();
+        if constexpr (isRequest) {
+            const auto expect = valueOf(head.fields, "Expect");
+            head.expectsContinue = expect && sameName(*expect, "100-continue");
+        }
+    }
+    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& /*error*/) override { }
+    std::size_t on_body_impl(beast::string_view part, error_code& /*error*/) override
+    {
+        body.append(part.data(), part.size());
+        return part.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, error_code& /*error*/) override { }
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view part, error_code& /*error*/) override
+    {
+        body.append(part.data(), part.size());
+        return part.size();
+    }
+    void on_finish_impl(error_code& /*error*/) override { }
+};
+
+constexpr int firstFinalStatus = 200;
+
+} // namespace
+
+template <typename Head> struct message_parser<Head>::implementation {
+    explicit implementation(const parser_limits& chosen)
+        : limits(chosen)
+    {
+        begin();
+    }
+
+    void begin()
+    {
+        parser = std::make_unique<collecting_parser<Head>>();
+        parser->eager(true);
+        parser->header_limit(limits.maxHeadBytes);
+        parser->body_limit(limits.maxBodyBytes);
+        state = parse_state::Head;
+        fault = parse_fault::None;
+    }
+
+    parse_state parse()
+    {
+        while (!pending.empty() && state != parse_state::Done && state != parse_state::Bad) {
+            error_code error;
+            const std::size_t used = parser->put(boost::asio::buffer(pending.data(), pending.size()), error);
+            pending.erase(0, used);
+            if (error && error != beast::http::error::need_more) {
+                refuse(error);
+                return state;
+            }
+            settle();
+            if (error == beast::http::error::need_more || used == 0)
+                break;
+        }
+        return state;
+    }
+
+    /// Works out the state, and skips interim responses.
+    void settle()
+    {
+        state = parser->is_done() ? parse_state::Done : parser->headDone ? parse_state::Body : parse_state::Head;
+        if constexpr (std::is_same_v<Head, response_head>) {
+            if (state == parse_state::Done && parser->head.status < firstFinalStatus) {
+                begin();
+                return;
+            }
+            if (parser->headDone)
+                parser->head.form = formOfBody();
+        }
+    }
+
+    [[nodiscard]] body_form formOfBody() const
+    {
+        if (parser->chunked())
+            return body_form::Chunked;
+        if (parser->content_length())
+            return body_form::Length;
+        return parser->need_eof() ? body_form::UntilClose : body_form::None;
+    }
+
+    void refuse(const error_code& error)
+    {
+        state = parse_state::Bad;
+        fault = error == beast::http::error::header_limit ? parse_fault::HeadTooLarge
+            : error == beast::http::error::body_limit     ? parse_fault::BodyTooLarge
+                                                          : parse_fault::Malformed;
+    }
+
+    parser_limits limits;
+    std::unique_ptr<collecting_parser<Head>> parser;
+    std::string pending;
+    parse_state state = parse_state::Head;
+    parse_fault fault = parse_fault::None;
+};
+
+template <typename Head>
+message_parser<Head>::message_parser(const parser_limits& limits)
+    : m_implementation(std::make_unique<implementation>(limits))
+{
+}
+
+template <typename Head> message_parser<Head>::~message_parser() = default;
+
+template <typename Head> parse_state message_parser<Head>::put(std::string_view bytes)
+{
+    m_implementation->pending.append(bytes);
+    return m_implementation->parse();
+}
+
+template <typename Head> parse_state message_parser<Head>::putEnd()
+{
+    auto& own = *m_implementation;
+    if (own.state == parse_state::Done || own.state == parse_state::Bad)
+        return own.state;
+    error_code error;
+    own.parser->put_eof(error);
+    if (error) {
+        own.refuse(error);
+        return own.state;
+    }
+    own.settle();
+    return own.state;
+}
+
+template <typename Head> parse_state message_parser<Head>::next()
+{
+    m_implementation->begin();
+    return m_implementation->parse();
+}
+
+template <typename Head> parse_state message_parser<Head>::state() const { return m_implementation->state; }
+
+template <typename Head> parse_fault message_parser<Head>::fault() const { return m_implementation->fault; }
+
+template <typename Head> const Head& message_parser<Head>::head() const { return m_implementation->parser->head; }
+
+template <typename Head> std::string message_parser<Head>::takeBody()
+{
+    return std::exchange(m_implementation->parser->body, {});
+}
+
+template <typename Head> std::size_t message_parser<Head>::leftOver() const
+{
+    return m_implementation->pending.size();
+}
+
+template <typename Head> bool message_parser<Head>::isUntouched() const
+{
+    return m_implementation->state == parse_state::Head && m_implementation->pending.empty();
+}
+
+template class message_parser<request_head>;
+template class message_parser<response_head>;
+
+} // namespace buckthornrail::http1
--- a/src/buckthornrail/link/link_hub.cpp
+++ b/src/buckthornrail/link/link_hub.cpp
@@ -2,6 +2,8 @@
 /// @brief The one translation unit that sees websocketpp and asio. Compiled as C++17.
 #include "buckthornrail/link/link_hub.hpp"
 
+#include "loop_implementation.hpp"
+
 #include <map>
 #include <set>
 #include <utility>
@@ -12,11 +14,6 @@
 
 namespace buckthornrail::link {
 
-struct loop_implementation {
-    asio::io_service io;
-    asio::executor_work_guard<asio::io_context::executor_type> guard { io.get_executor() };
-};
-
 event_loop::event_loop()
     : m_implementation(std::make_unique<loop_implementation>())
 {
--- /dev/null
+++ b/src/buckthornrail/net/http_service.cpp
@@ -0,0 +1,228 @@
+/// @file
+/// @brief Whole messages over TCP channels.
+#include "buckthornrail/net/http_service.hpp"
+
+#include <array>
+#include <utility>
+
+namespace buckthornrail::net {
+namespace {
+
+constexpr int badRequest = 400;
+constexpr int headTooLarge = 431;
+constexpr int bodyTooLarge = 413;
+
+struct reason_phrase {
+    int status;
+    std::string_view text;
+};
+
+constexpr std::array reasonPhrases {
+    reason_phrase { 200, "OK" },
+    reason_phrase { 400, "Bad Request" },
+    reason_phrase { 401, "Unauthorized" },
+    reason_phrase { 404, "Not Found" },
+    reason_phrase { 408, "Request Timeout" },
+    reason_phrase { 409, "Conflict" },
+    reason_phrase { 413, "Content Too Large" },
+    reason_phrase { 429, "Too Many Requests" },
+    reason_phrase { 431, "Request Header Fields Too Large" },
+    reason_phrase { 500, "Internal Server Error" },
+    reason_phrase { 502, "Bad Gateway" },
+    reason_phrase { 503, "Service Unavailable" },
+    reason_phrase { 504, "Gateway Timeout" },
+};
+
+/// One connection of a caller.
+class served_channel : public std::enable_shared_from_this<served_channel> {
+public:
+    served_channel(link::event_loop& loop, channel_pointer channel, request_handler handler, const service_options& options)
+        : m_channel(std::move(channel))
+        , m_handler(std::move(handler))
+        , m_options(options)
+        , m_parser(options.limits)
+        , m_idle(loop)
+    {
+    }
+
+    void begin()
+    {
+        const auto self = shared_from_this();
+        m_channel->setHandlers({ nullptr, [self](std::string_view bytes) { self->onBytes(bytes); }, nullptr,
+            [self](channel_end) { self->m_idle.cancel(); } });
+        awaitRequest();
+    }
+
+private:
+    void awaitRequest()
+    {
+        const std::weak_ptr<served_channel> weak = weak_from_this();
+        m_idle.set(std::chrono::steady_clock::now() + m_options.idlePatience, [weak] {
+            if (const auto self = weak.lock())
+                self->m_channel->closeAfterWrite();
+        });
+    }
+
+    void onBytes(std::string_view bytes)
+    {
+        m_parser.put(bytes);
+        serve();
+    }
+
+    void serve()
+    {
+        if (m_busy)
+            return;
+        if (m_parser.state() == http1::parse_state::Bad) {
+            const auto fault = m_parser.fault();
+            const int status = fault == http1::parse_fault::HeadTooLarge ? headTooLarge
+                : fault == http1::parse_fault::BodyTooLarge              ? bodyTooLarge
+                                                                         : badRequest;
+            const auto response = plainResponse(status, "{}");
+            m_channel->write(http1::formatResponse(response.head, response.body, false));
+            m_channel->closeAfterWrite();
+            return;
+        }
+        if (m_parser.state() != http1::parse_state::Done)
+            return;
+        m_busy = true;
+        m_idle.cancel();
+        whole_request request { m_parser.head(), m_parser.takeBody() };
+        const std::weak_ptr<served_channel> weak = weak_from_this();
+        m_handler(request, [weak, keepAlive = request.head.keepAlive](const whole_response& response) {
+            if (const auto self = weak.lock())
+                self->respond(response, keepAlive);
+        });
+    }
+
+    void respond(const whole_response& response, bool keepAlive)
+    {
+        m_channel->write(http1::formatResponse(response.head, response.body, keepAlive));
+        if (!keepAlive) {
+            m_channel->closeAfterWrite();
+            return;
+        }
+        m_busy = false;
+        m_parser.next();
+        awaitRequest();
+        serve();
+    }
+
+    channel_pointer m_channel;
+    request_handler m_handler;
+    service_options m_options;
+    http1::request_parser m_parser;
+    loop_timer m_idle;
+    bool m_busy = false;
+};
+
+/// A call under way. Its callback may destroy it.
+class open_call : public http_call, public std::enable_shared_from_this<open_call> {
+public:
+    open_call(link::event_loop& loop, callback done)
+        : m_done(std::move(done))
+        , m_timer(loop)
+    {
+    }
+
+    void begin(
+        link::event_loop& loop, const std::string& address, const whole_request& request, steady_time deadline)
+    {
+        const auto self = shared_from_this();
+        m_channel = dial(loop, address,
+            { nullptr, [self](std::string_view bytes) { self->onBytes(bytes); }, nullptr,
+                [self](channel_end how) { self->onEnded(how); } });
+        m_channel->write(http1::formatRequest(request.head, request.body));
+        m_timer.set(deadline, [self] { self->finish(call_outcome::TimedOut); });
+    }
+
+    void cancel() override
+    {
+        m_done = nullptr;
+        finish(call_outcome::Broken);
+    }
+
+private:
+    void onBytes(std::string_view bytes)
+    {
+        const auto state = m_parser.put(bytes);
+        if (state == http1::parse_state::Done)
+            finish(call_outcome::Answered);
+        else if (state == http1::parse_state::Bad)
+            finish(call_outcome::Broken);
+    }
+
+    void onEnded(channel_end how)
+    {
+        if (how == channel_end::Closed && m_parser.putEnd() == http1::parse_state::Done) {
+            finish(call_outcome::Answered);
+            return;
+        }
+        finish(how == channel_end::Refused ? call_outcome::Refused : call_outcome::Broken);
+    }
+
+    void finish(call_outcome outcome)
+    {
+        const auto keep = shared_from_this();
+        m_timer.cancel();
+        m_channel->abort(false);
+        const auto done = std::exchange(m_done, nullptr);
+        if (!done)
+            return;
+        whole_response response;
+        if (outcome == call_outcome::Answered)
+            response = { m_parser.head(), m_parser.takeBody() };
+        done(outcome, response);
+    }
+
+    callback m_done;
+    channel_pointer m_channel;
+    http1::response_parser m_parser;
+    loop_timer m_timer;
+};
+
+} // namespace
+
+struct http_service::implementation {
+    implementation(link::event_loop& loop, request_handler handler, service_options options)
+        : listener(loop, [&loop, handler = std::move(handler), options = std::move(options)](const channel_pointer& channel) {
+            std::make_shared<served_channel>(loop, channel, handler, options)->begin();
+        })
+    {
+    }
+    tcp_listener listener;
+};
+
+http_service::http_service(link::event_loop& loop, request_handler handler, service_options options)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(handler), std::move(options)))
+{
+}
+
+http_service::~http_service() = default;
+
+std::uint16_t http_service::listen(const std::string& address) { return m_implementation->listener.listen(address); }
+
+void http_service::stop() { m_implementation->listener.stop(); }
+
+std::shared_ptr<http_call> http_call::start(link::event_loop& loop, const std::string& address,
+    const whole_request& request, steady_time deadline, callback done)
+{
+    auto call = std::make_shared<open_call>(loop, std::move(done));
+    call->begin(loop, address, request, deadline);
+    return call;
+}
+
+whole_response plainResponse(int status, const std::string& body, const std::string& contentType)
+{
+    whole_response response;
+    response.head.status = status;
+    for (const auto& row : reasonPhrases) {
+        if (row.status == status)
+            response.head.reason = row.text;
+    }
+    response.head.fields.push_back({ "Content-Type", contentType });
+    response.body = body;
+    return response;
+}
+
+} // namespace buckthornrail::net
--- /dev/null
+++ b/src/buckthornrail/net/tcp.cpp
@@ -0,0 +1,390 @@
+/// @file
+/// @brief TCP channels over asio. Compiled as C++17 like all that includes asio, so that its types are the same.
+#include "buckthornrail/net/tcp.hpp"
+
+#include "../link/loop_implementation.hpp"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+#include <utility>
+
+namespace buckthornrail::net {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t readBufferBytes = 16U << 10U; ///< shared by all channels of a loop thread
+constexpr int keepAliveSeconds = 1; ///< idle time and interval of the system's probes
+constexpr int listenBacklog = 1024; ///< a full queue drops the opening packet, which comes again after seconds
+constexpr std::size_t acceptsPerWakeUp = 16;
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    std::error_code error;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    if (error)
+        return std::nullopt;
+    const unsigned long port = std::strtoul(address.c_str() + colon + 1, nullptr, 10);
+    return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+}
+
+void setIntOption(tcp::socket& socket, int level, int name, int value)
+{
+    // A refused option leaves the system's default, with which the connection works all the same.
+    (void)::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
+class asio_channel : public tcp_channel, public std::enable_shared_from_this<asio_channel> {
+public:
+    asio_channel(tcp::socket socket, const channel_options& options)
+        : m_socket(std::move(socket))
+        , m_options(options)
+    {
+    }
+
+    void connect(const std::string& address)
+    {
+        const auto endpoint = parseEndpoint(address);
+        if (!endpoint) {
+            asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->end(channel_end::Refused); });
+            return;
+        }
+        std::error_code error;
+        m_socket.open(endpoint->protocol(), error);
+        if (!error)
+            prepare();
+        m_socket.async_connect(*endpoint, [self = shared_from_this()](const std::error_code& failed) {
+            if (self->m_over)
+                return;
+            if (failed) {
+                self->end(channel_end::Refused);
+                return;
+            }
+            self->m_open = true;
+            const auto opened = self->m_handlers.opened;
+            if (opened)
+                opened();
+            self->flush();
+            self->awaitRead();
+        });
+    }
+
+    void begin()
+    {
+        m_open = true;
+        prepare();
+        awaitRead();
+    }
+
+    void setHandlers(channel_handlers handlers) override { m_handlers = std::move(handlers); }
+
+    void write(std::string_view bytes) override
+    {
+        if (m_over || m_closing)
+            return;
+        if (!m_open || !m_pending.empty()) {
+            m_pending.append(bytes);
+            return;
+        }
+        std::error_code error;
+        const std::size_t done = m_socket.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+        if (error && error != asio::error::would_block) {
+            failSoon();
+            return;
+        }
+        if (done < bytes.size()) {
+            m_pending.assign(bytes.substr(done));
+            awaitWrite();
+        }
+    }
+
+    [[nodiscard]] std::size_t pendingBytes() const override { return m_pending.size(); }
+
+    void setReading(bool enabled) override
+    {
+        const bool wasReading = std::exchange(m_reading, enabled);
+        if (enabled && !wasReading && m_open && !m_over && !m_awaitingRead)
+            awaitRead();
+    }
+
+    void closeAfterWrite() override
+    {
+        if (m_over)
+            return;
+        m_closing = true;
+        if (m_pending.empty())
+            shutDown();
+    }
+
+    void abort(bool reset) override
+    {
+        if (std::exchange(m_over, true))
+            return;
+        std::error_code ignored;
+        if (reset)
+            m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        m_socket.close(ignored);
+        release();
+    }
+
+private:
+    void prepare()
+    {
+        std::error_code ignored;
+        m_socket.non_blocking(true, ignored);
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        setIntOption(m_socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(m_options.silenceLimit.count()));
+        setIntOption(m_socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+        setIntOption(m_socket, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveSeconds);
+        setIntOption(m_socket, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveSeconds);
+        setIntOption(m_socket, IPPROTO_TCP, TCP_KEEPCNT,
+            std::max(1, static_cast<int>(m_options.silenceLimit.count() / (1000 * keepAliveSeconds))));
+    }
+
+    void awaitRead()
+    {
+        if (m_over || !m_reading)
+            return;
+        m_awaitingRead = true;
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const std::error_code& error) {
+            self->m_awaitingRead = false;
+            if (self->m_over || error || !self->m_reading)
+                return;
+            self->readNow();
+        });
+    }
+
+    void readNow()
+    {
+        static thread_local std::array<char, readBufferBytes> buffer;
+        std::error_code error;
+        const std::size_t count = m_socket.read_some(asio::buffer(buffer), error);
+        if (error == asio::error::would_block) {
+            awaitRead();
+            return;
+        }
+        if (error) {
+            end(error == asio::error::eof ? channel_end::Closed : channel_end::Reset);
+            return;
+        }
+        if (m_closing) {
+            awaitRead(); // what comes after our close is read and dropped, or the system would reset the channel
+            return;
+        }
+        const auto keep = shared_from_this();
+        if (m_handlers.received)
+            m_handlers.received(std::string_view(buffer.data(), count));
+        awaitRead();
+    }
+
+    void awaitWrite()
+    {
+        m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const std::error_code& error) {
+            if (!self->m_over && !error)
+                self->flush();
+        });
+    }
+
+    void flush()
+    {
+        if (m_pending.empty() || m_over)
+            return;
+        std::error_code error;
+        const std::size_t done = m_socket.write_some(asio::buffer(m_pending), error);
+        if (error && error != asio::error::would_block) {
+            failSoon();
+            return;
+        }
+        m_pending.erase(0, done);
+        if (!m_pending.empty()) {
+            awaitWrite();
+            return;
+        }
+        std::string().swap(m_pending); // idle channels hold no memory
+        if (m_closing) {
+            shutDown();
+            return;
+        }
+        const auto keep = shared_from_this();
+        if (m_handlers.drained)
+            m_handlers.drained();
+    }
+
+    /// Sends the end of the stream, and reads on until the peer has closed as well: closing with unread bytes would
+    /// reset the channel and could take the answer with it.
+    void shutDown()
+    {
+        std::error_code error;
+        m_socket.shutdown(tcp::socket::shutdown_send, error);
+        if (error) {
+            abort(false);
+            return;
+        }
+        release();
+        setReading(true);
+    }
+
+    /// An error of a write is told from the loop, not from within the caller's call.
+    void failSoon()
+    {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->end(channel_end::Reset); });
+    }
+
+    void end(channel_end how)
+    {
+        if (std::exchange(m_over, true))
+            return;
+        std::error_code ignored;
+        m_socket.close(ignored);
+        const auto ended = std::move(m_handlers.ended);
+        release();
+        if (ended)
+            ended(how);
+    }
+
+    /// Handlers hold their owners; letting go of them ends the cycle. Not from within one of them.
+    void release()
+    {
+        asio::post(m_socket.get_executor(), [handlers = std::move(m_handlers)] {});
+        m_handlers = {};
+    }
+
+    tcp::socket m_socket;
+    channel_options m_options;
+    channel_handlers m_handlers;
+    std::string m_pending;
+    bool m_open = false;
+    bool m_over = false;
+    bool m_closing = false;
+    bool m_reading = true;
+    bool m_awaitingRead = false;
+};
+
+} // namespace
+
+channel_pointer dial(
+    link::event_loop& loop, const std::string& address, channel_handlers handlers, const channel_options& options)
+{
+    auto channel = std::make_shared<asio_channel>(tcp::socket(loop.implementation().io), options);
+    channel->setHandlers(std::move(handlers));
+    channel->connect(address);
+    return channel;
+}
+
+struct tcp_listener::implementation : std::enable_shared_from_this<tcp_listener::implementation> {
+    implementation(link::event_loop& loop, std::function<void(channel_pointer)> callback, const channel_options& limits)
+        : acceptor(loop.implementation().io)
+        , accepted(std::move(callback))
+        , options(limits)
+    {
+    }
+
+    void awaitAccept()
+    {
+        acceptor.async_wait(tcp::acceptor::wait_read, [self = shared_from_this()](const std::error_code& error) {
+            if (error || self->stopped)
+                return;
+            self->acceptSome();
+            self->awaitAccept();
+        });
+    }
+
+    void acceptSome()
+    {
+        for (std::size_t at = 0; at < acceptsPerWakeUp; ++at) {
+            std::error_code error;
+            tcp::socket socket(acceptor.get_executor());
+            acceptor.accept(socket, error);
+            if (error)
+                return; // nobody waits, or no descriptor is left; the next wake-up tries again
+            auto channel = std::make_shared<asio_channel>(std::move(socket), options);
+            accepted(channel);
+            channel->begin();
+        }
+    }
+
+    tcp::acceptor acceptor;
+    std::function<void(channel_pointer)> accepted;
+    channel_options options;
+    bool stopped = false;
+};
+
+tcp_listener::tcp_listener(
+    link::event_loop& loop, std::function<void(channel_pointer)> accepted, const channel_options& options)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(accepted), options))
+{
+}
+
+tcp_listener::~tcp_listener() { stop(); }
+
+std::uint16_t tcp_listener::listen(const std::string& address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        return 0;
+    auto& acceptor = m_implementation->acceptor;
+    std::error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor.bind(*endpoint, error);
+    if (error)
+        return 0;
+    acceptor.listen(listenBacklog, error);
+    acceptor.non_blocking(true, error);
+    if (error)
+        return 0;
+    m_implementation->awaitAccept();
+    return acceptor.local_endpoint(error).port();
+}
+
+void tcp_listener::stop()
+{
+    if (std::exchange(m_implementation->stopped, true))
+        return;
+    std::error_code ignored;
+    m_implementation->acceptor.close(ignored);
+}
+
+struct loop_timer::implementation {
+    explicit implementation(link::event_loop& loop)
+        : timer(loop.implementation().io)
+    {
+    }
+    asio::steady_timer timer;
+    /// Counts settings: a handler that was due already when the timer was set again or destroyed does nothing.
+    std::shared_ptr<std::uint64_t> generation = std::make_shared<std::uint64_t>(0);
+};
+
+loop_timer::loop_timer(link::event_loop& loop)
+    : m_implementation(std::make_unique<implementation>(loop))
+{
+}
+
+loop_timer::~loop_timer() { ++*m_implementation->generation; }
+
+void loop_timer::set(steady_time when, std::function<void()> task)
+{
+    auto& own = *m_implementation;
+    const std::uint64_t number = ++*own.generation;
+    own.timer.expires_at(when);
+    own.timer.async_wait(
+        [task = std::move(task), generation = own.generation, number](const std::error_code& error) {
+            if (!error && *generation == number)
+                task();
+        });
+}
+
+void loop_timer::cancel()
+{
+    ++*m_implementation->generation;
+    m_implementation->timer.cancel();
+}
+
+} // namespace buckthornrail::net
--- /dev/null
+++ b/src/buckthornrail/registry/target_record.cpp
@@ -0,0 +1,129 @@
+/// @file
+/// @brief Transitions of targets.
+#include "buckthornrail/registry/target_record.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::registry {
+namespace {
+
+/// Records of targets that are over are kept so that a late announcement doesn't bring them back. Targets are replaced
+/// by the dozen at most at once, so this covers several rounds.
+constexpr std::size_t maxGoneRecords = 128;
+
+/// A target that was marked by the controllers comes back only by a newer announcement than the one they had.
+bool isLate(const target_record& known, const target_record& announced)
+{
+    if (announced.state == target_state::Gone)
+        return false;
+    return announced.sequence < known.sequence
+        || (announced.sequence == known.sequence && announced.state == known.state);
+}
+
+} // namespace
+
+bool differsFrom(const target_record& a, const target_record& b)
+{
+    target_record same = b;
+    same.sequence = a.sequence;
+    same.revision = a.revision;
+    return a != same;
+}
+
+bool target_table::apply(const target_record& announced)
+{
+    const auto found = m_records.find(announced.id);
+    target_record record = announced;
+    if (found != m_records.end()) {
+        const auto& known = found->second;
+        if (known.state == target_state::Gone || isLate(known, announced))
+            return false;
+        if (known.state == target_state::Draining && announced.state == target_state::Ready)
+            record.state = target_state::Draining;
+        if (announced.state == target_state::Lost && announced.sequence < known.sequence)
+            return false;
+        if (!differsFrom(known, record)) {
+            found->second.sequence = std::max(known.sequence, announced.sequence);
+            return false;
+        }
+        record.sequence = std::max(known.sequence, announced.sequence);
+    } else if (announced.state == target_state::Lost) {
+        return false;
+    }
+    if (found == m_records.end())
+        endEarlierLives(record);
+    record.revision = ++m_revision;
+    m_records[record.id] = std::move(record);
+    prune();
+    return true;
+}
+
+target_delta target_table::changesSince(std::uint64_t since) const
+{
+    target_delta delta;
+    delta.from = since;
+    delta.to = m_revision;
+    delta.full = since < m_prunedRevision || since > m_revision || since == 0;
+    for (const auto& [id, record] : m_records) {
+        if (delta.full || record.revision > since)
+            delta.records.push_back(record);
+    }
+    return delta;
+}
+
+const target_record* target_table::find(const std::string& id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+void target_table::restore(std::vector<target_record> records, std::uint64_t revision, std::uint64_t prunedRevision)
+{
+    m_records.clear();
+    for (auto& record : records) {
+        std::string id = record.id;
+        m_records.emplace(std::move(id), std::move(record));
+    }
+    m_revision = revision;
+    m_prunedRevision = prunedRevision;
+}
+
+void target_table::endEarlierLives(const target_record& record)
+{
+    for (auto& [id, known] : m_records) {
+        if (known.address != record.address || record.address.empty() || known.state == target_state::Gone)
+            continue;
+        known.state = target_state::Gone;
+        known.layers = {};
+        known.revision = ++m_revision;
+    }
+}
+
+void target_table::prune()
+{
+    std::vector<const target_record*> gone;
+    for (const auto& [id, record] : m_records) {
+        if (record.state == target_state::Gone || record.state == target_state::Lost)
+            gone.push_back(&record);
+    }
+    if (gone.size() <= maxGoneRecords)
+        return;
+    const auto older = [](const target_record* a, const target_record* b) { return a->revision < b->revision; };
+    const std::string oldest = (*std::min_element(gone.begin(), gone.end(), older))->id;
+    m_prunedRevision = m_revision;
+    m_records.erase(oldest);
+}
+
+bool target_view::apply(const target_delta& delta)
+{
+    if (!delta.full && (delta.from > m_revision || delta.to < m_revision))
+        return false;
+    if (delta.full)
+        m_records.clear();
+    for (const auto& record : delta.records)
+        m_records[record.id] = record;
+    m_revision = delta.to;
+    return true;
+}
+
+} // namespace buckthornrail::registry
