--- a/src/buckthornrail/settings/settings.cpp
+++ b/src/buckthornrail/settings/settings.cpp
@@ -20,30 +20,35 @@
 constexpr std::uint8_t onController = static_cast<std::uint8_t>(process_role::Controller);
 constexpr std::uint8_t onDaemons = onEntry | onSidecar;
 constexpr std::uint8_t onAll = onDaemons | onController;
+constexpr std::uint8_t onGateway = static_cast<std::uint8_t>(process_role::Gateway);
+constexpr std::uint8_t onRegistry = static_cast<std::uint8_t>(process_role::Registry);
+constexpr std::uint8_t onDirect = onGateway | onRegistry;
+constexpr std::uint8_t onEvery = onAll | onDirect;
 constexpr std::uint32_t maxPort = 65535;
 constexpr std::uint32_t hour = 3'600'000;
 
 using form = value_form;
 
 constexpr std::array rules {
-    setting_rule { "instance", "id", onAll, onAll, form::Text, &settings::id, 0, 0, "", "Unique name." },
-    setting_rule { "instance", "failure_domain", onAll, onAll, form::Text, &settings::failureDomain, 0, 0, "",
+    setting_rule { "instance", "id", onEvery, onEvery, form::Text, &settings::id, 0, 0, "", "Unique name." },
+    setting_rule { "instance", "failure_domain", onEvery, onEvery, form::Text, &settings::failureDomain, 0, 0, "",
         "Failure domain that the instance stands in." },
-    setting_rule { "instance", "log_level", onAll, 0, form::Choice, &settings::logLevel, 0, 0, "info|warning|error",
+    setting_rule { "instance", "log_level", onEvery, 0, form::Choice, &settings::logLevel, 0, 0, "info|warning|error",
         "Least severe log lines that are written." },
-    setting_rule { "link", "address", onSidecar | onController, onSidecar | onController, form::Address,
+    setting_rule { "link", "address", onSidecar | onController | onRegistry,
+        onSidecar | onController | onRegistry, form::Address,
         &settings::linkAddress, 0, 0, "", "Where other processes reach this one." },
-    setting_rule { "link", "announce", onSidecar | onController, 0, form::Address, &settings::announcedAddress, 0, 0,
+    setting_rule { "link", "announce", onSidecar | onController | onRegistry, 0, form::Address, &settings::announcedAddress, 0, 0,
         "", "The address to give to others, when it isn't the one listened on." },
-    setting_rule { "http", "address", onAll, onAll, form::Address, &settings::httpAddress, 0, 0, "",
+    setting_rule { "http", "address", onEvery, onEvery, form::Address, &settings::httpAddress, 0, 0, "",
         "Callers (entry), operators (controller), health and metrics (all)." },
     setting_rule {
         "http", "threads", onAll, 0, form::Number, &settings::httpThreads, 2, 4096, "", "HTTP calls served at once." },
     setting_rule { "http", "token_file", onAll, 0, form::Text, &settings::tokenFile, 0, 0, "",
         "File with the operators' token; without one only loopback may operate." },
-    setting_rule { "controllers", "addresses", onAll, onAll, form::AddressList, &settings::controllers, 0, 0, "",
-        "Link addresses of all controllers, parted by commas." },
-    setting_rule { "controllers", "heartbeat_ms", onDaemons, 0, form::Number, &settings::heartbeatMs, 50, 10000, "",
+    setting_rule { "controllers", "addresses", onEvery, onEvery, form::AddressList, &settings::controllers, 0, 0, "",
+        "Link addresses of controllers, parted by commas; of all, but for gateways and registries, which find the others." },
+    setting_rule { "controllers", "heartbeat_ms", onDaemons | onGateway, 0, form::Number, &settings::heartbeatMs, 50, 10000, "",
         "Period of heartbeats to a controller." },
     setting_rule { "controllers", "lease_ms", onAll, 0, form::Number, &settings::leaseMs, 500, 60000, "",
         "Without a confirmed heartbeat for so long a daemon takes no new work and counts as lost." },
@@ -61,6 +66,24 @@
         "", "A started answer silent for so long is taken up by another target." },
     setting_rule { "entry", "claim_retention_s", onEntry, 0, form::Number, &settings::claimRetentionSeconds, 60, 3600,
         "", "How long an Idempotency-Key stands." },
+    setting_rule { "controllers", "link_port", onDirect, 0, form::Number, &settings::linkPort, 1, maxPort, "",
+        "Port of the controllers' links, where it isn't the one in the addresses." },
+    setting_rule { "link", "keep_alive_ms", onDirect, 0, form::Number, &settings::linkKeepAliveMs, 50, 60000, "",
+        "Period of pings on links; one silent for three of them is closed." },
+    setting_rule { "gateway", "address", onGateway, onGateway, form::Address, &settings::gatewayAddress, 0, 0, "",
+        "Where callers connect." },
+    setting_rule { "gateway", "repeat_ratio", onGateway, 0, form::Fraction, &settings::repeatRatio, 0, 100, "",
+        "Repeats for each request that targets of a service may get, from all gateways together." },
+    setting_rule { "gateway", "repeat_slack", onGateway, 0, form::Number, &settings::repeatSlack, 0, 1'000'000, "",
+        "Repeats in a window besides, from all gateways together." },
+    setting_rule { "gateway", "repeat_window_s", onGateway, 0, form::Number, &settings::repeatWindowSeconds, 1, 3600,
+        "", "The window." },
+    setting_rule { "gateway", "grace_s", onGateway, 0, form::Number, &settings::graceSeconds, 1, 3600, "",
+        "Time from SIGTERM to the end, for requests in flight." },
+    setting_rule { "registry", "bootstrap", onRegistry, 0, form::Choice, &settings::bootstrap, 0, 0, "true|false",
+        "Whether the system starts for the first time: the first of the addresses then forms the log." },
+    setting_rule { "registry", "target_heartbeat_ms", onRegistry, 0, form::Number, &settings::targetHeartbeatMs, 50,
+        60000, "", "Period of the targets' heartbeats." },
     setting_rule { "target", "kind", onSidecar, onSidecar, form::Choice, &settings::targetKind, 0, 0,
         "openai|kserve|layer_range|plain_service", "Dialect of the target." },
     setting_rule { "target", "address", onSidecar, onSidecar, form::Address, &settings::targetAddress, 0, 0, "",
@@ -91,11 +114,11 @@
         "Longest time for an order, such as loading a version." },
     setting_rule { "target", "answer_keep_bytes", onSidecar, 0, form::Number, &settings::answerKeepBytes, 0,
         256U << 20U, "", "Memory for answers of non-idempotent requests that may be asked for again." },
-    setting_rule { "storage", "folder", onController, onController, form::Text, &settings::dataFolder, 0, 0, "",
+    setting_rule { "storage", "folder", onController | onRegistry, onController | onRegistry, form::Text, &settings::dataFolder, 0, 0, "",
         "Data folder; belongs to this controller alone." },
-    setting_rule { "storage", "snapshot_entries", onController, 0, form::Number, &settings::snapshotEntries, 10,
+    setting_rule { "storage", "snapshot_entries", onController | onRegistry, 0, form::Number, &settings::snapshotEntries, 10,
         1'000'000, "", "Log entries after which a snapshot is saved." },
-    setting_rule { "storage", "election_timeout_ms", onController, 0, form::Number, &settings::electionTimeoutMs, 100,
+    setting_rule { "storage", "election_timeout_ms", onController | onRegistry, 0, form::Number, &settings::electionTimeoutMs, 100,
         60000, "", "Least time without a leader before an election; the most is twice as long." },
 };
 
@@ -145,6 +168,17 @@
         out.*std::get<std::uint32_t settings::*>(rule.member) = *number;
         return {};
     }
+    case form::Fraction: {
+        double fraction = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), fraction);
+        if (error != std::errc() || end != text.data() + text.size())
+            return tl::make_unexpected("'" + text + "' is not a number");
+        if (fraction < rule.low || fraction > rule.high)
+            return tl::make_unexpected(
+                text + " is out of range " + std::to_string(rule.low) + " to " + std::to_string(rule.high));
+        out.*std::get<double settings::*>(rule.member) = fraction;
+        return {};
+    }
     case form::AddressList: {
         auto parts = splitList(text, ',');
         for (const auto& part : parts) {
@@ -179,7 +213,8 @@
 {
     if (role == process_role::Entry && values.defaultTimeoutMs > values.maxTimeoutMs)
         faults.push_back({ file, "entry", "default_timeout_ms", "is above max_timeout_ms" });
-    if (role != process_role::Controller && values.heartbeatMs * 2 > values.leaseMs)
+    const bool keepsLease = role == process_role::Entry || role == process_role::Sidecar;
+    if (keepsLease && values.heartbeatMs * 2 > values.leaseMs)
         faults.push_back({ file, "controllers", "heartbeat_ms", "is above half of lease_ms" });
     if (role != process_role::Sidecar)
         return;
@@ -245,6 +280,10 @@
     checkTogether(values, role, file, faults);
     if (!faults.empty())
         return tl::make_unexpected(std::move(faults));
+    if (values.linkPort != 0) {
+        for (auto& address : values.controllers)
+            address = address.substr(0, address.rfind(':') + 1) + std::to_string(values.linkPort);
+    }
     return values;
 }
 
--- a/src/buckthornrail/storage/log_store.cpp
+++ b/src/buckthornrail/storage/log_store.cpp
@@ -199,6 +199,8 @@
     return m_device.appendSynced(logFile, frameRecord(record));
 }
 
+tl::expected<void, failure> log_store::probe() { return m_device.appendSynced(logFile, frameRecord(json::object())); }
+
 tl::expected<void, failure> log_store::saveSnapshot(const agreement::snapshot& base, const agreement::hard_state& hard,
     const std::vector<agreement::log_entry>& entriesAfter)
 {
--- a/src/buckthornrail/telemetry/log.cpp
+++ b/src/buckthornrail/telemetry/log.cpp
@@ -1,63 +1,164 @@
 /// @file
-/// @brief Log lines by glog.
+/// @brief Log lines: gathered in memory within bounds, written to standard output without waiting for its reader.
+///
+/// glog writes to standard error or files and blocks on a reader that doesn't read; here neither is wanted.
 #include "buckthornrail/telemetry/log.hpp"
 
-#include <glog/logging.h>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <cstdio>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace buckthornrail::telemetry {
 namespace {
 
-int glogSeverity(severity level)
+/// A pipe that polls as writable takes so many bytes without blocking (POSIX).
+constexpr std::size_t bytesPerWrite = 4096;
+constexpr std::array severityLetters { 'I', 'W', 'E' };
+
+/// What has not been written yet.
+class line_buffer {
+public:
+    void start(severity least, const log_bounds& bounds)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_least = least;
+        m_bounds = bounds;
+        m_started = true;
+    }
+
+    void add(severity level, const std::string& text)
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (level < m_least)
+            return;
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= m_secondEnds) {
+            m_secondEnds = now + std::chrono::seconds(1);
+            m_linesThisSecond = 0;
+            tellDropped();
+        }
+        ++m_linesThisSecond;
+        // Warnings and errors are few; they go before the bound of lines, not before that of memory.
+        const bool overRate = level == severity::Info && m_linesThisSecond > m_bounds.linesPerSecond;
+        if (overRate || m_pending.size() + text.size() > m_bounds.pendingBytes) {
+            ++m_dropped;
+            return;
+        }
+        append(level, text);
+        if (!m_started)
+            flushLocked();
+    }
+
+    void flush()
+    {
+        const std::scoped_lock lock(m_mutex);
+        flushLocked();
+    }
+
+    ~line_buffer() { flush(); }
+
+private:
+    void append(severity level, const std::string& text)
+    {
+        const auto wall = std::chrono::system_clock::now().time_since_epoch();
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+        std::array<char, 40> stamp {};
+        std::snprintf(stamp.data(), stamp.size(), "%c %lld.%03lld ", severityLetters[static_cast<std::size_t>(level)],
+            static_cast<long long>(ms / 1000), static_cast<long long>(ms % 1000));
+        m_pending += stamp.data();
+        m_pending += text;
+        m_pending += '\n';
+    }
+
+    void tellDropped()
+    {
+        if (m_dropped == 0)
+            return;
+        const auto code = event_code::LogLinesDropped;
+        append(severity::Warning,
+            "E" + std::to_string(static_cast<unsigned>(code)) + " " + std::string(describe(code).name)
+                + " count=" + std::to_string(m_dropped));
+        m_dropped = 0;
+    }
+
+    void flushLocked()
+    {
+        std::size_t done = 0;
+        while (done < m_pending.size()) {
+            pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+            if (::poll(&output, 1, 0) <= 0 || (output.revents & POLLOUT) == 0)
+                break;
+            const std::size_t size = std::min(bytesPerWrite, m_pending.size() - done);
+            const ssize_t count = ::write(STDOUT_FILENO, m_pending.data() + done, size);
+            if (count <= 0)
+                break; // nobody reads any more; the bound of memory limits what gathers
+            done += static_cast<std::size_t>(count);
+        }
+        m_pending.erase(0, done);
+    }
+
+    std::mutex m_mutex;
+    severity m_least = severity::Info;
+    log_bounds m_bounds;
+    bool m_started = false;
+    std::string m_pending;
+    std::size_t m_dropped = 0;
+    std::size_t m_linesThisSecond = 0;
+    std::chrono::steady_clock::time_point m_secondEnds {};
+};
+
+line_buffer& lines()
 {
-    switch (level) {
-    case severity::Warning:
-        return google::GLOG_WARNING;
-    case severity::Error:
-        return google::GLOG_ERROR;
-    case severity::Info:
-        break;
-    }
-    return google::GLOG_INFO;
+    static line_buffer buffer;
+    return buffer;
 }
 
 /// Quotes a value that would not read as one word.
-std::string quoted(const std::string& value)
+void appendQuoted(std::string& out, const std::string& value)
 {
-    if (!value.empty() && value.find_first_of(" \"\n\r") == std::string::npos)
-        return value;
-    std::string out = "\"";
+    if (!value.empty() && value.find_first_of(" \"\n\r") == std::string::npos) {
+        out += value;
+        return;
+    }
+    out += '"';
     for (const char symbol : value) {
         if (symbol == '"' || symbol == '\\')
             out += '\\';
         out += symbol == '\n' || symbol == '\r' ? ' ' : symbol;
     }
-    return out + "\"";
+    out += '"';
 }
 
 } // namespace
 
-void startLog(const std::string& program, const std::string& level)
+void startLog(const std::string& level, const log_bounds& bounds)
 {
-    static std::string name;
-    name = program;
-    FLAGS_logtostderr = true;
-    FLAGS_minloglevel = level == "error" ? google::GLOG_ERROR
-        : level == "warning"             ? google::GLOG_WARNING
-                                         : google::GLOG_INFO;
-    google::InitGoogleLogging(name.c_str());
+    lines().start(level == "error" ? severity::Error
+            : level == "warning"   ? severity::Warning
+                                   : severity::Info,
+        bounds);
 }
 
+void flushLog() { lines().flush(); }
+
 void logEvent(event_code event, std::initializer_list<log_field> fields, severity level)
 {
-    std::string line = "E" + std::to_string(static_cast<unsigned>(event)) + " ";
+    std::string line;
+    line.reserve(200);
+    line += "E" + std::to_string(static_cast<unsigned>(event)) + " ";
     line += describe(event).name;
     for (const auto& field : fields) {
         line += ' ';
         line += field.name;
         line += '=';
-        line += quoted(field.value);
+        appendQuoted(line, field.value);
     }
-    google::LogMessage("buckthornrail", 0, glogSeverity(level)).stream() << line;
+    lines().add(level, line);
 }
 
 } // namespace buckthornrail::telemetry
--- a/tools/print_tables.cpp
+++ b/tools/print_tables.cpp
@@ -5,6 +5,7 @@
 #include "buckthornrail/settings/settings.hpp"
 
 #include <iostream>
+#include <sstream>
 
 namespace {
 
@@ -42,6 +43,11 @@
     const settings::settings values;
     if (const auto* number = std::get_if<std::uint32_t settings::settings::*>(&rule.member))
         return std::to_string(values.**number);
+    if (const auto* fraction = std::get_if<double settings::settings::*>(&rule.member)) {
+        std::ostringstream out;
+        out << values.**fraction;
+        return out.str();
+    }
     if (const auto* text = std::get_if<std::string settings::settings::*>(&rule.member))
         return (values.**text).empty() ? "-" : values.**text;
     return "-";
@@ -54,6 +60,7 @@
         return "IP:port";
     case settings::value_form::AddressList:
         return "IP:port, ...";
+    case settings::value_form::Fraction:
     case settings::value_form::Number:
         return std::to_string(rule.low) + " to " + std::to_string(rule.high);
     case settings::value_form::Choice: {
