--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -263,13 +263,13 @@
 void exchange::tryNext(const attempt_end& last, steady_time now)
 {
     const bool mayHaveRun = last.ran != ran_state::No;
-    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
-    if (mayHaveRun && !last.targetEnded)
-        ++m_countedAttempts;
     m_port.note(event_code::AttemptLost,
         { { "request", m_request.id }, { "attempt", std::to_string(m_tries) }, { "reason", last.reason },
             { "ran", std::string(nameOf(last.ran)) }, { "events", std::to_string(m_events) } });
     const std::string why = whyNoRepeat(last, now);
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    if (mayHaveRun && !last.targetEnded)
+        ++m_countedAttempts;
     if (!why.empty()) {
         giveUp(last.reason + "; " + why, now);
         return;
