--- a/include/buckthornrail/settings/settings.hpp
+++ b/include/buckthornrail/settings/settings.hpp
@@ -26,6 +26,7 @@
 
 /// All settings of all roles; a role uses those that its rules name. Periods are in milliseconds.
 struct settings {
+    std::string sourceFile; ///< that they were read from; not a key
     std::string id;
     std::string failureDomain;
     std::string linkAddress;
@@ -121,6 +122,9 @@
 tl::expected<settings, std::vector<settings_fault>> parseSettings(
     const std::string& text, const std::string& file, process_role role);
 
+/// @brief A settings file's bytes; nothing when it can't be opened.
+std::optional<std::string> readText(const std::string& file);
+
 /// @brief Reads a settings file.
 tl::expected<settings, std::vector<settings_fault>> loadSettings(const std::string& file, process_role role);
 
--- a/src/app/caller_channel.cpp
+++ b/src/app/caller_channel.cpp
@@ -161,6 +161,12 @@
     onEnded();
 }
 
+void caller_channel::closeWhenIdle()
+{
+    if (!m_call && m_parser.isUntouched())
+        close();
+}
+
 void caller_channel::drop()
 {
     m_channel->abort(false);
--- a/src/app/caller_channel.hpp
+++ b/src/app/caller_channel.hpp
@@ -12,6 +12,8 @@
     caller_channel(gateway_role& gateway, net::channel_pointer channel);
 
     void begin();
+    /// @brief Ends the connection now if no request is on it; else its answer will.
+    void closeWhenIdle();
     /// @brief Ends the connection at once, with the process.
     void drop();
 
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -3,13 +3,15 @@
 #include "app/gateway.hpp"
 
 #include "app/caller_channel.hpp"
+#include "app/settings_watch.hpp"
 
 #include <algorithm>
 
 namespace buckthornrail::app {
 namespace {
 
-/// After SIGTERM callers are led here until the balancer has missed two checks, one a second.
+/// After SIGTERM callers are led here until the balancer has missed two checks, one a second. What comes later on
+/// connections that were kept open is refused, so that nothing is begun that the process can't end.
 constexpr milliseconds rotationTime { 3200 };
 constexpr milliseconds stopCheckPeriod { 50 };
 /// Left of the time that the platform grants for ending, for the process itself.
@@ -85,6 +87,11 @@
 void gateway_role::checkStopped()
 {
     const auto now = steadyNow();
+    if (now >= m_earliestStop && !std::exchange(m_context.takesNoMore, true)) {
+        const auto channels = m_channels;
+        for (const auto& channel : channels)
+            channel->closeWhenIdle();
+    }
     const bool isDone = now >= m_earliestStop && m_context.openCalls == 0;
     if ((isDone || now >= m_latestStop) && m_stopped)
         std::exchange(m_stopped, nullptr)();
@@ -151,10 +158,14 @@
     link::event_loop loop;
     telemetry::metrics metrics;
     std::unique_ptr<gateway_role> role;
-    const signal_watch watch(loop, [&] {
-        telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
-        role->stop([&loop] { loop.stop(); });
-    });
+    std::unique_ptr<settings_watch> reload;
+    const signal_watch watch(
+        loop,
+        [&] {
+            telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
+            role->stop([&loop] { loop.stop(); });
+        },
+        [&reload] { reload->read(true); });
     role = std::make_unique<gateway_role>(loop, settings, traffic, control, metrics);
     if (const auto started = role->start(); !started) {
         telemetry::logEvent(event_code::SettingsRejected, { { "reason", started.error().reason } },
@@ -164,8 +175,11 @@
     telemetry::logEvent(event_code::ProcessStarted,
         { { "role", "gateway" }, { "instance", settings.id }, { "address", settings.gatewayAddress },
             { "http", settings.httpAddress } });
+    reload = std::make_unique<settings_watch>(loop, settings, settings::process_role::Gateway,
+        [&role](const settings::settings& changed) { role->reload(changed); });
     const periodic_task logs(loop, milliseconds(100), [] { telemetry::flushLog(); });
     loop.run();
+    reload.reset();
     role.reset();
     telemetry::logEvent(event_code::ProcessStopped, { { "instance", settings.id } });
     return exitOk;
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -23,6 +23,8 @@
     tl::expected<void, failure> start();
     /// @brief Not ready at once; work in flight ends; then calls `done`.
     void stop(std::function<void()> done);
+    /// @brief Takes what may change while it runs: the controllers' addresses.
+    void reload(const settings::settings& changed) { m_session.setSeeds(changed.controllers); }
 
     [[nodiscard]] gateway_context& context() { return m_context; }
     [[nodiscard]] link::event_loop& loop() { return m_loop; }
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -18,10 +18,19 @@
 /// When to come back after a refusal: a path that was lost is whole again after about three seconds.
 constexpr milliseconds noTargetPause { 1500 };
 constexpr milliseconds busyPause { 300 };
+constexpr milliseconds elsewherePause { 10 }; ///< another gateway takes it at once
 
 milliseconds pauseFor(result_code code)
 {
-    return code == result_code::NoTarget || code == result_code::NoConfiguration ? noTargetPause : busyPause;
+    switch (code) {
+    case result_code::NoTarget:
+    case result_code::NoConfiguration:
+        return noTargetPause;
+    case result_code::ShuttingDown:
+        return elsewherePause;
+    default:
+        return busyPause;
+    }
 }
 
 } // namespace
@@ -47,6 +56,10 @@
 {
     m_arrived = arrived;
     m_caller = m_context.dialect.readCaller(m_head);
+    if (m_context.takesNoMore) {
+        refuse(result_code::ShuttingDown, "this gateway ends soon");
+        return;
+    }
     if (!m_context.document) {
         refuse(result_code::NoConfiguration, "no document yet");
         return;
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway_call.hpp
@@ -24,6 +24,7 @@
     std::size_t gateways = 1;
     std::mt19937_64 random;
     bool isStopping = false;
+    bool takesNoMore = false; ///< new requests are refused: the process ends soon
     std::size_t openCalls = 0;
 };
 
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -35,21 +35,26 @@
     std::thread thread;
 };
 
-signal_watch::signal_watch(link::event_loop& loop, std::function<void()> onStop)
+signal_watch::signal_watch(
+    link::event_loop& loop, std::function<void()> onStop, std::function<void()> onReload)
     : m_implementation(std::make_unique<implementation>())
 {
     sigset_t set;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     sigaddset(&set, SIGUSR1); // only ends the watch
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    m_implementation->thread = std::thread([&loop, set, onStop = std::move(onStop)] {
+    m_implementation->thread = std::thread([&loop, set, onStop = std::move(onStop), onReload = std::move(onReload)] {
         while (true) {
             int signal = 0;
             if (sigwait(&set, &signal) != 0 || signal == SIGUSR1)
                 return;
-            loop.post(onStop);
+            if (signal != SIGHUP)
+                loop.post(onStop);
+            else if (onReload)
+                loop.post(onReload);
         }
     });
 }
--- a/src/app/process.hpp
+++ b/src/app/process.hpp
@@ -29,10 +29,11 @@
 /// @brief A random name: 32 hexadecimal digits.
 std::string randomName();
 
-/// @brief Calls a function on the loop when SIGTERM or SIGINT comes. Call before any thread is started.
+/// @brief Calls functions on the loop when SIGTERM or SIGINT, or SIGHUP, comes. Call before any thread is started.
 class signal_watch {
 public:
-    signal_watch(link::event_loop& loop, std::function<void()> onStop);
+    /// @param onReload for SIGHUP; without one it does nothing
+    signal_watch(link::event_loop& loop, std::function<void()> onStop, std::function<void()> onReload = {});
     signal_watch(const signal_watch&) = delete;
     signal_watch& operator=(const signal_watch&) = delete;
     ~signal_watch();
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -3,6 +3,7 @@
 #include "app/registry.hpp"
 
 #include "app/role_runner.hpp"
+#include "app/settings_watch.hpp"
 
 #include <algorithm>
 
@@ -475,10 +476,14 @@
     link::event_loop loop;
     telemetry::metrics metrics;
     std::unique_ptr<registry_role> role;
-    const signal_watch watch(loop, [&] {
-        telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
-        role->stop([&loop] { loop.stop(); });
-    });
+    std::unique_ptr<settings_watch> reload;
+    const signal_watch watch(
+        loop,
+        [&] {
+            telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
+            role->stop([&loop] { loop.stop(); });
+        },
+        [&reload] { reload->read(true); });
     role = std::make_unique<registry_role>(loop, settings, dialect, metrics);
     if (const auto started = role->start(); !started) {
         telemetry::logEvent(event_code::SettingsRejected, { { "reason", started.error().reason } },
@@ -488,8 +493,11 @@
     telemetry::logEvent(event_code::ProcessStarted,
         { { "role", "registry" }, { "instance", settings.id }, { "link", settings.linkAddress },
             { "http", settings.httpAddress } });
+    reload = std::make_unique<settings_watch>(loop, settings, settings::process_role::Registry,
+        [&role](const settings::settings& changed) { role->reload(changed); });
     const periodic_task logs(loop, milliseconds(100), [] { telemetry::flushLog(); });
     loop.run();
+    reload.reset();
     role.reset();
     telemetry::logEvent(event_code::ProcessStopped, { { "instance", settings.id } });
     return exitOk;
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -20,6 +20,8 @@
 
     tl::expected<void, failure> start();
     void stop(std::function<void()> done);
+    /// @brief Takes what may change while it runs: the controllers' addresses.
+    void reload(const settings::settings& changed) { m_log->setSeeds(changed.controllers); }
 
 private:
     /// A gateway's session.
--- a/src/app/replicated_log.cpp
+++ b/src/app/replicated_log.cpp
@@ -49,10 +49,7 @@
 {
     if (auto opened = openStore(); !opened)
         return opened;
-    for (const auto& address : m_options.seeds) {
-        if (address != m_options.ownAddress)
-            m_peers[address] = {};
-    }
+    setSeeds(m_options.seeds);
     dialPeers();
     m_ticker = std::make_unique<periodic_task>(m_loop, tickPeriod, [this] { tick(); });
     m_slowTicker = std::make_unique<periodic_task>(m_loop, slowTickPeriod, [this] { slowTick(); });
@@ -85,6 +82,15 @@
     return {};
 }
 
+void replicated_log::setSeeds(std::vector<std::string> seeds)
+{
+    m_options.seeds = std::move(seeds);
+    for (const auto& address : m_options.seeds) {
+        if (address != m_options.ownAddress)
+            m_peers.try_emplace(address);
+    }
+}
+
 void replicated_log::stop()
 {
     m_replica->transferLeadership();
--- a/src/app/replicated_log.hpp
+++ b/src/app/replicated_log.hpp
@@ -51,6 +51,8 @@
     tl::expected<void, failure> start();
     /// @brief Hands leadership over.
     void stop();
+    /// @brief Takes other seeds over.
+    void setSeeds(std::vector<std::string> seeds);
 
     /// @brief Forms a new log with this member alone; the others then join by themselves.
     tl::expected<void, failure> initialize();
--- a/src/buckthornrail/settings/settings.cpp
+++ b/src/buckthornrail/settings/settings.cpp
@@ -254,6 +254,7 @@
     if (badLine != 0)
         faults.push_back({ file, "", "", "line " + std::to_string(badLine) + " can't be read" });
     settings values;
+    values.sourceFile = file;
     std::set<std::pair<std::string, std::string>> seen;
     for (const auto& item : raw) {
         const auto rule = std::find_if(rules.begin(), rules.end(), [&](const setting_rule& one) {
@@ -287,14 +288,22 @@
     return values;
 }
 
-tl::expected<settings, std::vector<settings_fault>> loadSettings(const std::string& file, process_role role)
+std::optional<std::string> readText(const std::string& file)
 {
     std::ifstream stream(file);
     if (!stream)
-        return tl::make_unexpected(std::vector<settings_fault> { { file, "", "", "can't be opened" } });
+        return std::nullopt;
     std::ostringstream text;
     text << stream.rdbuf();
-    return parseSettings(text.str(), file, role);
+    return text.str();
+}
+
+tl::expected<settings, std::vector<settings_fault>> loadSettings(const std::string& file, process_role role)
+{
+    const auto text = readText(file);
+    if (!text)
+        return tl::make_unexpected(std::vector<settings_fault> { { file, "", "", "can't be opened" } });
+    return parseSettings(*text, file, role);
 }
 
 tl::expected<void, std::string> checkAddress(const std::string& address)
