Targets in doubt cost more instead of being left out; the smallest spare fills a gap; dark targets are asked

The spare that filled a gap was the largest accelerator (8 s to load 32 layers). A crash was known after 3.2 s. Change: doubt is a cost; refusals pause shortly, doubling; smallest spare that fills the gap; controllers ask a target that gateways call dark.

--- a/include/buckthornrail/gateway/layer_path.hpp
+++ b/include/buckthornrail/gateway/layer_path.hpp
@@ -16,6 +16,7 @@
     registry::layer_range layers;
     std::size_t domain = 0; ///< number of its failure domain
     double msPerLayer = 0; ///< time that a token takes here for each layer, at the present load
+    double extraMs = 0; ///< for taking part at all: a target that failed lately is used only where no other is left
 };
 
 /// A part of a path: the candidate runs these layers, a piece of what it holds.
@@ -30,9 +31,9 @@
     double perPartMs = 0.3;
     /// The first target is in another domain than the caller's gateway: only events cross.
     double farStartMs = 4;
-    /// Activations cross between domains. They fill a pipe that all share, so a path does it only where no other is
-    /// left: more than a whole chain of the slowest accelerators.
-    double crossingMs = 400;
+    /// Activations cross between domains and fill a pipe that all share: a usual prompt takes 14 ms of it. The traffic
+    /// of one domain may cross twice, so a path does it where the other domains' chains are crowded.
+    double crossingMs = 80;
 };
 
 /// @brief Finds the cheapest path over layers [0, layerCount).
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -40,8 +40,12 @@
     milliseconds longestPause { 8000 };
     /// A target that was named as dark is left alone until controllers have surely noticed.
     milliseconds darkPause { 5000 };
-    /// A full target is left alone for so long: a few steps of an engine.
-    milliseconds fullPause { 100 };
+    /// A target that is full, or doesn't hold what it was thought to, is left alone for so long: a few steps of an
+    /// engine. The pause doubles with each refusal in a row, up to the time within which controllers tell of a change.
+    milliseconds firstRefusalPause { 100 };
+    milliseconds longestRefusalPause { 2000 };
+    /// After so many refusals in a row a target is told of as dark; controllers then look for themselves.
+    std::size_t suspiciousRefusals = 3;
 };
 
 /// @brief Picks targets by what a request would take there. Callers pass the time in.
@@ -70,8 +74,8 @@
     void succeeded(const std::string& targetId, double answerMs);
     /// @brief The target failed an attempt.
     void failed(const std::string& targetId, steady_time now);
-    /// @brief The target takes nothing just now.
-    void wasFull(const std::string& targetId, steady_time now);
+    /// @brief The target takes nothing just now, or another one says so of it.
+    void refused(const std::string& targetId, steady_time now);
     /// @brief The target is dead or cut off.
     void wentDark(const std::string& targetId, steady_time now);
     /// @brief Targets that went dark since the last call.
@@ -89,6 +93,7 @@
         double tokenLayers = 0; ///< key-value memory that they need, in tokens times layers
         double answerMs = 0; ///< moving average; 0: not known
         std::size_t failuresInRow = 0;
+        std::size_t refusalsInRow = 0;
         steady_time avoidUntil {};
         double stepFactor = 1;
         double memoryTokenLayers = 0; ///< room for requests, at the layers held now
@@ -99,7 +104,8 @@
     std::optional<selection> selectOne(
         const std::string& service, const std::set<std::string>& excluded, steady_time now);
     [[nodiscard]] std::vector<pool_target*> usable(
-        const std::string& service, const std::set<std::string>& excluded, bool evenAvoided, steady_time now);
+        const std::string& service, const std::set<std::string>& excluded);
+    [[nodiscard]] static double doubtMs(const pool_target& target, steady_time now);
     [[nodiscard]] double msPerLayer(const pool_target& target, const layered_engine& engine) const;
     [[nodiscard]] std::size_t domainNumber(const std::string& name);
     void describeAccelerator(pool_target& target) const;
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -23,8 +23,9 @@
 constexpr milliseconds heartbeatSlack { 400 };
 /// A gateway that has said nothing for so long doesn't count.
 constexpr milliseconds sessionLifetime { 2000 };
-/// A target that a gateway calls dark counts as lost once its own heartbeat is late, too.
-constexpr milliseconds darkSlack { 300 };
+/// A target that a gateway calls dark is asked; without an answer by then it counts as lost, without waiting for its
+/// heartbeats to be missed. That saves up to four seconds.
+constexpr milliseconds probePatience { 300 };
 constexpr std::size_t leastVoters = 2; ///< what is acknowledged stands on two disks
 
 net::whole_response errorResponse(int status, const std::string& reason)
@@ -299,14 +300,21 @@
 
 void registry_role::onDark(const std::string& targetId)
 {
-    const auto lease = m_targetLeases.find(targetId);
-    if (!m_log->isLeader() || lease == m_targetLeases.end())
+    const auto* record = m_state.targets().find(targetId);
+    const bool isUp = record != nullptr && record->state == registry::target_state::Ready;
+    if (!m_log->isLeader() || !isUp || m_probes.contains(targetId))
         return;
-    // The lease ends missedHeartbeats periods after the last heartbeat: here one period and the slack are enough.
-    const milliseconds saved = milliseconds(m_settings.targetHeartbeatMs) * (missedHeartbeats - 1) - darkSlack;
-    const steady_time early = lease->second - saved;
-    if (steadyNow() >= early)
-        lease->second = steadyNow();
+    m_probes[targetId] = net::http_call::start(m_loop, record->address, { m_dialect.writeReportCall(targetId), {} },
+        steadyNow() + probePatience, [this, targetId](net::call_outcome outcome, const net::whole_response& response) {
+            const auto probe = m_probes.extract(targetId);
+            const bool answers = outcome == net::call_outcome::Answered && response.head.status == 200;
+            telemetry::logEvent(event_code::ReportReceived,
+                { { "target", targetId }, { "outcome", answers ? "answered" : "none" },
+                    { "status", std::to_string(response.head.status) } });
+            const auto lease = m_targetLeases.find(targetId);
+            if (!answers && lease != m_targetLeases.end())
+                lease->second = steadyNow();
+        });
 }
 
 void registry_role::tick()
@@ -423,7 +431,6 @@
         deadline->second = now + lease;
         registry::target_record gone = record;
         gone.state = registry::target_state::Lost;
-        gone.layers = {};
         gone.sequence = std::max(record.sequence, m_heardSequences[id]);
         telemetry::logEvent(event_code::InstanceLost, { { "instance", id }, { "address", record.address } },
             telemetry::severity::Warning);
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -71,6 +71,7 @@
     std::map<link::channel_number, session> m_sessions;
     std::map<std::string, steady_time> m_targetLeases; ///< only the leader's counts
     std::map<std::string, std::uint64_t> m_heardSequences;
+    std::map<std::string, std::shared_ptr<net::http_call>> m_probes; ///< of targets that gateways called dark
     std::set<std::string> m_submitted; ///< announcements on their way into the log
     steady_time m_formDeadline {};
     steady_time m_confirmDeadline {};
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -65,12 +65,10 @@
     m_answer = answer;
     const auto& first = m_where.parts.front().targetId;
     if (answer.notRun) {
-        const bool isFull = answer.status == 503 && answer.faultyAddress.empty();
-        const std::string faulty = answer.faultyAddress.empty() ? first : m_pool.idAt(answer.faultyAddress);
-        if (isFull)
-            m_pool.wasFull(first, now);
-        else
-            m_pool.failed(faulty, now);
+        std::string faulty = answer.faultyAddress.empty() ? first : m_pool.idAt(answer.faultyAddress);
+        if (faulty.empty())
+            faulty = first; // it names one that isn't known here any more
+        m_pool.refused(faulty, now);
         m_excluded.insert(faulty);
         closeAttempt();
         tryNext({ ran_state::No, false, "refused with status " + std::to_string(answer.status) + " by " + faulty }, now);
--- a/src/buckthornrail/gateway/layer_path.cpp
+++ b/src/buckthornrail/gateway/layer_path.cpp
@@ -51,7 +51,7 @@
     {
         const auto& candidate = m_candidates[index];
         const std::uint32_t end = std::min(candidate.layers.end, m_layerCount);
-        const double own = m_costs.perPartMs + candidate.msPerLayer * (end - layer);
+        const double own = m_costs.perPartMs + candidate.extraMs + candidate.msPerLayer * (end - layer);
         waypoint& goal = at(end, candidate.domain);
         for (std::size_t domain = 0; domain < m_domainCount; ++domain) {
             const double before = at(layer, domain).cost;
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -22,6 +22,10 @@
 constexpr double fullMemoryFactor = 20;
 /// Costs are varied by so much, so that gateways don't all pick the same of two equal targets.
 constexpr double jitterShare = 0.1;
+/// Cost of using a target that failed lately, or whose heartbeats stopped: several times a whole chain of the slowest
+/// accelerators, so it happens only where no other way is left.
+constexpr double avoidedMs = 1000;
+constexpr double lostMs = 2000;
 
 } // namespace
 
@@ -91,19 +95,28 @@
 }
 
 std::vector<target_pool::pool_target*> target_pool::usable(
-    const std::string& service, const std::set<std::string>& excluded, bool evenAvoided, steady_time now)
+    const std::string& service, const std::set<std::string>& excluded)
 {
     std::vector<pool_target*> found;
     for (auto& [id, target] : m_targets) {
-        if (target.record.service != service || target.record.state != registry::target_state::Ready)
-            continue;
-        if (excluded.contains(id) || (!evenAvoided && now < target.avoidUntil))
-            continue;
-        found.push_back(&target);
+        const auto state = target.record.state;
+        const bool isOpen = state == registry::target_state::Ready || state == registry::target_state::Lost;
+        if (isOpen && target.record.service == service && !excluded.contains(id))
+            found.push_back(&target);
     }
     return found;
 }
 
+double target_pool::doubtMs(const pool_target& target, steady_time now)
+{
+    double doubt = 0;
+    if (target.record.state == registry::target_state::Lost)
+        doubt += lostMs;
+    if (now < target.avoidUntil)
+        doubt += avoidedMs;
+    return doubt;
+}
+
 double target_pool::msPerLayer(const pool_target& target, const layered_engine& engine) const
 {
     const double sequences = target.sequences * static_cast<double>(m_gateways);
@@ -119,35 +132,32 @@
     const std::string& service, const layered_engine& engine, const std::set<std::string>& excluded, steady_time now)
 {
     std::uniform_real_distribution<double> jitter(1, 1 + jitterShare);
-    for (const bool evenAvoided : { false, true }) {
-        const auto targets = usable(service, excluded, evenAvoided, now);
-        std::vector<path_candidate> candidates;
-        candidates.reserve(targets.size());
-        for (const auto* target : targets)
-            candidates.push_back(
-                { target->record.layers, target->domain, msPerLayer(*target, engine) * jitter(m_random) });
-        const auto path = findPath(candidates, engine.layers, m_domains.size(), 0);
-        if (path.empty())
-            continue;
-        selection chosen;
-        for (const auto& part : path) {
-            const auto& record = targets[part.candidate]->record;
-            chosen.parts.push_back({ record.id, record.address, part.layers });
-        }
-        chosen.summary = std::to_string(targets.size()) + " usable, " + std::to_string(path.size()) + " parts"
-            + (evenAvoided ? ", with avoided ones" : "");
-        return chosen;
+    const auto targets = usable(service, excluded);
+    std::vector<path_candidate> candidates;
+    candidates.reserve(targets.size());
+    for (const auto* target : targets) {
+        candidates.push_back({ target->record.layers, target->domain, msPerLayer(*target, engine) * jitter(m_random),
+            doubtMs(*target, now) });
     }
-    return std::nullopt;
+    const auto path = findPath(candidates, engine.layers, m_domains.size(), 0);
+    if (path.empty())
+        return std::nullopt;
+    selection chosen;
+    std::size_t doubtful = 0;
+    for (const auto& part : path) {
+        const auto& record = targets[part.candidate]->record;
+        chosen.parts.push_back({ record.id, record.address, part.layers });
+        doubtful += candidates[part.candidate].extraMs > 0 ? 1 : 0;
+    }
+    chosen.summary = std::to_string(targets.size()) + " usable, " + std::to_string(path.size()) + " parts, "
+        + std::to_string(doubtful) + " doubtful";
+    return chosen;
 }
 
 std::optional<selection> target_pool::selectOne(
     const std::string& service, const std::set<std::string>& excluded, steady_time now)
 {
-    auto targets = usable(service, excluded, false, now);
-    const bool evenAvoided = targets.empty();
-    if (evenAvoided)
-        targets = usable(service, excluded, true, now);
+    const auto targets = usable(service, excluded);
     if (targets.empty())
         return std::nullopt;
     std::uniform_real_distribution<double> draw(0, 1);
@@ -160,6 +170,7 @@
         double cost = answerMs * (1 + waiting) * (target->domain == 0 ? 1 : farFactor) * (1 + jitterShare * draw(m_random));
         if (explores)
             cost = draw(m_random);
+        cost += doubtMs(*target, now);
         if (best == nullptr || cost < bestCost) {
             best = target;
             bestCost = cost;
@@ -168,7 +179,7 @@
     selection chosen;
     chosen.parts.push_back({ best->record.id, best->record.address, {} });
     chosen.summary = std::to_string(targets.size()) + " usable, expected "
-        + std::to_string(static_cast<int>(std::lround(bestCost))) + " ms" + (evenAvoided ? ", avoided" : "");
+        + std::to_string(static_cast<int>(std::lround(bestCost))) + " ms";
     return chosen;
 }
 
@@ -203,6 +214,7 @@
         return;
     auto& target = found->second;
     target.failuresInRow = 0;
+    target.refusalsInRow = 0;
     target.answerMs
         = target.answerMs == 0 ? answerMs : (1 - newestWeight) * target.answerMs + newestWeight * answerMs;
 }
@@ -218,11 +230,18 @@
     target.avoidUntil = std::max(target.avoidUntil, now + std::min<milliseconds>(doubled, m_options.longestPause));
 }
 
-void target_pool::wasFull(const std::string& targetId, steady_time now)
+void target_pool::refused(const std::string& targetId, steady_time now)
 {
     const auto found = m_targets.find(targetId);
-    if (found != m_targets.end())
-        found->second.avoidUntil = std::max(found->second.avoidUntil, now + m_options.fullPause);
+    if (found == m_targets.end())
+        return;
+    auto& target = found->second;
+    const auto doubled = m_options.firstRefusalPause * (1U << std::min<std::size_t>(target.refusalsInRow, 8));
+    ++target.refusalsInRow;
+    target.avoidUntil
+        = std::max(target.avoidUntil, now + std::min<milliseconds>(doubled, m_options.longestRefusalPause));
+    if (target.refusalsInRow % m_options.suspiciousRefusals == 0)
+        m_newlyDark.push_back(targetId);
 }
 
 void target_pool::wentDark(const std::string& targetId, steady_time now)
--- a/src/buckthornrail/registry/layer_plan.cpp
+++ b/src/buckthornrail/registry/layer_plan.cpp
@@ -29,6 +29,13 @@
     {
         return *std::min_element(m_holders.begin() + range.first, m_holders.begin() + range.end);
     }
+    /// @brief Length of the first run of layers that nobody holds.
+    [[nodiscard]] std::uint32_t gapSize() const
+    {
+        const auto begin = std::find(m_holders.begin(), m_holders.end(), 0);
+        const auto end = std::find_if(begin, m_holders.end(), [](int holders) { return holders > 0; });
+        return static_cast<std::uint32_t>(end - begin);
+    }
     /// @brief The window that begins at the first of the layers held least.
     [[nodiscard]] layer_range leastCovered(std::uint32_t size) const
     {
@@ -64,7 +71,7 @@
         }
         if (m_cover.least() > 0)
             return;
-        auto* spare = findSpare();
+        auto* spare = findSpare(m_cover.gapSize());
         if (spare != nullptr)
             order(*spare, steps);
     }
@@ -79,14 +86,18 @@
         steps.push_back({ target.id, target.holds });
     }
 
-    /// @brief A target whose layers are all held by another one too.
-    plan_target* findSpare()
+    /// @brief A target whose layers are all held by another one too: the smallest that fills the gap, as it loads
+    /// soonest and is missed least, or else the largest.
+    plan_target* findSpare(std::uint32_t gap)
     {
-        for (auto& target : m_targets) {
-            if (target.isSettled && !target.holds.isEmpty() && m_cover.leastIn(target.holds) > 1)
-                return &target;
+        plan_target* found = nullptr;
+        for (auto& target : m_targets) { // largest first
+            if (!target.isSettled || target.holds.isEmpty() || m_cover.leastIn(target.holds) <= 1)
+                continue;
+            if (found == nullptr || target.capacity >= gap)
+                found = &target;
         }
-        return nullptr;
+        return found;
     }
 
     std::vector<plan_target> m_targets;
