Gaps in the layers are filled at once; streams go on where they ran; calls wait for the first document

An attempt of a live first target that a member cut counted like a second target. Gateways refused all calls of the first second after a restart of everything. Ruled out: the refusing target draining (it was ready, and answered its report).

--- a/include/buckthornrail/agreement/replica.hpp
+++ b/include/buckthornrail/agreement/replica.hpp
@@ -33,6 +33,9 @@
     milliseconds heartbeatInterval { 100 };
     milliseconds electionTimeoutMin { 700 };
     milliseconds electionTimeoutMax { 1400 };
+    /// Of a replica that has just started: it has no leader to wait for, and a pre-vote doesn't disturb one that others
+    /// have. 0: as any other time.
+    milliseconds firstElectionTimeout { 0 };
     milliseconds snapshotResendInterval { 3000 };
     std::size_t maxEntriesPerMessage = 512;
 };
--- a/include/buckthornrail/gateway/dialect.hpp
+++ b/include/buckthornrail/gateway/dialect.hpp
@@ -80,6 +80,7 @@
     registry::layer_range layers;
     std::uint64_t fence = 0; ///< a target that has seen a higher one refuses
     std::uint64_t expectedRevision = 0;
+    bool cutsRunning = false; ///< requests that pass through layers given up end at once instead of being waited for
 };
 
 /// @brief How a platform's operators and targets call controllers, and are called by them.
--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -149,7 +149,8 @@
     std::size_t m_gateways;
     exchange_options m_options;
     selection m_where;
-    std::set<std::string> m_excluded;
+    choice_bounds m_bounds;
+    std::set<std::string> m_ranAt; ///< targets that count against the route's number: each took the request and lives
     std::optional<std::uint64_t> m_lastEventId;
     std::optional<target_answer> m_answer; ///< head of the open attempt
     bool m_attemptOpen = false;
@@ -158,7 +159,6 @@
     bool m_mayHaveRun = false; ///< in any attempt
     bool m_over = false;
     std::uint32_t m_tries = 0;
-    std::uint32_t m_countedAttempts = 0; ///< against the route's number
     std::uint32_t m_openAsks = 0;
     std::size_t m_events = 0;
     steady_time m_attemptStart {};
--- a/include/buckthornrail/gateway/layer_path.hpp
+++ b/include/buckthornrail/gateway/layer_path.hpp
@@ -17,6 +17,7 @@
     std::size_t domain = 0; ///< number of its failure domain
     double msPerLayer = 0; ///< time that a token takes here for each layer, at the present load
     double extraMs = 0; ///< for taking part at all: a target that failed lately is used only where no other is left
+    bool mayStart = true; ///< may run the first part
 };
 
 /// A part of a path: the candidate runs these layers, a piece of what it holds.
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -26,6 +26,12 @@
     std::string summary; ///< for logs: how many were to be had, and what the choice is expected to cost
 };
 
+/// What a choice may not do.
+struct choice_bounds {
+    std::set<std::string> excluded; ///< ids of targets not to use
+    std::set<std::string> firstOnly; ///< ids of targets that may take the request; empty: any
+};
+
 /// Tokens that a request brings, as far as it says.
 struct request_size {
     double promptTokens = 0;
@@ -34,10 +40,6 @@
 
 struct pool_options {
     std::string ownDomain; ///< of the gateway
-    /// A target that failed is left alone for so long; the pause doubles with each failure in a row. Controllers tell
-    /// of a lost one within about four seconds, so the first pauses bridge that time.
-    milliseconds firstPause { 1000 };
-    milliseconds longestPause { 8000 };
     /// A target that was named as dark is left alone until controllers have surely noticed.
     milliseconds darkPause { 5000 };
     /// A target that is full, or doesn't hold what it was thought to, is left alone for so long: a few steps of an
@@ -61,10 +63,8 @@
     void setGateways(std::size_t count) { m_gateways = std::max<std::size_t>(count, 1); }
 
     /// @brief Picks a target, or a path over several.
-    /// @param excluded ids of targets not to use
     /// @return nothing when no ready target, or no path over all layers, is left
-    std::optional<selection> select(
-        const std::string& service, const std::set<std::string>& excluded, steady_time now);
+    std::optional<selection> select(const std::string& service, const choice_bounds& bounds, steady_time now);
 
     /// @brief Counts an attempt at its targets, and out again.
     void began(const selection& chosen, const request_size& size);
@@ -73,7 +73,7 @@
     /// @brief The target answered. @param answerMs how long that took, for targets without layers
     void succeeded(const std::string& targetId, double answerMs);
     /// @brief The target failed an attempt.
-    void failed(const std::string& targetId, steady_time now);
+    void failed(const std::string& targetId);
     /// @brief The target takes nothing just now, or another one says so of it.
     void refused(const std::string& targetId, steady_time now);
     /// @brief The target is dead or cut off.
@@ -92,7 +92,7 @@
         double sequences = 0; ///< attempts of this gateway in flight
         double tokenLayers = 0; ///< key-value memory that they need, in tokens times layers
         double answerMs = 0; ///< moving average; 0: not known
-        std::size_t failuresInRow = 0;
+        double failureShare = 0; ///< moving average of attempts that failed
         std::size_t refusalsInRow = 0;
         steady_time avoidUntil {};
         double stepFactor = 1;
@@ -100,9 +100,8 @@
     };
 
     std::optional<selection> selectPath(
-        const std::string& service, const layered_engine& engine, const std::set<std::string>& excluded, steady_time now);
-    std::optional<selection> selectOne(
-        const std::string& service, const std::set<std::string>& excluded, steady_time now);
+        const std::string& service, const layered_engine& engine, const choice_bounds& bounds, steady_time now);
+    std::optional<selection> selectOne(const std::string& service, const choice_bounds& bounds, steady_time now);
     [[nodiscard]] std::vector<pool_target*> usable(
         const std::string& service, const std::set<std::string>& excluded);
     [[nodiscard]] static double doubtMs(const pool_target& target, steady_time now);
--- a/include/buckthornrail/registry/layer_plan.hpp
+++ b/include/buckthornrail/registry/layer_plan.hpp
@@ -23,6 +23,7 @@
 struct plan_step {
     std::string id;
     layer_range layers;
+    bool isUrgent = false; ///< fills a gap: what passes through the layers given up is not waited for
     bool operator==(const plan_step&) const = default;
 };
 
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -14,6 +14,8 @@
 /// connections that were kept open is refused, so that nothing is begun that the process can't end.
 constexpr milliseconds rotationTime { 3200 };
 constexpr milliseconds stopCheckPeriod { 50 };
+/// For so long after its start a gateway lets calls wait for its first document.
+constexpr milliseconds youthTime { 4000 };
 /// Left of the time that the platform grants for ending, for the process itself.
 constexpr milliseconds exitReserve { 400 };
 
@@ -64,6 +66,7 @@
 
 tl::expected<void, failure> gateway_role::start()
 {
+    m_context.youngUntil = steadyNow() + youthTime;
     if (m_health.listen(m_settings.httpAddress) == 0)
         return tl::make_unexpected(failure { result_code::BadSettings, "can't listen on " + m_settings.httpAddress });
     if (m_listener.listen(m_settings.gatewayAddress) == 0)
@@ -139,6 +142,10 @@
 {
     m_context.pool.update(targets.records());
     m_context.gateways = m_session.gateways();
+    for (const auto& call : std::exchange(m_context.waiting, {})) {
+        if (const auto waiting = call.lock())
+            waiting->resume();
+    }
     m_context.pool.setGateways(m_context.gateways);
     m_context.metrics.gauge("target_revision", static_cast<double>(targets.revision()));
 }
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -18,6 +18,9 @@
 /// When to come back after a refusal: a path that was lost is whole again after about three seconds.
 constexpr milliseconds noTargetPause { 1500 };
 constexpr milliseconds busyPause { 300 };
+/// A call to a gateway that has just started waits so long for the first document: controllers that restart at the same
+/// moment elect a leader within a second, and callers wait two seconds for a first event.
+constexpr milliseconds documentPatience { 1400 };
 constexpr milliseconds elsewherePause { 10 }; ///< another gateway takes it at once
 
 milliseconds pauseFor(result_code code)
@@ -56,6 +59,25 @@
 {
     m_arrived = arrived;
     m_caller = m_context.dialect.readCaller(m_head);
+    if (!m_context.document && steadyNow() < m_context.youngUntil) {
+        m_waits = true;
+        m_context.waiting.push_back(weak_from_this());
+        wakeAt(std::min(m_context.youngUntil, steadyNow() + documentPatience));
+        return;
+    }
+    route();
+}
+
+void gateway_call::resume()
+{
+    if (!std::exchange(m_waits, false) || m_sink == nullptr)
+        return;
+    m_timer.cancel();
+    route();
+}
+
+void gateway_call::route()
+{
     if (m_context.takesNoMore) {
         refuse(result_code::ShuttingDown, "this gateway ends soon");
         return;
@@ -84,8 +106,8 @@
     request.chosen = route;
     std::uniform_real_distribution<double> draw(0, 1);
     request.service = gateway::pickService(*route, draw(m_context.random));
-    request.arrived = arrived;
-    request.deadline = arrived + std::min(route->longestWait, m_caller.patience.value_or(route->longestWait));
+    request.arrived = m_arrived;
+    request.deadline = m_arrived + std::min(route->longestWait, m_caller.patience.value_or(route->longestWait));
     request.lastEventId = m_caller.lastEventId;
     request.size = m_caller.size;
     auto& budget
@@ -351,8 +373,12 @@
     const std::weak_ptr<gateway_call> weak = weak_from_this();
     m_timer.set(when, [weak] {
         const auto self = weak.lock();
-        if (self && self->m_sink != nullptr)
+        if (!self || self->m_sink == nullptr)
+            return;
+        if (self->m_exchange)
             self->m_exchange->onTimer(steadyNow());
+        else
+            self->resume();
     });
 }
 
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway_call.hpp
@@ -23,6 +23,8 @@
     std::shared_ptr<const gateway::route_index> document; ///< empty: none yet
     std::size_t gateways = 1;
     std::mt19937_64 random;
+    std::vector<std::weak_ptr<class gateway_call>> waiting; ///< calls that came before the first document
+    steady_time youngUntil {}; ///< until then calls wait for the first document
     bool isStopping = false;
     bool takesNoMore = false; ///< new requests are refused: the process ends soon
     std::size_t openCalls = 0;
@@ -68,7 +70,11 @@
     void wakeAt(steady_time when) override;
     void note(event_code event, std::initializer_list<log_field> fields) override;
 
+    /// @brief The first document has come.
+    void resume();
+
 private:
+    void route();
     void refuse(result_code code, const std::string& reason);
     void onBytes(std::string_view bytes);
     void onEnded(net::channel_end how);
@@ -98,6 +104,7 @@
     std::shared_ptr<net::http_call> m_report;
     http1::response_head m_streamHead; ///< not written yet
     bool m_streamHeadPending = false;
+    bool m_waits = false;
     net::loop_timer m_timer;
     net::loop_timer m_connectTimer;
 };
--- a/src/app/layer_orders.cpp
+++ b/src/app/layer_orders.cpp
@@ -116,7 +116,7 @@
             isSettled ? record.layers : open->second.layers, isSettled });
     }
     for (const auto& step : registry::planLayers(candidates, service.engine->layers))
-        m_open[step.id] = { step.layers, now + orderPatience, now, false, nullptr };
+        m_open[step.id] = { step.layers, now + orderPatience, now, step.isUrgent, false, nullptr };
 }
 
 void layer_orders::ask(const registry::target_record& record, open_order& order, steady_time now)
@@ -161,7 +161,7 @@
     telemetry::logEvent(event_code::LayersOrdered,
         { { "target", record.id }, { "layers", rangeText(order.layers) }, { "held", rangeText(report.layers) },
             { "fence", std::to_string(m_fence) }, { "revision", std::to_string(report.revision) } });
-    const auto [head, body] = m_dialect.writeOrder({ record.id, order.layers, m_fence, report.revision });
+    const auto [head, body] = m_dialect.writeOrder({ record.id, order.layers, m_fence, report.revision, order.isUrgent });
     order.call = net::http_call::start(m_loop, record.address, { head, body }, steadyNow() + callPatience,
         [this, record](net::call_outcome outcome, const net::whole_response& response) {
             onTaken(record, outcome, response);
--- a/src/app/layer_orders.hpp
+++ b/src/app/layer_orders.hpp
@@ -29,6 +29,7 @@
         registry::layer_range layers;
         steady_time deadline {}; ///< given up then
         steady_time nextTry {};
+        bool isUrgent = false;
         bool isSent = false; ///< the target took it
         std::shared_ptr<net::http_call> call;
     };
--- a/src/app/replicated_log.cpp
+++ b/src/app/replicated_log.cpp
@@ -28,6 +28,7 @@
     agreement::replica_options options;
     options.electionTimeoutMin = milliseconds(electionTimeoutMs);
     options.electionTimeoutMax = milliseconds(2 * electionTimeoutMs);
+    options.firstElectionTimeout = milliseconds(electionTimeoutMs / 2);
     options.heartbeatInterval = milliseconds(std::max<std::uint32_t>(electionTimeoutMs / 7, 10));
     return options;
 }
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -42,7 +42,7 @@
 void exchange::start(steady_time now)
 {
     m_budget.noteRequest(now);
-    const auto where = m_pool.select(m_request.service, m_excluded, now);
+    const auto where = m_pool.select(m_request.service, m_bounds, now);
     if (!where) {
         finish(result_code::NoTarget, ran_state::No, "no usable target or path", now);
         return;
@@ -69,7 +69,7 @@
         if (faulty.empty())
             faulty = first; // it names one that isn't known here any more
         m_pool.refused(faulty, now);
-        m_excluded.insert(faulty);
+        m_bounds.excluded.insert(faulty);
         closeAttempt();
         tryNext({ ran_state::No, false, "refused with status " + std::to_string(answer.status) + " by " + faulty }, now);
         return;
@@ -171,7 +171,11 @@
         return;
     const auto first = m_where.parts.front().targetId;
     const bool notReached = how == attempt_loss::NotReached && !m_sent;
-    blame(first, notReached, now);
+    const bool byMember = hasPath() && how == attempt_loss::Broken; // any member may have ended it
+    if (byMember)
+        m_pool.failed(first);
+    else
+        blame(first, notReached, now);
     closeAttempt();
     if (notReached) {
         tryNext({ ran_state::No, true, "no connection to " + first }, now);
@@ -221,7 +225,7 @@
     if (hasPath()) {
         if (now >= m_moveAt && whyNoRepeat(slow, now).empty()) {
             for (const auto& part : m_where.parts)
-                m_excluded.insert(part.targetId);
+                m_bounds.excluded.insert(part.targetId);
             closeAttempt();
             tryNext(slow, now);
             return;
@@ -237,7 +241,7 @@
         && whyNoRepeat(slow, now).empty()) {
         const auto first = m_where.parts.front().targetId;
         m_pool.succeeded(first, static_cast<double>(between(m_attemptStart, now).count()));
-        m_excluded.insert(first);
+        m_bounds.excluded.insert(first);
         closeAttempt();
         tryNext(slow, now);
         return;
@@ -267,16 +271,19 @@
     const std::string why = whyNoRepeat(last, now);
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     if (mayHaveRun && !last.targetEnded)
-        ++m_countedAttempts;
+        m_ranAt.insert(m_where.parts.front().targetId);
+    // What ran before may go on where it ran: that takes no further target.
+    if (m_ranAt.size() >= m_request.chosen->maxAttempts && hasPath())
+        m_bounds.firstOnly = m_ranAt;
     if (!why.empty()) {
         giveUp(last.reason + "; " + why, now);
         return;
     }
-    auto where = m_pool.select(m_request.service, m_excluded, now);
-    if (!where && !m_excluded.empty()) {
+    auto where = m_pool.select(m_request.service, m_bounds, now);
+    if (!where && !m_bounds.excluded.empty()) {
         // Better one that failed before than none: it may have been a moment's fault.
-        m_excluded.clear();
-        where = m_pool.select(m_request.service, m_excluded, now);
+        m_bounds.excluded.clear();
+        where = m_pool.select(m_request.service, m_bounds, now);
     }
     if (!where) {
         giveUp(last.reason + "; no other target or path", now);
@@ -297,8 +304,10 @@
         return "it may have run and must not be repeated";
     if (m_streamBegun && !m_lastEventId)
         return "the stream's events have no ids to go on from";
-    const bool counts = last.ran != ran_state::No && !last.targetEnded;
-    if (m_countedAttempts + (counts ? 1 : 0) >= m_request.chosen->maxAttempts)
+    auto ranAt = m_ranAt;
+    if (last.ran != ran_state::No && !last.targetEnded)
+        ranAt.insert(m_where.parts.front().targetId);
+    if (ranAt.size() >= m_request.chosen->maxAttempts && !hasPath())
         return "the route's attempts are used up";
     if (m_tries >= m_options.mostTries)
         return "tried often enough";
@@ -378,11 +387,11 @@
 
 void exchange::blame(const std::string& targetId, bool dark, steady_time now)
 {
-    m_excluded.insert(targetId);
+    m_bounds.excluded.insert(targetId);
     if (dark)
         m_pool.wentDark(targetId, now);
     else
-        m_pool.failed(targetId, now);
+        m_pool.failed(targetId);
     m_port.note(event_code::TargetAvoided,
         { { "request", m_request.id }, { "target", targetId }, { "reason", dark ? "dark" : "failed" } });
 }
--- a/src/buckthornrail/gateway/layer_path.cpp
+++ b/src/buckthornrail/gateway/layer_path.cpp
@@ -37,7 +37,8 @@
         for (std::uint32_t layer = 0; layer < m_layerCount; ++layer) {
             for (std::size_t index = 0; index < m_candidates.size(); ++index) {
                 const auto& candidate = m_candidates[index];
-                if (candidate.layers.first <= layer && layer < candidate.layers.end)
+                const bool mayRun = layer > 0 || candidate.mayStart;
+                if (mayRun && candidate.layers.first <= layer && layer < candidate.layers.end)
                     extend(layer, index);
             }
         }
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -24,6 +24,7 @@
 constexpr double jitterShare = 0.1;
 /// Cost of using a target that failed lately, or whose heartbeats stopped: several times a whole chain of the slowest
 /// accelerators, so it happens only where no other way is left.
+constexpr double failureMs = 300; ///< what a failed attempt costs a caller, times the share of them
 constexpr double avoidedMs = 1000;
 constexpr double lostMs = 2000;
 
@@ -86,12 +87,12 @@
 }
 
 std::optional<selection> target_pool::select(
-    const std::string& service, const std::set<std::string>& excluded, steady_time now)
+    const std::string& service, const choice_bounds& bounds, steady_time now)
 {
     const auto engine = m_engines.find(service);
     if (engine != m_engines.end() && engine->second.layers > 0)
-        return selectPath(service, engine->second, excluded, now);
-    return selectOne(service, excluded, now);
+        return selectPath(service, engine->second, bounds, now);
+    return selectOne(service, bounds, now);
 }
 
 std::vector<target_pool::pool_target*> target_pool::usable(
@@ -109,7 +110,7 @@
 
 double target_pool::doubtMs(const pool_target& target, steady_time now)
 {
-    double doubt = 0;
+    double doubt = failureMs * target.failureShare;
     if (target.record.state == registry::target_state::Lost)
         doubt += lostMs;
     if (now < target.avoidUntil)
@@ -129,15 +130,15 @@
 }
 
 std::optional<selection> target_pool::selectPath(
-    const std::string& service, const layered_engine& engine, const std::set<std::string>& excluded, steady_time now)
+    const std::string& service, const layered_engine& engine, const choice_bounds& bounds, steady_time now)
 {
     std::uniform_real_distribution<double> jitter(1, 1 + jitterShare);
-    const auto targets = usable(service, excluded);
+    const auto targets = usable(service, bounds.excluded);
     std::vector<path_candidate> candidates;
     candidates.reserve(targets.size());
     for (const auto* target : targets) {
         candidates.push_back({ target->record.layers, target->domain, msPerLayer(*target, engine) * jitter(m_random),
-            doubtMs(*target, now) });
+            doubtMs(*target, now), bounds.firstOnly.empty() || bounds.firstOnly.contains(target->record.id) });
     }
     const auto path = findPath(candidates, engine.layers, m_domains.size(), 0);
     if (path.empty())
@@ -155,9 +156,11 @@
 }
 
 std::optional<selection> target_pool::selectOne(
-    const std::string& service, const std::set<std::string>& excluded, steady_time now)
+    const std::string& service, const choice_bounds& bounds, steady_time now)
 {
-    const auto targets = usable(service, excluded);
+    auto targets = usable(service, bounds.excluded);
+    if (!bounds.firstOnly.empty())
+        std::erase_if(targets, [&bounds](const auto* one) { return !bounds.firstOnly.contains(one->record.id); });
     if (targets.empty())
         return std::nullopt;
     std::uniform_real_distribution<double> draw(0, 1);
@@ -213,21 +216,17 @@
     if (found == m_targets.end())
         return;
     auto& target = found->second;
-    target.failuresInRow = 0;
+    target.failureShare *= 1 - newestWeight;
     target.refusalsInRow = 0;
     target.answerMs
         = target.answerMs == 0 ? answerMs : (1 - newestWeight) * target.answerMs + newestWeight * answerMs;
 }
 
-void target_pool::failed(const std::string& targetId, steady_time now)
+void target_pool::failed(const std::string& targetId)
 {
     const auto found = m_targets.find(targetId);
-    if (found == m_targets.end())
-        return;
-    auto& target = found->second;
-    const auto doubled = m_options.firstPause * (1U << std::min<std::size_t>(target.failuresInRow, 8));
-    ++target.failuresInRow;
-    target.avoidUntil = std::max(target.avoidUntil, now + std::min<milliseconds>(doubled, m_options.longestPause));
+    if (found != m_targets.end())
+        found->second.failureShare = (1 - newestWeight) * found->second.failureShare + newestWeight;
 }
 
 void target_pool::refused(const std::string& targetId, steady_time now)
--- a/src/buckthornrail/registry/layer_plan.cpp
+++ b/src/buckthornrail/registry/layer_plan.cpp
@@ -72,8 +72,10 @@
         if (m_cover.least() > 0)
             return;
         auto* spare = findSpare(m_cover.gapSize());
-        if (spare != nullptr)
-            order(*spare, steps);
+        if (spare == nullptr)
+            return;
+        order(*spare, steps);
+        steps.back().isUrgent = true;
     }
 
 private:
@@ -83,7 +85,7 @@
         target.holds = m_cover.leastCovered(target.capacity);
         target.isSettled = false;
         m_cover.add(target.holds, 1);
-        steps.push_back({ target.id, target.holds });
+        steps.push_back({ target.id, target.holds, false });
     }
 
     /// @brief A target whose layers are all held by another one too: the smallest that fills the gap, as it loads
