Gateways tell each other's load through the controllers

Cause: the load of a target was taken to be a gateway's own times the number of gateways. A first target whose member failed was not counted as one that ran. Change: beats carry the attempts under way, updates those of all others. Ruled out: processor (0.019 cores of 0.19).

--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -59,8 +59,9 @@
     void update(const std::map<std::string, registry::target_record>& records);
     /// @brief How the engines of a service work.
     void setEngine(const std::string& service, const std::optional<layered_engine>& engine);
-    /// @brief How many gateways share the targets; each is taken to bring the same load.
-    void setGateways(std::size_t count) { m_gateways = std::max<std::size_t>(count, 1); }
+    /// @brief Attempts that other gateways have under way; they are taken to be spread like this one's.
+    void setOthersOpenAttempts(std::size_t count) { m_othersOpenAttempts = static_cast<double>(count); }
+    [[nodiscard]] std::size_t openAttempts() const { return m_openAttempts; }
 
     /// @brief Picks a target, or a path over several.
     /// @return nothing when no ready target, or no path over all layers, is left
@@ -104,6 +105,8 @@
     std::optional<selection> selectOne(const std::string& service, const choice_bounds& bounds, steady_time now);
     [[nodiscard]] std::vector<pool_target*> usable(
         const std::string& service, const std::set<std::string>& excluded);
+    /// @brief Load of all gateways over that of this one.
+    [[nodiscard]] double loadScale() const;
     [[nodiscard]] static double doubtMs(const pool_target& target, steady_time now);
     [[nodiscard]] double msPerLayer(const pool_target& target, const layered_engine& engine) const;
     [[nodiscard]] std::size_t domainNumber(const std::string& name);
@@ -111,7 +114,8 @@
 
     pool_options m_options;
     std::mt19937_64 m_random;
-    std::size_t m_gateways = 1;
+    std::size_t m_openAttempts = 0;
+    double m_othersOpenAttempts = 0;
     std::map<std::string, pool_target> m_targets;
     std::map<std::string, layered_engine> m_engines;
     std::vector<std::string> m_newlyDark;
--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -149,6 +149,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t documentVersion = 0;
     std::uint64_t targetRevision = 0;
+    std::uint32_t openAttempts = 0; ///< under way at targets
     std::vector<std::string> darkTargets; ///< ids of targets that were dead or cut off for it since the last beat
 };
 
@@ -170,6 +171,7 @@
     std::vector<registry::target_delta> targets; ///< the same
     std::vector<std::string> controllers; ///< link addresses of all members
     std::uint32_t gateways = 1; ///< that have a session now
+    std::uint32_t othersOpenAttempts = 0; ///< under way from all other gateways, as they told last
 };
 
 /// Member of the controllers to their leader: a target's heartbeat came here.
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -52,6 +52,11 @@
           gateway_session_callbacks {
               [this](const versioned_text& document) { onDocument(document); },
               [this](const registry::target_view& targets) { onTargets(targets); },
+              [this] { return static_cast<std::uint32_t>(m_context.pool.openAttempts()); },
+              [this](const link::gateway_update& update) {
+                  m_context.gateways = std::max<std::size_t>(update.gateways, 1);
+                  m_context.pool.setOthersOpenAttempts(update.othersOpenAttempts);
+              },
               [this] { return m_context.pool.takeDark(); },
           })
 {
@@ -141,12 +146,10 @@
 void gateway_role::onTargets(const registry::target_view& targets)
 {
     m_context.pool.update(targets.records());
-    m_context.gateways = m_session.gateways();
     for (const auto& call : std::exchange(m_context.waiting, {})) {
         if (const auto waiting = call.lock())
             waiting->resume();
     }
-    m_context.pool.setGateways(m_context.gateways);
     m_context.metrics.gauge("target_revision", static_cast<double>(targets.revision()));
 }
 
--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway_session.cpp
@@ -108,7 +108,8 @@
         m_dark.push_back(std::move(id));
     m_hub.send(m_channel,
         link::encode(link::gateway_beat {
-            m_settings.id, ++m_sequence, m_document.version, m_targets.revision(), std::exchange(m_dark, {}) }));
+            m_settings.id, ++m_sequence, m_document.version, m_targets.revision(), m_callbacks.openAttempts(),
+            std::exchange(m_dark, {}) }));
 }
 
 void gateway_session::onMessage(link::channel_number channel, const std::string& bytes)
@@ -130,7 +131,7 @@
         telemetry::logEvent(event_code::SessionOpened, { { "controller", m_address } });
     m_silenceDeadline = steadyNow() + silenceLimit;
     m_controllers = update.controllers;
-    m_gateways = std::max<std::size_t>(update.gateways, 1);
+    m_callbacks.served(update);
     for (const auto& change : update.document) {
         const std::uint64_t before = m_document.version;
         if (!applyTextUpdate(m_document, change)) {
--- a/src/app/gateway_session.hpp
+++ b/src/app/gateway_session.hpp
@@ -11,6 +11,8 @@
 struct gateway_session_callbacks {
     std::function<void(const versioned_text&)> documentChanged;
     std::function<void(const registry::target_view&)> targetsChanged;
+    std::function<std::uint32_t()> openAttempts;
+    std::function<void(const link::gateway_update&)> served; ///< by a leader, before the changes it brings
     std::function<std::vector<std::string>()> takeDarkTargets; ///< seen since the last call
 };
 
@@ -19,8 +21,6 @@
 public:
     gateway_session(link::event_loop& loop, const settings::settings& settings, gateway_session_callbacks callbacks);
 
-    /// @brief Gateways that have a session, as far as known.
-    [[nodiscard]] std::size_t gateways() const { return m_gateways; }
     [[nodiscard]] const versioned_text& document() const { return m_document; }
     [[nodiscard]] const registry::target_view& targets() const { return m_targets; }
     /// @brief Takes other seeds over.
@@ -51,7 +51,6 @@
     versioned_text m_document;
     registry::target_view m_targets;
     std::vector<std::string> m_dark; ///< not told yet
-    std::size_t m_gateways = 1;
     link::link_hub m_hub;
     periodic_task m_beats;
 };
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -285,6 +285,7 @@
     one.instance = beat.instance;
     one.documentVersion = beat.documentVersion;
     one.targetRevision = beat.targetRevision;
+    one.openAttempts = beat.openAttempts;
     one.waitingSequence = beat.sequence;
     one.deadline = steadyNow() + sessionLifetime;
     for (const auto& id : beat.darkTargets)
@@ -394,6 +395,8 @@
     for (const auto& member : m_log->replica().members())
         update.controllers.push_back(member.address);
     update.gateways = static_cast<std::uint32_t>(std::max<std::size_t>(m_sessions.size(), 1));
+    for (const auto& [other, open] : m_sessions)
+        update.othersOpenAttempts += other == channel ? 0 : open.openAttempts;
     one.documentVersion = std::max(one.documentVersion, m_state.document().version);
     one.targetRevision = m_state.targets().revision();
     m_hub->send(channel, link::encode(link::message(update)));
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -29,6 +29,7 @@
         instance_id instance;
         std::uint64_t documentVersion = 0;
         std::uint64_t targetRevision = 0;
+        std::uint32_t openAttempts = 0;
         std::uint64_t waitingSequence = 0; ///< beat that wants an answer; 0: none
         bool isConfirmed = false; ///< a quorum has confirmed this controller since the session began
         steady_time deadline {};
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -178,11 +178,12 @@
         blame(first, notReached, now);
     closeAttempt();
     if (notReached) {
+        m_ranAt.erase(first); // it has ended, or is cut off: it doesn't count any more
         tryNext({ ran_state::No, true, "no connection to " + first }, now);
         return;
     }
     const bool garbled = how == attempt_loss::Garbled;
-    tryNext({ ran_state::Unknown, !garbled, (garbled ? "garbled by " : "cut off by ") + first }, now);
+    tryNext({ ran_state::Unknown, !garbled && !byMember, (garbled ? "garbled by " : "cut off by ") + first }, now);
 }
 
 void exchange::onReport(bool answered, const std::string& faultyAddress, steady_time now)
@@ -198,7 +199,7 @@
     if (faulty.empty())
         return;
     blame(faulty, true, now);
-    const attempt_end end { ran_state::Unknown, true, "held up by " + faulty };
+    const attempt_end end { ran_state::Unknown, firstIsDark, "held up by " + faulty };
     if (!whyNoRepeat(end, now).empty())
         return; // it may still go on by itself
     closeAttempt();
@@ -273,6 +274,7 @@
     if (mayHaveRun && !last.targetEnded)
         m_ranAt.insert(m_where.parts.front().targetId);
     // What ran before may go on where it ran: that takes no further target.
+    m_bounds.firstOnly.clear();
     if (m_ranAt.size() >= m_request.chosen->maxAttempts && hasPath())
         m_bounds.firstOnly = m_ranAt;
     if (!why.empty()) {
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -120,10 +120,10 @@
 
 double target_pool::msPerLayer(const pool_target& target, const layered_engine& engine) const
 {
-    const double sequences = target.sequences * static_cast<double>(m_gateways);
+    const double sequences = target.sequences * loadScale();
     const double tokenMs = target.stepFactor * (engine.stepMs + engine.stepMsPerSequence * sequences);
     const double usedShare = target.memoryTokenLayers > 0
-        ? target.tokenLayers * static_cast<double>(m_gateways) / target.memoryTokenLayers
+        ? target.tokenLayers * loadScale() / target.memoryTokenLayers
         : 1;
     const double crowding = 1 + fullMemoryFactor * std::max(0.0, usedShare - comfortableMemory);
     return tokenMs / std::max(engine.layers, 1U) * crowding;
@@ -168,7 +168,7 @@
     const pool_target* best = nullptr;
     double bestCost = 0;
     for (const auto* target : targets) {
-        const double waiting = target->sequences * static_cast<double>(m_gateways) / std::max(target->record.slots, 1U);
+        const double waiting = target->sequences * loadScale() / std::max(target->record.slots, 1U);
         const double answerMs = target->answerMs > 0 ? target->answerMs : unknownAnswerMs;
         double cost = answerMs * (1 + waiting) * (target->domain == 0 ? 1 : farFactor) * (1 + jitterShare * draw(m_random));
         if (explores)
@@ -186,8 +186,14 @@
     return chosen;
 }
 
+double target_pool::loadScale() const
+{
+    return 1 + m_othersOpenAttempts / std::max(static_cast<double>(m_openAttempts), 1.0);
+}
+
 void target_pool::began(const selection& chosen, const request_size& size)
 {
+    ++m_openAttempts;
     for (const auto& part : chosen.parts) {
         const auto found = m_targets.find(part.targetId);
         if (found == m_targets.end())
@@ -199,6 +205,7 @@
 
 void target_pool::ended(const selection& chosen, const request_size& size)
 {
+    m_openAttempts -= m_openAttempts > 0 ? 1 : 0;
     for (const auto& part : chosen.parts) {
         const auto found = m_targets.find(part.targetId);
         if (found == m_targets.end())
