Tests of the new cores; a head is taken once; gateways that end refuse sooner

Change: it refuses from 2.8 s on, with a time to come back elsewhere. The table of targets changed a sequence number without a revision, so views differed from it.

--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -10,9 +10,9 @@
 namespace buckthornrail::app {
 namespace {
 
-/// After SIGTERM callers are led here until the balancer has missed two checks, one a second. What comes later on
+/// After SIGTERM callers are led here until the balancer has missed two checks, one a second. What comes later, mostly on
 /// connections that were kept open is refused, so that nothing is begun that the process can't end.
-constexpr milliseconds rotationTime { 3200 };
+constexpr milliseconds rotationTime { 2800 };
 constexpr milliseconds stopCheckPeriod { 50 };
 /// For so long after its start a gateway lets calls wait for its first document.
 constexpr milliseconds youthTime { 4000 };
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -60,9 +60,10 @@
 
 void exchange::onHead(const target_answer& answer, steady_time now)
 {
-    if (!m_attemptOpen)
+    if (!m_attemptOpen || m_answer)
         return;
     m_answer = answer;
+    m_sent = true;
     const auto& first = m_where.parts.front().targetId;
     if (answer.notRun) {
         std::string faulty = answer.faultyAddress.empty() ? first : m_pool.idAt(answer.faultyAddress);
--- /dev/null
+++ b/src/buckthornrail/gateway/routing_test.cpp
@@ -0,0 +1,232 @@
+/// @file
+/// @brief Documents, routes, paths over layers, the pool's choices and the budget of repeats.
+#include "buckthornrail/gateway/repeat_budget.hpp"
+#include "buckthornrail/gateway/target_pool.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace buckthornrail;
+using namespace buckthornrail::gateway;
+using registry::layer_range;
+
+namespace {
+
+route_document goodDocument()
+{
+    route_document document;
+    document.version = 3;
+    document.services = { { "s", "/health", 10, std::nullopt }, { "t", "/health", 10, std::nullopt } };
+    const auto add = [&document](const std::string& name, const std::string& prefix) {
+        route one;
+        one.name = name;
+        one.host = "h.example";
+        one.pathPrefix = prefix;
+        one.longestWait = milliseconds(100);
+        one.services = { { "s", 1 } };
+        document.routes.push_back(one);
+    };
+    add("short", "/a/");
+    add("long", "/a/b/");
+    document.workspaces = { { "w", { "k1", "k2" }, std::nullopt }, { "v", { "k3" }, std::nullopt } };
+    return document;
+}
+
+registry::target_record readyTarget(const std::string& id, const std::string& domain, layer_range layers = {})
+{
+    registry::target_record record;
+    record.id = id;
+    record.service = "s";
+    record.address = id;
+    record.failureDomain = domain;
+    record.accelerator = "k";
+    record.slots = 6;
+    record.layers = layers;
+    return record;
+}
+
+target_pool poolOf(const std::vector<registry::target_record>& records)
+{
+    pool_options options;
+    options.ownDomain = "a";
+    target_pool pool(options, 1);
+    std::map<std::string, registry::target_record> table;
+    for (const auto& record : records)
+        table[record.id] = record;
+    pool.update(table);
+    return pool;
+}
+
+layered_engine engineOf(std::uint32_t layers)
+{
+    layered_engine engine;
+    engine.layers = layers;
+    engine.layerMb = 10;
+    engine.tokenBytes = 1e5;
+    engine.stepMs = 1;
+    engine.kinds = { { "k", 2000, 1, 1 } };
+    return engine;
+}
+
+void checkCovers(const std::vector<path_part>& path, const std::vector<path_candidate>& candidates, std::uint32_t layers)
+{
+    std::uint32_t next = 0;
+    for (const auto& part : path) {
+        RC_ASSERT(part.layers.first == next);
+        RC_ASSERT(part.layers.size() > 0U);
+        RC_ASSERT(candidates[part.candidate].layers.first <= part.layers.first);
+        RC_ASSERT(part.layers.end <= candidates[part.candidate].layers.end);
+        next = part.layers.end;
+    }
+    RC_ASSERT(next == layers);
+}
+
+} // namespace
+
+TEST_CASE("document: each fault is refused with its reason", "[gateway]")
+{
+    REQUIRE(checkDocument(goodDocument()));
+    const auto reasonOf = [](auto&& spoil) {
+        auto document = goodDocument();
+        spoil(document);
+        const auto checked = checkDocument(document);
+        return checked ? std::string() : checked.error().reason;
+    };
+    CHECK(reasonOf([](auto& d) { d.routes[0].services = { { "nobody", 1 } }; }).find("unknown service")
+        != std::string::npos);
+    CHECK(reasonOf([](auto& d) { d.routes[0].pathPrefix = "/a/b/"; }).find("shares its host") != std::string::npos);
+    CHECK(reasonOf([](auto& d) { d.routes[0].services = { { "s", 0 }, { "t", 0 } }; }).find("add up to 0")
+        != std::string::npos);
+    CHECK(reasonOf([](auto& d) { d.routes[0].longestWait = milliseconds(0); }).find("no time") != std::string::npos);
+    CHECK(reasonOf([](auto& d) { d.workspaces[1].keys = { "k1" }; }).find("share a key") != std::string::npos);
+}
+
+TEST_CASE("document: the longest prefix wins, and only whole hosts match", "[gateway]")
+{
+    const route_index index(goodDocument());
+    CHECK(index.find("h.example", "/a/x")->name == "short");
+    CHECK(index.find("h.example:80", "/a/b/c?q=/a/")->name == "long");
+    CHECK(index.find("h.example", "/a/b")->name == "short");
+    CHECK(index.find("h.example", "/") == nullptr);
+    CHECK(index.find("other", "/a/x") == nullptr);
+    CHECK(index.holderOf("k2")->workspace == "w");
+    CHECK(index.holderOf("k") == nullptr);
+}
+
+TEST_CASE("document: weights part the requests", "[gateway]")
+{
+    route one;
+    one.services = { { "s", 90 }, { "t", 10 }, { "u", 0 } };
+    CHECK(pickService(one, 0.0) == "s");
+    CHECK(pickService(one, 0.89) == "s");
+    CHECK(pickService(one, 0.91) == "t");
+    CHECK(pickService(one, 0.999) == "t");
+}
+
+TEST_CASE("path: every layer once and in order, or none at all", "[gateway]")
+{
+    rc::prop("any ranges", [] {
+        const auto layers = *rc::gen::inRange<std::uint32_t>(1, 40);
+        const auto ranges = *rc::gen::container<std::vector<std::pair<std::uint32_t, std::uint32_t>>>(
+            rc::gen::pair(rc::gen::inRange<std::uint32_t>(0, 40), rc::gen::inRange<std::uint32_t>(1, 15)));
+        std::vector<path_candidate> candidates;
+        std::vector<int> holders(layers, 0);
+        for (const auto& [first, size] : ranges) {
+            const layer_range range { first, std::min(first + size, layers) };
+            candidates.push_back({ range, candidates.size() % 3, 1, 0 });
+            for (auto layer = range.first; layer < range.end; ++layer)
+                ++holders[layer];
+        }
+        const auto path = findPath(candidates, layers, 3, 0);
+        const bool isCovered = std::all_of(holders.begin(), holders.end(), [](int count) { return count > 0; });
+        RC_ASSERT(path.empty() != isCovered);
+        if (!path.empty())
+            checkCovers(path, candidates, layers);
+    });
+}
+
+TEST_CASE("path: stays in one domain, takes the cheaper, avoids the doubtful", "[gateway]")
+{
+    const std::vector<path_candidate> candidates {
+        { { 0, 10 }, 0, 1, 0 },
+        { { 10, 20 }, 0, 1, 0 },
+        { { 10, 20 }, 1, 0.1, 0 },
+        { { 0, 20 }, 1, 2, 0 },
+    };
+    CHECK(findPath(candidates, 20, 2, 0) == std::vector<path_part> { { 0, { 0, 10 } }, { 1, { 10, 20 } } });
+    auto doubtful = candidates;
+    doubtful[1].extraMs = 1000;
+    CHECK(findPath(doubtful, 20, 2, 0) == std::vector<path_part> { { 3, { 0, 20 } } });
+    doubtful[3].mayStart = false;
+    CHECK(findPath(doubtful, 20, 2, 0) == std::vector<path_part> { { 0, { 0, 10 } }, { 2, { 10, 20 } } });
+}
+
+TEST_CASE("pool: leaving, lost and excluded targets", "[gateway]")
+{
+    auto draining = readyTarget("draining", "a");
+    draining.state = registry::target_state::Draining;
+    auto lost = readyTarget("lost", "a");
+    lost.state = registry::target_state::Lost;
+    const steady_time now {};
+    auto pool = poolOf({ draining, lost });
+    REQUIRE(pool.select("s", {}, now));
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "lost"); // better than none
+    CHECK_FALSE(pool.select("s", { { "lost" }, {} }, now));
+    CHECK_FALSE(pool.select("unknown", {}, now));
+    auto both = poolOf({ lost, readyTarget("far", "b") });
+    CHECK(both.select("s", {}, now)->parts.front().targetId == "far");
+}
+
+TEST_CASE("pool: a refusing target is left alone for a while, then tried again", "[gateway]")
+{
+    auto pool = poolOf({ readyTarget("near", "a"), readyTarget("far", "b") });
+    const steady_time now {};
+    for (int at = 0; at < 20; ++at)
+        pool.succeeded("far", 50);
+    for (int at = 0; at < 20; ++at)
+        pool.succeeded("near", 10);
+    pool.refused("near", now);
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "far");
+    int near = 0;
+    for (int at = 0; at < 100; ++at)
+        near += pool.select("s", {}, now + milliseconds(150))->parts.front().targetId == "near" ? 1 : 0;
+    CHECK(near > 80);
+    CHECK(pool.takeDark().empty());
+    pool.refused("near", now);
+    pool.refused("near", now);
+    CHECK(pool.takeDark() == std::vector<std::string> { "near" }); // three in a row: controllers should look
+}
+
+TEST_CASE("pool: the load of other gateways counts", "[gateway]")
+{
+    auto pool = poolOf({ readyTarget("x", "a", { 0, 10 }), readyTarget("y", "b", { 0, 10 }) });
+    pool.setEngine("s", engineOf(10));
+    const steady_time now {};
+    const auto first = pool.select("s", {}, now);
+    REQUIRE(first);
+    CHECK(first->parts.front().targetId == "x");
+    // 1,900 MB for requests at 10 kB a token and layer: 19,000 tokens in ten layers, of which a request takes 1,000.
+    for (int at = 0; at < 5; ++at)
+        pool.began(*first, { 900, 100 });
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "x");
+    pool.setOthersOpenAttempts(15);
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "y");
+}
+
+TEST_CASE("budget: repeats are bounded by requests and by a part of the slack", "[gateway]")
+{
+    repeat_budget_options options;
+    options.ratio = 0.5;
+    options.slack = 8;
+    options.part = 1;
+    repeat_budget budget(options);
+    const steady_time now {};
+    for (int at = 0; at < 4; ++at)
+        budget.noteRequest(now);
+    int taken = 0;
+    while (budget.take(4, now))
+        ++taken;
+    CHECK(taken == 4); // 4 * 0.5 + 8 / 4
+    CHECK_FALSE(budget.take(4, now + milliseconds(9999)));
+    CHECK(budget.take(4, now + milliseconds(10000)));
+}
--- /dev/null
+++ b/src/buckthornrail/http1/message_parser_test.cpp
@@ -0,0 +1,154 @@
+/// @file
+/// @brief Messages in any pieces, and what must not pass for one.
+#include "buckthornrail/http1/message_parser.hpp"
+
+#include "buckthornrail/http1/event_stream.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace buckthornrail::http1;
+
+namespace {
+
+const std::string chunkedRequest = "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                   "3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\n\r\n";
+
+parse_state putAll(request_parser& parser, const std::string& bytes) { return parser.put(bytes); }
+
+parse_fault faultOf(const std::string& bytes, const parser_limits& limits = {})
+{
+    request_parser parser(limits);
+    return putAll(parser, bytes) == parse_state::Bad ? parser.fault() : parse_fault::None;
+}
+
+} // namespace
+
+TEST_CASE("http1: a request is read whole from any pieces", "[http1]")
+{
+    rc::prop("any cut", [] {
+        const std::string twice = chunkedRequest + "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+        const auto pieces = *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(1, 40));
+        request_parser parser;
+        std::string body;
+        std::size_t at = 0;
+        const auto put = [&](std::size_t size) {
+            const std::string part = twice.substr(at, size);
+            at += part.size();
+            parser.put(part);
+            body += parser.takeBody();
+        };
+        for (const auto size : pieces)
+            put(size);
+        put(twice.size());
+        RC_ASSERT(parser.state() == parse_state::Done);
+        RC_ASSERT(body == "abcdefg");
+        RC_ASSERT(parser.head().method == "POST");
+        RC_ASSERT(parser.head().target == "/a/b?c=1");
+        RC_ASSERT(parser.next() == parse_state::Done);
+        RC_ASSERT(parser.head().target == "/next");
+        RC_ASSERT(parser.leftOver() == 0U);
+    });
+}
+
+TEST_CASE("http1: what could hide a second request is refused", "[http1]")
+{
+    const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+    CHECK(faultOf(start + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd") == parse_fault::Malformed);
+    CHECK(faultOf(start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == parse_fault::Malformed);
+    CHECK(faultOf(start + "Content-Length: -1\r\n\r\n") == parse_fault::Malformed);
+    CHECK(faultOf("\x01\x02\r\n\r\n") == parse_fault::Malformed);
+}
+
+TEST_CASE("http1: limits are told apart", "[http1]")
+{
+    const parser_limits limits { 100, 5 };
+    CHECK(faultOf("GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n", limits) == parse_fault::HeadTooLarge);
+    CHECK(faultOf("POST / HTTP/1.1\r\nContent-Length: 6\r\n\r\nabcdef", limits) == parse_fault::BodyTooLarge);
+    CHECK(faultOf("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde", limits) == parse_fault::None);
+}
+
+TEST_CASE("http1: a response without a length ends with its connection, one with a length doesn't", "[http1]")
+{
+    response_parser open;
+    open.put("HTTP/1.1 200 OK\r\n\r\nabc");
+    CHECK(open.state() == parse_state::Body);
+    CHECK(open.head().form == body_form::UntilClose);
+    CHECK(open.putEnd() == parse_state::Done);
+    CHECK(open.takeBody() == "abc");
+
+    response_parser cut;
+    cut.put("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc");
+    CHECK(cut.putEnd() == parse_state::Bad);
+
+    response_parser cutChunks;
+    cutChunks.put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    CHECK(cutChunks.putEnd() == parse_state::Bad);
+}
+
+TEST_CASE("http1: interim responses are passed over; bytes after the end are left over", "[http1]")
+{
+    response_parser parser;
+    parser.put("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 500 extra");
+    CHECK(parser.state() == parse_state::Done);
+    CHECK(parser.head().status == 200);
+    CHECK(parser.leftOver() > 0);
+}
+
+TEST_CASE("http1: fields of one connection are not passed on", "[http1]")
+{
+    std::vector<field> fields { { "Connection", "close, X-Hop" }, { "x-hop", "1" }, { "Keep-Alive", "timeout=5" },
+        { "Transfer-Encoding", "chunked" }, { "X-End", "2" } };
+    removeConnectionFields(fields);
+    REQUIRE(fields.size() == 1);
+    CHECK(fields.front().name == "X-End");
+}
+
+TEST_CASE("http1: what is written is read back", "[http1]")
+{
+    response_parser whole;
+    whole.put(formatResponse({ 503, "Service Unavailable", { { "A", "b" } } }, "body", false));
+    CHECK(whole.state() == parse_state::Done);
+    CHECK(whole.takeBody() == "body");
+    CHECK_FALSE(whole.head().keepAlive);
+
+    response_parser chunked;
+    chunked.put(formatChunkedHead({ 200, "OK", {} }, true));
+    chunked.put(formatChunk("event"));
+    CHECK(chunked.state() == parse_state::Body);
+    chunked.put(lastChunk);
+    CHECK(chunked.state() == parse_state::Done);
+    CHECK(chunked.takeBody() == "event");
+
+    request_parser request;
+    request.put(formatRequest({ "POST", "/x", { { "Host", "h" } } }, ""));
+    CHECK(request.state() == parse_state::Done);
+}
+
+TEST_CASE("event stream: only whole events come out, in order", "[http1]")
+{
+    rc::prop("any cut", [] {
+        const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\nid: 4\ndata: part";
+        const auto sizes = *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(1, 9));
+        event_stream_reader reader;
+        std::vector<stream_event> events;
+        std::string joined;
+        std::size_t at = 0;
+        const auto put = [&](std::size_t size) {
+            for (auto& event : reader.put(std::string_view(text).substr(at, size))) {
+                joined += event.bytes;
+                events.push_back(std::move(event));
+            }
+            at = std::min(at + size, text.size());
+        };
+        for (const auto size : sizes)
+            put(size);
+        put(text.size());
+        RC_ASSERT(events.size() == 3U);
+        RC_ASSERT(events[0].id == 1U);
+        RC_ASSERT(events[1].id == 2U);
+        RC_ASSERT(!events[2].id.has_value());
+        RC_ASSERT(text.starts_with(joined));
+        RC_ASSERT(reader.hasPart());
+    });
+}
--- a/src/buckthornrail/registry/target_record.cpp
+++ b/src/buckthornrail/registry/target_record.cpp
@@ -42,10 +42,8 @@
             record.state = target_state::Draining;
         if (announced.state == target_state::Lost && announced.sequence < known.sequence)
             return false;
-        if (!differsFrom(known, record)) {
-            found->second.sequence = std::max(known.sequence, announced.sequence);
+        if (!differsFrom(known, record))
             return false;
-        }
         record.sequence = std::max(known.sequence, announced.sequence);
     } else if (announced.state == target_state::Lost) {
         return false;
--- /dev/null
+++ b/src/buckthornrail/registry/target_record_test.cpp
@@ -0,0 +1,166 @@
+/// @file
+/// @brief Announcements in any order; the plan of layers after any losses.
+#include "buckthornrail/registry/layer_plan.hpp"
+#include "buckthornrail/registry/target_record.hpp"
+
+#include <catch2/catch.hpp>
+#include <numeric>
+#include <rapidcheck/catch.h>
+
+using namespace buckthornrail::registry;
+
+namespace {
+
+target_record announced(const std::string& id, std::uint64_t sequence, target_state state = target_state::Ready)
+{
+    target_record record;
+    record.id = id;
+    record.service = "s";
+    record.address = "10.0.0.1:" + id;
+    record.state = state;
+    record.sequence = sequence;
+    return record;
+}
+
+/// Carries steps out until nothing is left to improve. @return rounds
+int settle(std::vector<plan_target>& targets, std::uint32_t layers)
+{
+    for (int round = 0; round < 200; ++round) {
+        const auto steps = planLayers(targets, layers);
+        if (steps.empty())
+            return round;
+        for (const auto& step : steps) {
+            for (auto& target : targets) {
+                if (target.id == step.id)
+                    target.holds = step.layers;
+            }
+        }
+    }
+    FAIL("the plan doesn't settle");
+    return 0;
+}
+
+int leastHolders(const std::vector<plan_target>& targets, const std::string& domain, std::uint32_t layers)
+{
+    std::vector<int> holders(layers, 0);
+    for (const auto& target : targets) {
+        if (target.failureDomain != domain)
+            continue;
+        for (auto layer = target.holds.first; layer < target.holds.end; ++layer)
+            ++holders.at(layer);
+    }
+    return *std::min_element(holders.begin(), holders.end());
+}
+
+} // namespace
+
+TEST_CASE("targets: late announcements change nothing", "[registry]")
+{
+    target_table table;
+    CHECK(table.apply(announced("1", 5)));
+    CHECK(table.apply(announced("1", 6, target_state::Draining)));
+    CHECK_FALSE(table.apply(announced("1", 5)));
+    CHECK_FALSE(table.apply(announced("1", 7))); // it said that it leaves
+    CHECK(table.find("1")->state == target_state::Draining);
+    CHECK(table.apply(announced("1", 0, target_state::Gone)));
+    CHECK_FALSE(table.apply(announced("1", 9)));
+    CHECK(table.find("1")->state == target_state::Gone);
+}
+
+TEST_CASE("targets: a lost one comes back by a newer announcement only", "[registry]")
+{
+    target_table table;
+    table.apply(announced("1", 5));
+    CHECK(table.apply(announced("1", 8, target_state::Lost)));
+    CHECK_FALSE(table.apply(announced("1", 7)));
+    CHECK(table.apply(announced("1", 9)));
+    CHECK(table.find("1")->state == target_state::Ready);
+    CHECK_FALSE(table.apply(announced("unknown", 3, target_state::Lost)));
+}
+
+TEST_CASE("targets: a new life at an address ends the earlier one", "[registry]")
+{
+    target_table table;
+    auto first = announced("1", 5);
+    auto second = announced("2", 1);
+    second.address = first.address;
+    second.service = "other";
+    table.apply(first);
+    table.apply(second);
+    CHECK(table.find("1")->state == target_state::Gone);
+    CHECK(table.find("2")->state == target_state::Ready);
+}
+
+TEST_CASE("targets: a view that follows the deltas shows the table", "[registry]")
+{
+    rc::prop("any announcements, any deltas left out", [] {
+        target_table table;
+        target_view view;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 400));
+        for (const int step : steps) {
+            auto record = announced(std::to_string(step % 5), static_cast<std::uint64_t>(step / 5 % 8));
+            record.state = static_cast<target_state>(step / 40 % 4);
+            table.apply(record);
+            if (step % 3 == 0)
+                RC_ASSERT(view.apply(table.changesSince(view.revision())));
+        }
+        RC_ASSERT(view.apply(table.changesSince(view.revision())));
+        RC_ASSERT(view.records() == table.records());
+    });
+}
+
+TEST_CASE("plan: room for requests bounds the layers", "[registry]")
+{
+    CHECK(layersThatFit({ 21600, 1750, 7375, 64000 }) == 9);
+    CHECK(layersThatFit({ 21600, 1750, 7375, 0 }) == 12);
+    CHECK(layersThatFit({ 1000, 1750, 7375, 0 }) == 0);
+}
+
+TEST_CASE("plan: a domain gets whole chains while its targets suffice, whoever is lost", "[registry]")
+{
+    rc::prop("any targets, any losses one after the other", [] {
+        constexpr std::uint32_t layers = 80;
+        const auto capacities
+            = *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(1, 33));
+        std::vector<plan_target> targets;
+        for (const auto capacity : capacities) {
+            targets.push_back({ std::to_string(targets.size()), targets.size() % 2 == 0 ? "a" : "b", capacity, {}, true });
+        }
+        const auto capacityOf = [&targets](const std::string& domain) {
+            return std::accumulate(targets.begin(), targets.end(), 0U, [&](std::uint32_t sum, const plan_target& one) {
+                return sum + (one.failureDomain == domain ? one.capacity : 0);
+            });
+        };
+        settle(targets, layers);
+        for (const std::string domain : { "a", "b" })
+            RC_ASSERT(capacityOf(domain) < layers || leastHolders(targets, domain, layers) >= 1);
+        while (!targets.empty()) {
+            targets.erase(targets.begin() + *rc::gen::inRange<std::ptrdiff_t>(0, std::ssize(targets)));
+            settle(targets, layers);
+            for (const auto& target : targets) {
+                RC_ASSERT(target.holds.size() <= target.capacity);
+                RC_ASSERT(target.holds.end <= layers);
+            }
+        }
+    });
+}
+
+TEST_CASE("plan: a gap is filled by the smallest spare that fills it", "[registry]")
+{
+    std::vector<plan_target> targets {
+        { "big", "a", 40, { 0, 40 }, true },
+        { "spareBig", "a", 40, { 0, 40 }, true },
+        { "spareSmall", "a", 10, { 0, 10 }, true },
+        { "mid", "a", 30, { 40, 70 }, true },
+    };
+    const auto steps = planLayers(targets, 80);
+    REQUIRE(steps.size() == 1);
+    CHECK(steps.front() == plan_step { "spareSmall", { 70, 80 }, true });
+}
+
+TEST_CASE("plan: a target with an order under way gets no other one", "[registry]")
+{
+    const std::vector<plan_target> targets { { "1", "a", 80, {}, false } };
+    CHECK(planLayers(targets, 80).empty());
+    CHECK(planLayers(targets, 0).empty());
+}
