--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -111,6 +111,7 @@
     [[nodiscard]] double msPerLayer(const pool_target& target, const layered_engine& engine) const;
     [[nodiscard]] std::size_t domainNumber(const std::string& name);
     void describeAccelerator(pool_target& target) const;
+    [[nodiscard]] double expectedTokens(const pool_target& target, const request_size& size) const;
 
     pool_options m_options;
     std::mt19937_64 m_random;
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -10,14 +10,14 @@
 namespace buckthornrail::app {
 namespace {
 
-/// After SIGTERM callers are led here until the balancer has missed two checks, one a second. What comes later, mostly on
-/// connections that were kept open is refused, so that nothing is begun that the process can't end.
+/// After SIGTERM callers are led here until the balancer has missed two checks, one a second; then idle connections are
+/// closed, and streams, of which the longest last over six seconds, are refused.
 constexpr milliseconds rotationTime { 2800 };
 constexpr milliseconds stopCheckPeriod { 50 };
 /// For so long after its start a gateway lets calls wait for its first document.
 constexpr milliseconds youthTime { 4000 };
 /// Left of the time that the platform grants for ending, for the process itself.
-constexpr milliseconds exitReserve { 400 };
+constexpr milliseconds exitReserve { 200 };
 
 gateway::pool_options poolOptions(const settings::settings& settings)
 {
@@ -88,20 +88,21 @@
     m_stopped = std::move(done);
     const auto now = steadyNow();
     m_earliestStop = now + rotationTime;
-    m_latestStop = now + std::max(milliseconds(std::chrono::seconds(m_settings.graceSeconds)) - exitReserve, rotationTime);
+    m_context.takesStreamsUntil = m_earliestStop;
+    m_context.stopBy = now + std::max(milliseconds(std::chrono::seconds(m_settings.graceSeconds)) - exitReserve, rotationTime);
     m_stopCheck = std::make_unique<periodic_task>(m_loop, stopCheckPeriod, [this] { checkStopped(); });
 }
 
 void gateway_role::checkStopped()
 {
     const auto now = steadyNow();
-    if (now >= m_earliestStop && !std::exchange(m_context.takesNoMore, true)) {
+    if (now >= m_earliestStop && !std::exchange(m_closedIdle, true)) {
         const auto channels = m_channels;
         for (const auto& channel : channels)
             channel->closeWhenIdle();
     }
     const bool isDone = now >= m_earliestStop && m_context.openCalls == 0;
-    if ((isDone || now >= m_latestStop) && m_stopped)
+    if ((isDone || now >= m_context.stopBy) && m_stopped)
         std::exchange(m_stopped, nullptr)();
 }
 
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -50,7 +50,7 @@
     gateway_session m_session;
     std::function<void()> m_stopped;
     steady_time m_earliestStop {}; ///< callers are still led here until then
-    steady_time m_latestStop {};
+    bool m_closedIdle = false;
     std::unique_ptr<periodic_task> m_stopCheck;
 };
 
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -78,10 +78,6 @@
 
 void gateway_call::route()
 {
-    if (m_context.takesNoMore) {
-        refuse(result_code::ShuttingDown, "this gateway ends soon");
-        return;
-    }
     if (!m_context.document) {
         refuse(result_code::NoConfiguration, "no document yet");
         return;
@@ -100,6 +96,10 @@
     }
     if (holder != nullptr)
         m_workspace = holder->workspace;
+    if (m_context.isStopping && comesTooLate(*route)) {
+        refuse(result_code::ShuttingDown, "this gateway ends before the request could");
+        return;
+    }
     gateway::exchange_request request;
     request.id = m_caller.requestId;
     request.document = m_context.document;
@@ -117,6 +117,15 @@
     m_exchange->start(steadyNow());
 }
 
+bool gateway_call::comesTooLate(const gateway::route& route) const
+{
+    const auto now = steadyNow();
+    // How long a stream takes can't be told before: the caller names its longest answer, which few come near.
+    if (route.kind == gateway::request_kind::Stream)
+        return now >= m_context.takesStreamsUntil;
+    return now + std::min(route.longestWait, m_caller.patience.value_or(route.longestWait)) > m_context.stopBy;
+}
+
 void gateway_call::callerGone()
 {
     m_sink = nullptr;
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway_call.hpp
@@ -26,7 +26,8 @@
     std::vector<std::weak_ptr<class gateway_call>> waiting; ///< calls that came before the first document
     steady_time youngUntil {}; ///< until then calls wait for the first document
     bool isStopping = false;
-    bool takesNoMore = false; ///< new requests are refused: the process ends soon
+    steady_time stopBy {}; ///< while stopping: what can't end by then is refused
+    steady_time takesStreamsUntil {}; ///< while stopping: a stream that comes later may outlast the process
     std::size_t openCalls = 0;
 };
 
@@ -75,6 +76,8 @@
 
 private:
     void route();
+    /// @brief Whether the request can't end before this process does.
+    [[nodiscard]] bool comesTooLate(const gateway::route& route) const;
     void refuse(result_code code, const std::string& reason);
     void onBytes(std::string_view bytes);
     void onEnded(net::channel_end how);
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -162,6 +162,8 @@
     m_port.note(event_code::RequestFinished,
         { { "request", m_request.id }, { "route", m_request.chosen->name }, { "outcome", "streamed" },
             { "events", std::to_string(m_events) }, { "attempts", std::to_string(m_tries) },
+            { "tokens", std::to_string(static_cast<int>(m_request.size.promptTokens)) + ","
+                    + std::to_string(static_cast<int>(m_request.size.answerTokens)) },
             { "first_ms", inMs(m_firstEvent) }, { "gap_ms", inMs(m_longestGap) },
             { "ms", inMs(between(m_request.arrived, now)) } });
 }
@@ -274,9 +276,9 @@
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     if (mayHaveRun && !last.targetEnded)
         m_ranAt.insert(m_where.parts.front().targetId);
-    // What ran before may go on where it ran: that takes no further target.
+    // The route's number bounds the targets, not the attempts: what ran before may run there again.
     m_bounds.firstOnly.clear();
-    if (m_ranAt.size() >= m_request.chosen->maxAttempts && hasPath())
+    if (m_ranAt.size() >= m_request.chosen->maxAttempts)
         m_bounds.firstOnly = m_ranAt;
     if (!why.empty()) {
         giveUp(last.reason + "; " + why, now);
@@ -307,11 +309,6 @@
         return "it may have run and must not be repeated";
     if (m_streamBegun && !m_lastEventId)
         return "the stream's events have no ids to go on from";
-    auto ranAt = m_ranAt;
-    if (last.ran != ran_state::No && !last.targetEnded)
-        ranAt.insert(m_where.parts.front().targetId);
-    if (ranAt.size() >= m_request.chosen->maxAttempts && !hasPath())
-        return "the route's attempts are used up";
     if (m_tries >= m_options.mostTries)
         return "tried often enough";
     if (now + m_options.shortestUseful >= m_request.deadline)
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -191,6 +191,15 @@
     return 1 + m_othersOpenAttempts / std::max(static_cast<double>(m_openAttempts), 1.0);
 }
 
+/// Callers name the longest answer that they would take, which is the same for all and which few come near.
+double target_pool::expectedTokens(const pool_target& target, const request_size& size) const
+{
+    const auto engine = m_engines.find(target.record.service);
+    const bool isKnown = engine != m_engines.end() && engine->second.usualAnswerTokens > 0;
+    const double answer = isKnown ? std::min(size.answerTokens, engine->second.usualAnswerTokens) : size.answerTokens;
+    return size.promptTokens + answer;
+}
+
 void target_pool::began(const selection& chosen, const request_size& size)
 {
     ++m_openAttempts;
@@ -199,7 +208,7 @@
         if (found == m_targets.end())
             continue;
         found->second.sequences += 1;
-        found->second.tokenLayers += (size.promptTokens + size.answerTokens) * part.layers.size();
+        found->second.tokenLayers += expectedTokens(found->second, size) * part.layers.size();
     }
 }
 
@@ -213,7 +222,7 @@
         auto& target = found->second;
         target.sequences = std::max(0.0, target.sequences - 1);
         target.tokenLayers
-            = std::max(0.0, target.tokenLayers - (size.promptTokens + size.answerTokens) * part.layers.size());
+            = std::max(0.0, target.tokenLayers - expectedTokens(target, size) * part.layers.size());
     }
 }
 
