Blank members answer leaders that they weren't told of; targets are asked before they count as lost; slow paths cost more

A blank member sent its answers to the seeds only, so it never caught up; meanwhile it took targets' heartbeats and acknowledged them, though it could tell no leader; the leader then took 50 of 58 targets for lost at once. Ruled out: the surviving quorum (a leader stood 0.3 s after the machines were back), gateways' sessions (back by 1.8 s). Change: members introduce themselves with their address, and answers go there; a registry that can't tell a leader answers 503; a target whose lease ends is asked first. Three tests over real processes, red before, green after. Change: members of paths slower than usual cost more for some seconds; a path that names nobody is asked less and less often.

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -82,7 +82,9 @@
     /// A path without an event for so long is asked which member holds it up. Events come every 30 ms on a calm day;
     /// asking is priced like a health check.
     milliseconds askAfter { 250 };
-    milliseconds askAgainAfter { 200 };
+    milliseconds askAgainAfter { 200 }; ///< doubles with each answer that names nobody
+    /// Events after which a path's pace is told to the pool.
+    std::size_t paceEvents = 8;
     /// A first target that doesn't answer the question either is taken for dead.
     std::uint32_t unansweredAsks = 2;
     /// A stream without an event for so long is moved even when nobody is to blame: callers leave after 2 s.
@@ -159,6 +161,9 @@
     bool m_over = false;
     std::uint32_t m_tries = 0;
     std::uint32_t m_openAsks = 0;
+    std::uint32_t m_vainAsks = 0; ///< answered, but nobody was named
+    std::size_t m_pacedEvents = 0; ///< since the pace was told last
+    steady_time m_pacedFrom {};
     std::size_t m_events = 0;
     steady_time m_attemptStart {};
     steady_time m_askAt {};
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -23,6 +23,7 @@
 /// Where one attempt goes: the first part takes the request.
 struct selection {
     std::vector<selected_part> parts;
+    double expectedTokenMs = 0; ///< time of a token over all parts at the present load; 0: not a path
     std::string summary; ///< for logs: how many were to be had, and what the choice is expected to cost
 };
 
@@ -71,6 +72,9 @@
     void began(const selection& chosen, const request_size& size);
     void ended(const selection& chosen, const request_size& size);
 
+    /// @brief Events of a stream over a path came so far apart, over some of them. Members of paths that are slower
+    /// than expected, against all others, cost more for a while.
+    void paced(const selection& chosen, double msPerEvent, steady_time now);
     /// @brief The target answered. @param answerMs how long that took, for targets without layers
     void succeeded(const std::string& targetId, double answerMs);
     /// @brief The target failed an attempt.
@@ -95,6 +99,8 @@
         double answerMs = 0; ///< moving average; 0: not known
         double failureShare = 0; ///< moving average of attempts that failed
         std::size_t refusalsInRow = 0;
+        double slowness = 1; ///< of paths over it, times what was expected
+        steady_time slownessFrom {}; ///< it fades from then on
         steady_time avoidUntil {};
         double stepFactor = 1;
         double memoryTokenLayers = 0; ///< room for requests, at the layers held now
@@ -108,6 +114,7 @@
     [[nodiscard]] double loadScale() const;
     [[nodiscard]] static double doubtMs(const pool_target& target, steady_time now);
     [[nodiscard]] double msPerLayer(const pool_target& target, const layered_engine& engine) const;
+    [[nodiscard]] static double slownessOf(const pool_target& target, steady_time now);
     [[nodiscard]] std::size_t domainNumber(const std::string& name);
     void describeAccelerator(pool_target& target) const;
     [[nodiscard]] double expectedTokens(const pool_target& target, const request_size& size) const;
@@ -118,6 +125,7 @@
     double m_othersOpenAttempts = 0;
     std::map<std::string, pool_target> m_targets;
     std::map<std::string, layered_engine> m_engines;
+    double m_usualPace = 0; ///< time between events over the expected time of a token, on sound paths; 0: not known
     std::vector<std::string> m_newlyDark;
     std::vector<std::string> m_domains; ///< the own one first
 };
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -17,7 +17,7 @@
 /// For so long after its start a gateway lets calls wait for its first document.
 constexpr milliseconds youthTime { 4000 };
 /// Left of the time that the platform grants for ending, for the process itself.
-constexpr milliseconds exitReserve { 200 };
+constexpr milliseconds exitReserve { 400 };
 
 gateway::pool_options poolOptions(const settings::settings& settings)
 {
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -222,7 +222,11 @@
 
 void registry_role::onAnnounce(const registry::target_record& record, const net::responder& respond)
 {
-    heard(record);
+    if (!heard(record)) {
+        // Acknowledged here and not told to a leader, the target would pass for lost.
+        respond(errorResponse(503, "no leader is known here"));
+        return;
+    }
     const auto answer
         = [this, respond] { respond(net::plainResponse(200, m_dialect.writeAnnounceAnswer(leaderControlAddress()))); };
     const auto* known = m_state.targets().find(record.id);
@@ -249,16 +253,21 @@
     answer();
 }
 
-void registry_role::heard(const registry::target_record& record)
+bool registry_role::heard(const registry::target_record& record)
 {
+    if (!m_log->isLeader() && !m_log->sendToLeader(link::target_heard { record.id, record.sequence }))
+        return false;
     auto& sequence = m_heardSequences[record.id];
-    if (record.sequence < sequence)
-        return;
-    sequence = record.sequence;
-    m_targetLeases[record.id]
-        = steadyNow() + milliseconds(m_settings.targetHeartbeatMs) * missedHeartbeats + heartbeatSlack;
-    if (!m_log->isLeader())
-        m_log->sendToLeader(link::target_heard { record.id, record.sequence });
+    if (record.sequence >= sequence) {
+        sequence = record.sequence;
+        m_targetLeases[record.id] = steadyNow() + targetLease();
+    }
+    return true;
+}
+
+milliseconds registry_role::targetLease() const
+{
+    return milliseconds(m_settings.targetHeartbeatMs) * missedHeartbeats + heartbeatSlack;
 }
 
 void registry_role::onMessage(link::channel_number channel, const std::string& bytes)
@@ -303,18 +312,24 @@
 {
     const auto* record = m_state.targets().find(targetId);
     const bool isUp = record != nullptr && record->state == registry::target_state::Ready;
-    if (!m_log->isLeader() || !isUp || m_probes.contains(targetId))
-        return;
-    m_probes[targetId] = net::http_call::start(m_loop, record->address, { m_dialect.writeReportCall(targetId), {} },
-        steadyNow() + probePatience, [this, targetId](net::call_outcome outcome, const net::whole_response& response) {
-            const auto probe = m_probes.extract(targetId);
+    if (m_log->isLeader() && isUp && !m_probes.contains(targetId))
+        probe(*record);
+}
+
+void registry_role::probe(const registry::target_record& record)
+{
+    m_probes[record.id] = net::http_call::start(m_loop, record.address, { m_dialect.writeReportCall(record.id), {} },
+        steadyNow() + probePatience,
+        [this, targetId = record.id](net::call_outcome outcome, const net::whole_response& response) {
+            const auto ended = m_probes.extract(targetId);
             const bool answers = outcome == net::call_outcome::Answered && response.head.status == 200;
             telemetry::logEvent(event_code::ReportReceived,
                 { { "target", targetId }, { "outcome", answers ? "answered" : "none" },
                     { "status", std::to_string(response.head.status) } });
-            const auto lease = m_targetLeases.find(targetId);
-            if (!answers && lease != m_targetLeases.end())
-                lease->second = steadyNow();
+            if (answers)
+                m_targetLeases[targetId] = steadyNow() + targetLease();
+            else
+                loseTarget(targetId);
         });
 }
 
@@ -421,25 +436,31 @@
 void registry_role::expireTargets()
 {
     const steady_time now = steadyNow();
-    std::vector<registry::target_record> lost;
     for (const auto& [id, record] : m_state.targets().records()) {
         if (record.state == registry::target_state::Gone || record.state == registry::target_state::Lost)
             continue;
         // A new leader has heard nobody yet: each target gets a whole lease to come.
-        const milliseconds lease = milliseconds(m_settings.targetHeartbeatMs) * missedHeartbeats + heartbeatSlack;
-        const auto deadline = m_targetLeases.try_emplace(id, now + lease).first;
-        if (now < deadline->second)
-            continue;
-        deadline->second = now + lease;
-        registry::target_record gone = record;
-        gone.state = registry::target_state::Lost;
-        gone.sequence = std::max(record.sequence, m_heardSequences[id]);
-        telemetry::logEvent(event_code::InstanceLost, { { "instance", id }, { "address", record.address } },
-            telemetry::severity::Warning);
-        lost.push_back(std::move(gone));
+        const auto deadline = m_targetLeases.try_emplace(id, now + targetLease()).first;
+        // Announcements may be what is lost, and not the target: it is asked before it counts as lost.
+        if (now >= deadline->second && !m_probes.contains(id))
+            probe(record);
     }
-    if (!lost.empty())
-        submitTargets(std::move(lost), [](bool) {});
+}
+
+void registry_role::loseTarget(const std::string& targetId)
+{
+    const auto* record = m_state.targets().find(targetId);
+    const bool isOver = record == nullptr || record->state == registry::target_state::Gone
+        || record->state == registry::target_state::Lost;
+    if (!m_log->isLeader() || isOver)
+        return;
+    registry::target_record lost = *record;
+    lost.state = registry::target_state::Lost;
+    lost.sequence = std::max(record->sequence, m_heardSequences[targetId]);
+    telemetry::logEvent(event_code::InstanceLost, { { "instance", targetId }, { "address", record->address } },
+        telemetry::severity::Warning);
+    m_targetLeases[targetId] = steadyNow() + targetLease();
+    submitTargets({ std::move(lost) }, [](bool) {});
 }
 
 void registry_role::submitTargets(std::vector<registry::target_record> records, std::function<void(bool)> done)
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -42,7 +42,12 @@
     void onMessage(link::channel_number channel, const std::string& bytes);
     void onBeat(link::channel_number channel, const link::gateway_beat& beat);
     void onDark(const std::string& targetId);
-    void heard(const registry::target_record& record);
+    /// @return false when this isn't the leader and can't tell it
+    bool heard(const registry::target_record& record);
+    [[nodiscard]] milliseconds targetLease() const;
+    /// @brief Asks a target whether it is there; without an answer it is lost.
+    void probe(const registry::target_record& record);
+    void loseTarget(const std::string& targetId);
 
     void tick();
     void confirmSessions();
--- a/src/app/replicated_log.cpp
+++ b/src/app/replicated_log.cpp
@@ -22,6 +22,8 @@
 /// Without a learner a voter is only dropped where one more than needed votes, and after longer.
 constexpr milliseconds dropAfter { 8000 };
 constexpr std::size_t maxJoinWishes = 16;
+/// Members say where they are every 200 ms.
+constexpr milliseconds introductionLifetime { 2000 };
 
 agreement::replica_options replicaOptions(std::uint32_t electionTimeoutMs)
 {
@@ -164,9 +166,8 @@
     } else if (const auto* join = std::get_if<link::join_request>(&message)) {
         noteWish(join->member, join->address);
     } else if (const auto* hello = std::get_if<link::controller_hello>(&message)) {
-        const auto known = m_peers.find(hello->address);
-        if (known != m_peers.end())
-            known->second.initialized = hello->initialized;
+        m_introduced[hello->member] = { hello->address, steadyNow() + introductionLifetime };
+        m_peers[hello->address].initialized = hello->initialized;
         const auto& members = m_replica->members();
         const bool isMember = std::any_of(
             members.begin(), members.end(), [hello](const auto& member) { return member.id == hello->member; });
@@ -218,13 +219,9 @@
         if (member.address != m_options.ownAddress)
             m_peers.try_emplace(member.address);
     }
-    std::erase_if(m_peers, [&](const auto& item) {
-        const auto& seeds = m_options.seeds;
-        const bool isMember = std::any_of(
-            members.begin(), members.end(), [&item](const auto& member) { return member.address == item.first; });
-        return item.second.channel == 0 && !isMember
-            && std::find(seeds.begin(), seeds.end(), item.first) == seeds.end();
-    });
+    std::erase_if(m_introduced, [now](const auto& item) { return now >= item.second.deadline; });
+    std::erase_if(
+        m_peers, [this](const auto& item) { return item.second.channel == 0 && !isWorthDialling(item.first); });
     const bool isBlank = members.empty();
     for (auto& [address, peer] : m_peers) {
         if (peer.channel == 0 && now >= peer.dialDeadline)
@@ -300,9 +297,21 @@
         sendToPeer(to->address, message);
         return;
     }
-    // An answer to a leader that this blank or outdated replica doesn't know yet.
-    for (const auto& [address, peer] : m_peers)
-        sendToPeer(address, message);
+    // An answer to a leader that this blank or outdated replica doesn't know yet. It has said where it is.
+    const auto known = m_introduced.find(message.to);
+    if (known != m_introduced.end())
+        sendToPeer(known->second.address, message);
+}
+
+bool replicated_log::isWorthDialling(const std::string& address) const
+{
+    const auto& seeds = m_options.seeds;
+    const auto& members = m_replica->members();
+    return std::find(seeds.begin(), seeds.end(), address) != seeds.end()
+        || std::any_of(
+            members.begin(), members.end(), [&address](const auto& member) { return member.address == address; })
+        || std::any_of(m_introduced.begin(), m_introduced.end(),
+            [&address](const auto& item) { return item.second.address == address; });
 }
 
 bool replicated_log::persist(const agreement::effects& effects)
--- a/src/app/replicated_log.hpp
+++ b/src/app/replicated_log.hpp
@@ -104,6 +104,11 @@
         std::string address;
         steady_time deadline {};
     };
+    /// A member that has said where it is, whether or not this one knows of it.
+    struct introduction {
+        std::string address;
+        steady_time deadline {}; ///< forgotten then, unless it says so again
+    };
 
     tl::expected<void, failure> openStore();
     void dialPeers();
@@ -112,6 +117,7 @@
     void slowTick();
     void flush();
     void deliver(const agreement::peer_message& message);
+    [[nodiscard]] bool isWorthDialling(const std::string& address) const;
     bool persist(const agreement::effects& effects);
     void applyCommitted(const std::vector<agreement::log_entry>& entries);
     void releaseConfirmations();
@@ -136,6 +142,7 @@
     std::uint64_t m_lastReadId = 0;
     std::map<std::string, peer_link> m_peers; ///< by address
     std::map<agreement::member_id, open_wish> m_joins;
+    std::map<agreement::member_id, introduction> m_introduced;
     std::map<agreement::member_id, steady_time> m_deadAfter; ///< voters out of reach: given up then
     bool m_wasLeader = false;
     bool m_flushScheduled = false;
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -130,6 +130,14 @@
     }
     if (id)
         m_lastEventId = id;
+    if (m_pacedEvents == 0)
+        m_pacedFrom = now;
+    if (m_pacedEvents++ == m_options.paceEvents) {
+        const std::chrono::duration<double, std::milli> took = now - m_pacedFrom;
+        m_pool.paced(m_where, took.count() / static_cast<double>(m_options.paceEvents), now);
+        m_pacedEvents = 1;
+        m_pacedFrom = now;
+    }
     if (!m_streamBegun) {
         m_streamBegun = true;
         m_firstEvent = between(m_request.arrived, now);
@@ -140,7 +148,7 @@
     ++m_events;
     m_lastEventAt = now;
     m_openAsks = 0;
-    m_askAt = now + m_options.askAfter;
+    m_askAt = now + m_options.askAfter * (1U << std::min(m_vainAsks, 3U));
     m_moveAt = now + m_options.moveAfter;
     m_port.passEvent(bytes);
 }
@@ -199,8 +207,10 @@
     const std::string faulty = firstIsDark ? m_where.parts.front().targetId
         : faultyAddress.empty()            ? std::string()
                                            : m_pool.idAt(faultyAddress);
-    if (faulty.empty())
+    if (faulty.empty()) {
+        m_vainAsks += answered ? 1 : 0;
         return;
+    }
     blame(faulty, true, now);
     const attempt_end end { ran_state::Unknown, firstIsDark, "held up by " + faulty };
     if (!whyNoRepeat(end, now).empty())
@@ -235,7 +245,7 @@
             return;
         }
         if (now >= m_askAt) {
-            m_askAt = now + m_options.askAgainAfter;
+            m_askAt = now + m_options.askAgainAfter * (1U << std::min(m_vainAsks, 5U));
             ++m_openAsks;
             m_port.askForReport();
             if (m_over || !m_attemptOpen)
@@ -323,6 +333,8 @@
     m_sent = false;
     m_attemptOpen = true;
     m_openAsks = 0;
+    m_vainAsks = 0;
+    m_pacedEvents = 0;
     m_attemptStart = now;
     ++m_tries;
     m_moveAt = now + m_options.moveUnstartedAfter;
--- a/src/buckthornrail/gateway/routing_test.cpp
+++ b/src/buckthornrail/gateway/routing_test.cpp
@@ -218,6 +218,26 @@
     CHECK(pool.select("s", {}, now)->parts.front().targetId == "y");
 }
 
+TEST_CASE("pool: a path slower than others is left, and tried again later", "[gateway]")
+{
+    auto pool = poolOf({ readyTarget("x", "a", { 0, 10 }), readyTarget("y", "b", { 0, 10 }) });
+    pool.setEngine("s", engineOf(10));
+    const steady_time now {};
+    const auto near = pool.select("s", {}, now);
+    const auto far = pool.select("s", { { "x" }, {} }, now);
+    REQUIRE(near->parts.front().targetId == "x");
+    REQUIRE(far->parts.front().targetId == "y");
+    for (int at = 0; at < 20; ++at)
+        pool.paced(*far, 2.6, now);
+    for (int at = 0; at < 20; ++at)
+        pool.paced(*near, 2.6, now);
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "x"); // both are as fast as usual
+    for (int at = 0; at < 5; ++at)
+        pool.paced(*near, 26, now);
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "y");
+    CHECK(pool.select("s", {}, now + std::chrono::seconds(30))->parts.front().targetId == "x");
+}
+
 TEST_CASE("budget: repeats are bounded by requests and by a part of the slack", "[gateway]")
 {
     repeat_budget_options options;
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -13,6 +13,16 @@
 constexpr double newestWeight = 0.2;
 /// Taken for a target that hasn't answered yet, so that it is tried beside known ones.
 constexpr double unknownAnswerMs = 10;
+/// What was seen of a path's pace counts for this part of what is known of its members.
+constexpr double paceWeight = 0.3;
+/// The usual pace follows sound paths: down at once, up slowly.
+constexpr double usualPaceDown = 0.2;
+constexpr double usualPaceUp = 0.005;
+/// Below this a path counts as sound: engines' steps vary by so much with the prompts that they read meanwhile.
+constexpr double soundSlowness = 1.5;
+constexpr double mostSlowness = 20;
+/// A slow target is tried again as its slowness fades: to a third after this time.
+constexpr double slownessFadeMs = 6000;
 /// A target in another domain must be so much sooner to be chosen: bytes between domains are paid for.
 constexpr double farFactor = 1.3;
 /// A share of choices is drawn at random, so that a target that was slow once is measured again.
@@ -135,8 +145,9 @@
     std::vector<path_candidate> candidates;
     candidates.reserve(targets.size());
     for (const auto* target : targets) {
-        candidates.push_back({ target->record.layers, target->domain, msPerLayer(*target, engine) * jitter(m_random),
-            doubtMs(*target, now), bounds.firstOnly.empty() || bounds.firstOnly.contains(target->record.id) });
+        const double eachMs = msPerLayer(*target, engine) * slownessOf(*target, now) * jitter(m_random);
+        candidates.push_back({ target->record.layers, target->domain, eachMs, doubtMs(*target, now),
+            bounds.firstOnly.empty() || bounds.firstOnly.contains(target->record.id) });
     }
     const auto path = findPath(candidates, engine.layers, m_domains.size(), 0);
     if (path.empty())
@@ -146,6 +157,8 @@
     for (const auto& part : path) {
         const auto& record = targets[part.candidate]->record;
         chosen.parts.push_back({ record.id, record.address, part.layers });
+        chosen.expectedTokenMs
+            += path_costs().perPartMs + msPerLayer(*targets[part.candidate], engine) * part.layers.size();
         doubtful += candidates[part.candidate].extraMs > 0 ? 1 : 0;
     }
     chosen.summary = std::to_string(targets.size()) + " usable, " + std::to_string(path.size()) + " parts, "
@@ -224,6 +237,32 @@
     }
 }
 
+double target_pool::slownessOf(const pool_target& target, steady_time now)
+{
+    const auto since = std::chrono::duration_cast<milliseconds>(now - target.slownessFrom).count();
+    return 1 + (target.slowness - 1) * std::exp(-static_cast<double>(since) / slownessFadeMs);
+}
+
+void target_pool::paced(const selection& chosen, double msPerEvent, steady_time now)
+{
+    if (chosen.expectedTokenMs <= 0)
+        return;
+    const double pace = msPerEvent / chosen.expectedTokenMs;
+    if (m_usualPace == 0)
+        m_usualPace = pace;
+    m_usualPace += (pace < m_usualPace ? usualPaceDown : usualPaceUp) * (pace - m_usualPace);
+    const double against = pace / m_usualPace;
+    const double seen = against < soundSlowness ? 1 : std::min(against, mostSlowness);
+    for (const auto& part : chosen.parts) {
+        const auto found = m_targets.find(part.targetId);
+        if (found == m_targets.end())
+            continue;
+        auto& target = found->second;
+        target.slowness = (1 - paceWeight) * slownessOf(target, now) + paceWeight * seen;
+        target.slownessFrom = now;
+    }
+}
+
 void target_pool::succeeded(const std::string& targetId, double answerMs)
 {
     const auto found = m_targets.find(targetId);
--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -207,6 +207,54 @@
     }
 }
 
+TEST_CASE(
+    "registry: a blank member joins, though the leader isn't among those that it was told of", "[gateway_process]")
+{
+    gateway_world world(1, 4, 5);
+    REQUIRE(world.start());
+    const auto isTold
+        = [&](const std::string& name) { return name != world.registries()[3] && name != world.registries()[4]; };
+    std::string leader = world.leader();
+    for (int round = 0; round < 30 && (leader.empty() || isTold(leader)); ++round) {
+        if (!leader.empty()) {
+            world.killHard(leader);
+            REQUIRE(waitUntil([&] { return !world.leader().empty(); }, patience));
+            world.startProcess(leader);
+            REQUIRE(waitUntil([&] { return world.readVersion(leader) == 1U; }, patience));
+        }
+        leader = world.leader();
+    }
+    REQUIRE_FALSE(isTold(leader));
+    const std::string blank = world.registries()[1];
+    world.killHard(blank);
+    world.loseDisk(blank);
+    world.startProcess(blank);
+    CHECK(waitUntil([&] { return world.readVersion(blank) == 1U; }, patience));
+}
+
+TEST_CASE("registry: one that knows no leader takes no announcement", "[gateway_process]")
+{
+    gateway_world world;
+    world.loseDisk(world.registries()[1]); // so that it doesn't form a log
+    world.startProcess(world.registries()[1]);
+    REQUIRE(waitUntil([&] { return world.announceTo(world.registries()[1]) != 0; }, patience));
+    CHECK(world.announceTo(world.registries()[1]) == 503);
+}
+
+TEST_CASE("registry: a target whose announcements don't come but that answers is not lost", "[gateway_process]")
+{
+    gateway_world world;
+    REQUIRE(world.start());
+    const std::size_t quiet = world.plainTargets()[0];
+    const std::size_t dead = world.plainTargets()[1];
+    const std::string leader = world.leader();
+    world.fleet().setAnnouncing(quiet, false);
+    world.fleet().setFrozen(dead, true);
+    CHECK(waitUntil([&] { return world.targetState(leader, world.fleet().idOf(dead)) == "lost"; }, patience));
+    std::this_thread::sleep_for(seconds(2));
+    CHECK(world.targetState(leader, world.fleet().idOf(quiet)) == "ready");
+}
+
 TEST_CASE("gateway: SIGHUP takes other addresses of controllers up and cuts nothing", "[gateway_process]")
 {
     gateway_world world(1);
--- a/tests/support/gateway_world.cpp
+++ b/tests/support/gateway_world.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace test_support {
 namespace {
@@ -15,7 +16,7 @@
 using namespace buckthornrail;
 using nlohmann::json;
 
-constexpr std::size_t registryCount = 3;
+constexpr std::size_t seedCount = 3; ///< registries that every process is told of
 constexpr milliseconds startPatience { 20000 };
 constexpr milliseconds controlPatience { 1500 };
 
@@ -59,12 +60,12 @@
 
 } // namespace
 
-gateway_world::gateway_world(std::size_t gateways, std::size_t enginesPerDomain)
+gateway_world::gateway_world(std::size_t gateways, std::size_t enginesPerDomain, std::size_t registries)
     : m_enginesPerDomain(enginesPerDomain)
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "gateway-world-XXXXXX").string();
     m_folder = ::mkdtemp(pattern.data());
-    for (std::size_t at = 0; at < registryCount; ++at)
+    for (std::size_t at = 0; at < registries; ++at)
         m_registries.push_back("registry-" + std::to_string(at + 1));
     for (std::size_t at = 0; at < gateways; ++at)
         m_gateways.push_back("gateway-" + std::to_string(at + 1));
@@ -88,14 +89,14 @@
     const std::string linkPort = freeAddress().substr(10);
     const std::string controlPort = freeAddress().substr(10);
     std::string links;
-    for (std::size_t at = 0; at < registryCount; ++at)
+    for (std::size_t at = 0; at < seedCount; ++at)
         links += (at == 0 ? "" : ", ") + std::string("127.0.0.1") + std::to_string(at + 1) + ":" + linkPort;
     const auto write = [this](const std::string& name, const std::string& role, const std::string& text) {
         const std::string file = m_folder + "/" + name + ".ini";
         std::ofstream(file) << text;
         m_commands[name] = { binaryPath("buckthornrail"), role, "--settings", file };
     };
-    for (std::size_t at = 0; at < registryCount; ++at) {
+    for (std::size_t at = 0; at < m_registries.size(); ++at) {
         const std::string& name = m_registries[at];
         const std::string ip = "127.0.0.1" + std::to_string(at + 1);
         m_addresses[name] = ip + ":" + controlPort;
@@ -237,6 +238,25 @@
     return ask(m_health.at(gateway), "GET", "/readyz", "", {}, controlPatience).status;
 }
 
+std::string gateway_world::targetState(const std::string& registry, const std::string& targetId)
+{
+    const auto response = ask(m_addresses.at(registry), "GET", "/status", "", {}, controlPatience);
+    const auto at = response.body.find("target " + targetId + " ");
+    if (at == std::string::npos)
+        return {};
+    std::istringstream line(response.body.substr(at, response.body.find('\n', at) - at));
+    std::string word;
+    for (int column = 0; column < 5; ++column)
+        line >> word;
+    return word;
+}
+
+int gateway_world::announceTo(const std::string& registry)
+{
+    const std::string body = R"({"service":"app","address":"127.0.0.1:9","zone":"d1","state":"ready","seq":1})";
+    return ask(m_addresses.at(registry), "PUT", "/instances/i-alone", body, {}, controlPatience).status;
+}
+
 std::string gateway_world::logOf(const std::string& name) const { return readFile(m_folder + "/" + name + ".log"); }
 
 std::string gateway_world::streamBody(const std::string& path, std::uint64_t events)
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -21,10 +21,11 @@
     std::string comeBack;
 };
 
-/// @brief Three registries, gateways, three failure domains of engines, and a plain service. Ends its processes by id.
+/// @brief Registries, gateways, three failure domains of engines, and a plain service. Ends its processes by id.
 class gateway_world {
 public:
-    explicit gateway_world(std::size_t gateways = 2, std::size_t enginesPerDomain = 4);
+    /// @param registries of which all processes are told the first three
+    explicit gateway_world(std::size_t gateways = 2, std::size_t enginesPerDomain = 4, std::size_t registries = 3);
     gateway_world(const gateway_world&) = delete;
     gateway_world& operator=(const gateway_world&) = delete;
     ~gateway_world();
@@ -52,6 +53,10 @@
         const std::string& requestId, std::chrono::milliseconds patience = std::chrono::milliseconds(5000),
         const std::string& key = "key-1");
     int readyStatus(const std::string& gateway);
+    /// @brief State of a target as a registry shows it; empty when it is unknown there.
+    std::string targetState(const std::string& registry, const std::string& targetId);
+    /// @brief Announces a target that isn't there, to one registry. @return the status
+    int announceTo(const std::string& registry);
 
     stand_in_fleet& fleet() { return *m_fleet; }
     [[nodiscard]] const std::vector<std::string>& registries() const { return m_registries; }
--- a/tests/support/stand_in_fleet.cpp
+++ b/tests/support/stand_in_fleet.cpp
@@ -76,6 +76,7 @@
         std::uint64_t fence = 0;
         bool isUp = false;
         bool isFrozen = false;
+        bool announces = true;
         bool isDraining = false;
         bool drainAcknowledged = false;
         bool isBusy = false;
@@ -412,7 +413,7 @@
 
 void stand_in_fleet::implementation::beat(target& one)
 {
-    if (one.isFrozen)
+    if (one.isFrozen || !one.announces)
         return;
     json body { { "service", one.service }, { "address", one.address }, { "zone", one.domain }, { "slots", 192 },
         { "state", one.isDraining ? "draining" : "ready" }, { "seq", ++one.sequence } };
@@ -494,6 +495,16 @@
     });
 }
 
+void stand_in_fleet::setAnnouncing(std::size_t target, bool announces)
+{
+    m_implementation->ask([&] { m_implementation->targets.at(target)->announces = announces; });
+}
+
+std::string stand_in_fleet::idOf(std::size_t target) const
+{
+    return m_implementation->ask([&] { return m_implementation->targets.at(target)->id; });
+}
+
 void stand_in_fleet::setFaults(std::size_t target, const target_faults& faults)
 {
     m_implementation->ask([&] { m_implementation->targets.at(target)->faults = faults; });
--- a/tests/support/stand_in_fleet.hpp
+++ b/tests/support/stand_in_fleet.hpp
@@ -49,6 +49,9 @@
     void setFrozen(std::size_t target, bool frozen);
     /// @brief Says that it leaves, and takes nothing new from then on.
     void drain(std::size_t target);
+    /// @brief Whether it announces itself any more; it serves all the same.
+    void setAnnouncing(std::size_t target, bool announces);
+    [[nodiscard]] std::string idOf(std::size_t target) const;
     void setFaults(std::size_t target, const target_faults& faults);
 
     [[nodiscard]] std::vector<fleet_run> runs() const;
