Slowness is kept apart for first events and for gaps

Cause (inc-18c8): one chain gave events at its usual pace, but first events after 480 to 880 ms (35 on others), as prompts waited at a member; sound gaps washed the slowness out again. Change: two kinds of pace, each with its own baseline and memory; the worse counts.

--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -5,6 +5,7 @@
 #include "buckthornrail/gateway/layer_path.hpp"
 #include "buckthornrail/gateway/route_document.hpp"
 
+#include <array>
 #include <map>
 #include <random>
 #include <set>
@@ -33,6 +34,13 @@
     std::set<std::string> firstOnly; ///< ids of targets that may take the request; empty: any
 };
 
+/// What of a stream is timed.
+enum class pace_kind : std::uint8_t {
+    FirstEvent, ///< reading the prompt, with all that waits before it
+    NextEvent,
+};
+inline constexpr std::size_t paceKinds = 2;
+
 /// Tokens that a request brings, as far as it says.
 struct request_size {
     double promptTokens = 0;
@@ -72,9 +80,9 @@
     void began(const selection& chosen, const request_size& size);
     void ended(const selection& chosen, const request_size& size);
 
-    /// @brief Events of a stream over a path came so far apart, over some of them. Members of paths that are slower
-    /// than expected, against all others, cost more for a while.
-    void paced(const selection& chosen, double msPerEvent, steady_time now);
+    /// @brief A stream over a path took so long for something. Members of paths that are slower than expected, against
+    /// all others, cost more for a while.
+    void paced(const selection& chosen, pace_kind kind, double ms, steady_time now);
     /// @brief The target answered. @param answerMs how long that took, for targets without layers
     void succeeded(const std::string& targetId, double answerMs);
     /// @brief The target failed an attempt.
@@ -99,8 +107,8 @@
         double answerMs = 0; ///< moving average; 0: not known
         double failureShare = 0; ///< moving average of attempts that failed
         std::size_t refusalsInRow = 0;
-        double slowness = 1; ///< of paths over it, times what was expected
-        steady_time slownessFrom {}; ///< it fades from then on
+        std::array<double, paceKinds> slowness { 1, 1 }; ///< of paths over it, times what was expected
+        std::array<steady_time, paceKinds> slownessFrom {}; ///< it fades from then on
         steady_time avoidUntil {};
         double stepFactor = 1;
         double memoryTokenLayers = 0; ///< room for requests, at the layers held now
@@ -115,6 +123,7 @@
     [[nodiscard]] static double doubtMs(const pool_target& target, steady_time now);
     [[nodiscard]] double msPerLayer(const pool_target& target, const layered_engine& engine) const;
     [[nodiscard]] static double slownessOf(const pool_target& target, steady_time now);
+    [[nodiscard]] static double slownessOf(const pool_target& target, std::size_t kind, steady_time now);
     [[nodiscard]] std::size_t domainNumber(const std::string& name);
     void describeAccelerator(pool_target& target) const;
     [[nodiscard]] double expectedTokens(const pool_target& target, const request_size& size) const;
@@ -125,7 +134,8 @@
     double m_othersOpenAttempts = 0;
     std::map<std::string, pool_target> m_targets;
     std::map<std::string, layered_engine> m_engines;
-    double m_usualPace = 0; ///< time between events over the expected time of a token, on sound paths; 0: not known
+    /// Times over the expected time of a token, on sound paths; 0: not known.
+    std::array<double, paceKinds> m_usualPace {};
     std::vector<std::string> m_newlyDark;
     std::vector<std::string> m_domains; ///< the own one first
 };
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -130,11 +130,13 @@
     }
     if (id)
         m_lastEventId = id;
-    if (m_pacedEvents == 0)
+    if (m_pacedEvents == 0) {
         m_pacedFrom = now;
+        m_pool.paced(m_where, pace_kind::FirstEvent, static_cast<double>(between(m_attemptStart, now).count()), now);
+    }
     if (m_pacedEvents++ == m_options.paceEvents) {
         const std::chrono::duration<double, std::milli> took = now - m_pacedFrom;
-        m_pool.paced(m_where, took.count() / static_cast<double>(m_options.paceEvents), now);
+        m_pool.paced(m_where, pace_kind::NextEvent, took.count() / static_cast<double>(m_options.paceEvents), now);
         m_pacedEvents = 1;
         m_pacedFrom = now;
     }
--- a/src/buckthornrail/gateway/routing_test.cpp
+++ b/src/buckthornrail/gateway/routing_test.cpp
@@ -228,12 +228,14 @@
     REQUIRE(near->parts.front().targetId == "x");
     REQUIRE(far->parts.front().targetId == "y");
     for (int at = 0; at < 20; ++at)
-        pool.paced(*far, 2.6, now);
+        pool.paced(*far, pace_kind::NextEvent, 2.6, now);
     for (int at = 0; at < 20; ++at)
-        pool.paced(*near, 2.6, now);
+        pool.paced(*near, pace_kind::NextEvent, 2.6, now);
     CHECK(pool.select("s", {}, now)->parts.front().targetId == "x"); // both are as fast as usual
+    const auto kind = GENERATE(pace_kind::FirstEvent, pace_kind::NextEvent);
+    pool.paced(*far, kind, 2.6, now);
     for (int at = 0; at < 5; ++at)
-        pool.paced(*near, 26, now);
+        pool.paced(*near, kind, 26, now);
     CHECK(pool.select("s", {}, now)->parts.front().targetId == "y");
     CHECK(pool.select("s", {}, now + std::chrono::seconds(30))->parts.front().targetId == "x");
 }
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -18,8 +18,9 @@
 /// The usual pace follows sound paths: down at once, up slowly.
 constexpr double usualPaceDown = 0.2;
 constexpr double usualPaceUp = 0.005;
-/// Below this a path counts as sound: engines' steps vary by so much with the prompts that they read meanwhile.
-constexpr double soundSlowness = 1.5;
+/// Below these a path counts as sound: engines' steps vary by so much with the prompts that they read meanwhile, and
+/// the first event with the length of its own prompt and of those before it.
+constexpr std::array<double, paceKinds> soundSlowness { 4, 1.5 };
 constexpr double mostSlowness = 20;
 /// A slow target is tried again as its slowness fades: to a third after this time.
 constexpr double slownessFadeMs = 6000;
@@ -237,29 +238,41 @@
     }
 }
 
+double target_pool::slownessOf(const pool_target& target, std::size_t kind, steady_time now)
+{
+    if (target.slowness[kind] <= 1)
+        return 1;
+    const auto since = std::chrono::duration_cast<milliseconds>(now - target.slownessFrom[kind]).count();
+    return 1 + (target.slowness[kind] - 1) * std::exp(-static_cast<double>(since) / slownessFadeMs);
+}
+
 double target_pool::slownessOf(const pool_target& target, steady_time now)
 {
-    const auto since = std::chrono::duration_cast<milliseconds>(now - target.slownessFrom).count();
-    return 1 + (target.slowness - 1) * std::exp(-static_cast<double>(since) / slownessFadeMs);
+    double most = 1;
+    for (std::size_t kind = 0; kind < paceKinds; ++kind)
+        most = std::max(most, slownessOf(target, kind, now));
+    return most;
 }
 
-void target_pool::paced(const selection& chosen, double msPerEvent, steady_time now)
+void target_pool::paced(const selection& chosen, pace_kind kind, double ms, steady_time now)
 {
     if (chosen.expectedTokenMs <= 0)
         return;
-    const double pace = msPerEvent / chosen.expectedTokenMs;
-    if (m_usualPace == 0)
-        m_usualPace = pace;
-    m_usualPace += (pace < m_usualPace ? usualPaceDown : usualPaceUp) * (pace - m_usualPace);
-    const double against = pace / m_usualPace;
-    const double seen = against < soundSlowness ? 1 : std::min(against, mostSlowness);
+    const double pace = ms / chosen.expectedTokenMs;
+    const auto at = static_cast<std::size_t>(kind);
+    double& usual = m_usualPace[at];
+    if (usual == 0)
+        usual = pace;
+    usual += (pace < usual ? usualPaceDown : usualPaceUp) * (pace - usual);
+    const double against = pace / usual;
+    const double seen = against < soundSlowness[at] ? 1 : std::min(against, mostSlowness);
     for (const auto& part : chosen.parts) {
         const auto found = m_targets.find(part.targetId);
         if (found == m_targets.end())
             continue;
         auto& target = found->second;
-        target.slowness = (1 - paceWeight) * slownessOf(target, now) + paceWeight * seen;
-        target.slownessFrom = now;
+        target.slowness[at] = (1 - paceWeight) * slownessOf(target, at, now) + paceWeight * seen;
+        target.slownessFrom[at] = now;
     }
 }
 
