A slow stream that can't move stays; what was refused uses half of the budget of repeats

And a refused request, which its caller may bring again, drew on the same budget as streams that have begun. Change: a place and a repeat are found first; without them the attempt stays. Test: red with the old order, green now.

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -131,7 +131,21 @@
         std::string reason;
     };
 
+    /// Where a request goes on, if anywhere.
+    struct next_attempt {
+        std::optional<selection> where; ///< nothing: `why` tells
+        std::string why;
+        std::set<std::string> ranAt;
+        choice_bounds bounds;
+    };
+
+    /// @brief Finds a place for another attempt, and takes it out of the budget.
+    next_attempt findNext(const attempt_end& last, choice_bounds bounds, steady_time now);
+    /// @brief Goes on after an attempt that has ended, or gives up.
     void tryNext(const attempt_end& last, steady_time now);
+    /// @brief Goes on elsewhere if it can; else the open attempt stays. @return true when it moved
+    bool move(const attempt_end& last, choice_bounds bounds, steady_time now);
+    void noteLoss(const attempt_end& last);
     [[nodiscard]] std::string whyNoRepeat(const attempt_end& last, steady_time now);
     void open(const selection& where, steady_time now);
     void closeAttempt();
--- a/include/buckthornrail/gateway/repeat_budget.hpp
+++ b/include/buckthornrail/gateway/repeat_budget.hpp
@@ -15,7 +15,10 @@
     double slack = 100; ///< repeats in a window besides, of all gateways together
     milliseconds window { 10000 };
     /// Part of the budget that is used: requests are counted by others at slightly other moments.
-    double part = 0.7;
+    double part = 0.85;
+    /// What was refused, and so begun nowhere, may use this part of that: its caller can come again at no cost to the
+    /// budget, while a stream that has begun is lost.
+    double partForRefused = 0.5;
 };
 
 /// @brief Counts requests and repeats of one service over a sliding window. Callers pass the time in.
@@ -28,8 +31,9 @@
 
     void noteRequest(steady_time now);
     /// @brief Takes one repeat out of the budget. @param gateways that share it
+    /// @param wasRefused the request has begun nowhere
     /// @return false when it is spent
-    bool take(std::size_t gateways, steady_time now);
+    bool take(std::size_t gateways, bool wasRefused, steady_time now);
 
 private:
     void drop(steady_time now);
--- a/src/app/layer_orders.cpp
+++ b/src/app/layer_orders.cpp
@@ -18,7 +18,8 @@
 /// s, and several loads at once share the weight store.
 constexpr milliseconds orderPatience { 20000 };
 /// Requests of usual size that a target should hold in memory beside its layers. A failure domain's whole traffic is
-/// about 60 at once at the usual load, and each is in every target of its path.
+/// about 60 at once at the usual load, half as much again while another domain's chain is broken, and each is in every
+/// target of its path: the target with the least room bounds them all.
 constexpr double sequencesInMemory = 68;
 
 std::string rangeText(const registry::layer_range& range)
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -214,11 +214,7 @@
         return;
     }
     blame(faulty, true, now);
-    const attempt_end end { ran_state::Unknown, firstIsDark, "held up by " + faulty };
-    if (!whyNoRepeat(end, now).empty())
-        return; // it may still go on by itself
-    closeAttempt();
-    tryNext(end, now);
+    move({ ran_state::Unknown, firstIsDark, "held up by " + faulty }, m_bounds, now);
 }
 
 void exchange::onTimer(steady_time now)
@@ -239,12 +235,13 @@
     }
     const attempt_end slow { ran_state::Unknown, false, "silent for too long" };
     if (hasPath()) {
-        if (now >= m_moveAt && whyNoRepeat(slow, now).empty()) {
+        if (now >= m_moveAt) {
+            auto bounds = m_bounds;
             for (const auto& part : m_where.parts)
-                m_bounds.excluded.insert(part.targetId);
-            closeAttempt();
-            tryNext(slow, now);
-            return;
+                bounds.excluded.insert(part.targetId);
+            if (move(slow, std::move(bounds), now))
+                return;
+            m_moveAt = now + m_options.moveAfter;
         }
         if (now >= m_askAt) {
             m_askAt = now + m_options.askAgainAfter * (1U << std::min(m_vainAsks, 5U));
@@ -253,14 +250,13 @@
             if (m_over || !m_attemptOpen)
                 return;
         }
-    } else if (m_request.chosen->kind == request_kind::Safe && !m_answer && now >= m_moveAt
-        && whyNoRepeat(slow, now).empty()) {
+    } else if (m_request.chosen->kind == request_kind::Safe && !m_answer && now >= m_moveAt) {
         const auto first = m_where.parts.front().targetId;
         m_pool.succeeded(first, static_cast<double>(between(m_attemptStart, now).count()));
-        m_bounds.excluded.insert(first);
-        closeAttempt();
-        tryNext(slow, now);
-        return;
+        auto bounds = m_bounds;
+        bounds.excluded.insert(first);
+        if (move(slow, std::move(bounds), now))
+            return;
     }
     scheduleWake(now);
 }
@@ -278,40 +274,72 @@
             { "ms", inMs(between(m_request.arrived, now)) } });
 }
 
-void exchange::tryNext(const attempt_end& last, steady_time now)
+exchange::next_attempt exchange::findNext(const attempt_end& last, choice_bounds bounds, steady_time now)
 {
-    const bool mayHaveRun = last.ran != ran_state::No;
-    m_port.note(event_code::AttemptLost,
-        { { "request", m_request.id }, { "attempt", std::to_string(m_tries) }, { "reason", last.reason },
-            { "ran", std::string(nameOf(last.ran)) }, { "events", std::to_string(m_events) } });
-    const std::string why = whyNoRepeat(last, now);
-    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
-    if (mayHaveRun && !last.targetEnded)
-        m_ranAt.insert(m_where.parts.front().targetId);
+    next_attempt next;
+    next.why = whyNoRepeat(last, now);
+    if (!next.why.empty())
+        return next;
+    next.ranAt = m_ranAt;
+    if (last.ran != ran_state::No && !last.targetEnded)
+        next.ranAt.insert(m_where.parts.front().targetId);
     // The route's number bounds the targets, not the attempts: what ran before may run there again.
-    m_bounds.firstOnly.clear();
-    if (m_ranAt.size() >= m_request.chosen->maxAttempts)
-        m_bounds.firstOnly = m_ranAt;
-    if (!why.empty()) {
-        giveUp(last.reason + "; " + why, now);
-        return;
-    }
-    auto where = m_pool.select(m_request.service, m_bounds, now);
-    if (!where && !m_bounds.excluded.empty()) {
+    bounds.firstOnly.clear();
+    if (next.ranAt.size() >= m_request.chosen->maxAttempts)
+        bounds.firstOnly = next.ranAt;
+    next.where = m_pool.select(m_request.service, bounds, now);
+    if (!next.where && !bounds.excluded.empty()) {
         // Better one that failed before than none: it may have been a moment's fault.
-        m_bounds.excluded.clear();
-        where = m_pool.select(m_request.service, m_bounds, now);
+        bounds.excluded.clear();
+        next.where = m_pool.select(m_request.service, bounds, now);
     }
-    if (!where) {
-        giveUp(last.reason + "; no other target or path", now);
-        return;
+    next.bounds = std::move(bounds);
+    if (!next.where) {
+        next.why = "no other target or path";
+        return next;
+    }
+    const bool mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
+    const bool arrived = last.ran != ran_state::No || !last.targetEnded;
+    if (arrived && !m_budget.take(m_gateways, !mayHaveRun, now)) {
+        next.why = "the budget of repeats is spent";
+        next.where.reset();
     }
-    const bool arrived = mayHaveRun || !last.targetEnded;
-    if (arrived && !m_budget.take(m_gateways, now)) {
-        giveUp(last.reason + "; the budget of repeats is spent", now);
+    return next;
+}
+
+void exchange::tryNext(const attempt_end& last, steady_time now)
+{
+    noteLoss(last);
+    const auto next = findNext(last, m_bounds, now);
+    m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
+    if (!next.where) {
+        giveUp(last.reason + "; " + next.why, now);
         return;
     }
-    open(*where, now);
+    m_ranAt = next.ranAt;
+    m_bounds = next.bounds;
+    open(*next.where, now);
+}
+
+bool exchange::move(const attempt_end& last, choice_bounds bounds, steady_time now)
+{
+    const auto next = findNext(last, std::move(bounds), now);
+    if (!next.where)
+        return false; // the open attempt may still go on by itself: that it is slow is no reason to end it
+    noteLoss(last);
+    closeAttempt();
+    m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
+    m_ranAt = next.ranAt;
+    m_bounds = next.bounds;
+    open(*next.where, now);
+    return true;
+}
+
+void exchange::noteLoss(const attempt_end& last)
+{
+    m_port.note(event_code::AttemptLost,
+        { { "request", m_request.id }, { "attempt", std::to_string(m_tries) }, { "reason", last.reason },
+            { "ran", std::string(nameOf(last.ran)) }, { "events", std::to_string(m_events) } });
 }
 
 std::string exchange::whyNoRepeat(const attempt_end& last, steady_time now)
--- a/src/buckthornrail/gateway/exchange_test.cpp
+++ b/src/buckthornrail/gateway/exchange_test.cpp
@@ -297,6 +297,29 @@
     CHECK(bench.pool.takeDark() == std::vector<std::string> { "a1" });
 }
 
+TEST_CASE("exchange: a slow stream that can't move stays where it is", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    repeat_budget_options spent;
+    spent.ratio = 0;
+    spent.slack = 0;
+    bench.budget = repeat_budget(spent);
+    auto call = bench.make();
+    call.start(zero);
+    call.onSent(zero);
+    call.onHead(ownAnswer(200, true), zero);
+    call.onEvent("1", 1, zero);
+    call.onTimer(zero + milliseconds(250));
+    call.onReport(true, "a1:1", zero + milliseconds(260));
+    call.onTimer(zero + milliseconds(900));
+    CHECK(bench.port.isOpen);
+    CHECK(bench.port.outcome.empty());
+    call.onEvent("2", 2, zero + milliseconds(910));
+    call.onStreamEnd(zero + milliseconds(920));
+    CHECK(bench.port.outcome == "ended");
+    CHECK(bench.port.events == "12");
+}
+
 TEST_CASE("exchange: sound streams are left alone", "[exchange]")
 {
     exchange_bench bench(request_kind::Stream, true, true);
--- a/src/buckthornrail/gateway/repeat_budget.cpp
+++ b/src/buckthornrail/gateway/repeat_budget.cpp
@@ -12,11 +12,12 @@
     m_requestsEnd.push_back(now + m_options.window);
 }
 
-bool repeat_budget::take(std::size_t gateways, steady_time now)
+bool repeat_budget::take(std::size_t gateways, bool wasRefused, steady_time now)
 {
     drop(now);
     const double shared = m_options.slack / static_cast<double>(std::max<std::size_t>(gateways, 1));
-    const double allowed = m_options.part * (m_options.ratio * static_cast<double>(m_requestsEnd.size()) + shared);
+    const double part = m_options.part * (wasRefused ? m_options.partForRefused : 1);
+    const double allowed = part * (m_options.ratio * static_cast<double>(m_requestsEnd.size()) + shared);
     if (static_cast<double>(m_repeatsEnd.size()) + 1 > allowed)
         return false;
     m_repeatsEnd.push_back(now + m_options.window);
