A begun stream that finds no place looks again until its caller would leave

Cause: moved off a member that went away, a stream was refused by two full paths and broken off within 15 ms, 1.6 s before its caller would have left. Change: it looks again every 150 ms. Test: red before (broken off at once), green after.

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -97,6 +97,11 @@
     milliseconds shortestUseful { 20 };
     /// Attempts in all, also where targets ended or refused, which the route's number doesn't count.
     std::uint32_t mostTries = 6;
+    std::uint32_t mostTriesOnceBegun = 20;
+    /// A stream that has begun and finds no place, or no repeat in the budget, looks again after so long,
+    milliseconds pauseBetweenTries { 150 };
+    /// as long as its caller surely waits for the next event: callers leave after 2 s.
+    milliseconds longestPause { 1700 };
 };
 
 /// @ingroup gateway
@@ -143,6 +148,7 @@
     next_attempt findNext(const attempt_end& last, choice_bounds bounds, steady_time now);
     /// @brief Goes on after an attempt that has ended, or gives up.
     void tryNext(const attempt_end& last, steady_time now);
+    void goOn(const attempt_end& last, steady_time now);
     /// @brief Goes on elsewhere if it can; else the open attempt stays. @return true when it moved
     bool move(const attempt_end& last, choice_bounds bounds, steady_time now);
     void noteLoss(const attempt_end& last);
@@ -174,6 +180,8 @@
     bool m_mayHaveRun = false; ///< in any attempt
     bool m_over = false;
     std::uint32_t m_tries = 0;
+    std::optional<attempt_end> m_paused; ///< how the last attempt ended, while a begun stream waits for a place
+    steady_time m_goOnAt {};
     std::uint32_t m_openAsks = 0;
     std::uint32_t m_vainAsks = 0; ///< answered, but nobody was named
     std::size_t m_pacedEvents = 0; ///< since the pace was told last
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace buckthornrail::gateway {
 namespace {
@@ -229,6 +230,11 @@
             mayHaveRun ? ran_state::Unknown : ran_state::No, "no time left", now);
         return;
     }
+    if (m_paused && now >= m_goOnAt) {
+        const auto last = *std::exchange(m_paused, std::nullopt);
+        goOn(last, now);
+        return;
+    }
     if (!m_attemptOpen || !m_sent) {
         scheduleWake(now);
         return;
@@ -310,15 +316,31 @@
 void exchange::tryNext(const attempt_end& last, steady_time now)
 {
     noteLoss(last);
+    goOn(last, now);
+}
+
+void exchange::goOn(const attempt_end& last, steady_time now)
+{
     const auto next = findNext(last, m_bounds, now);
     m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
-    if (!next.where) {
+    if (next.where) {
+        m_ranAt = next.ranAt;
+        m_bounds = next.bounds;
+        open(*next.where, now);
+        return;
+    }
+    const steady_time again = now + m_options.pauseBetweenTries;
+    const bool mayWait = m_streamBegun && m_lastEventId && m_request.mayRepeat() && again < m_request.deadline
+        && again < m_lastEventAt + m_options.longestPause;
+    if (!mayWait) {
         giveUp(last.reason + "; " + next.why, now);
         return;
     }
-    m_ranAt = next.ranAt;
-    m_bounds = next.bounds;
-    open(*next.where, now);
+    m_paused = last;
+    m_paused->ran = ran_state::No; // what ran before is noted already
+    m_bounds.excluded.clear();
+    m_goOnAt = again;
+    scheduleWake(now);
 }
 
 bool exchange::move(const attempt_end& last, choice_bounds bounds, steady_time now)
@@ -349,7 +371,7 @@
         return "it may have run and must not be repeated";
     if (m_streamBegun && !m_lastEventId)
         return "the stream's events have no ids to go on from";
-    if (m_tries >= m_options.mostTries)
+    if (m_tries >= (m_streamBegun ? m_options.mostTriesOnceBegun : m_options.mostTries))
         return "tried often enough";
     if (now + m_options.shortestUseful >= m_request.deadline)
         return "no time left";
@@ -412,6 +434,8 @@
 void exchange::scheduleWake(steady_time now)
 {
     steady_time when = m_request.deadline;
+    if (m_paused)
+        when = std::min(when, m_goOnAt);
     if (m_attemptOpen && m_sent && hasPath())
         when = std::min({ when, m_askAt, m_moveAt > now ? m_moveAt : when });
     if (m_attemptOpen && m_sent && !hasPath() && m_request.chosen->kind == request_kind::Safe && !m_answer) {
--- a/src/buckthornrail/gateway/exchange_test.cpp
+++ b/src/buckthornrail/gateway/exchange_test.cpp
@@ -320,6 +320,42 @@
     CHECK(bench.port.events == "12");
 }
 
+TEST_CASE("exchange: a begun stream that finds no place looks again, until its caller leaves", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    call.onSent(zero);
+    call.onHead(ownAnswer(200, true), zero);
+    call.onEvent("1", 1, zero);
+    const auto recordsBefore = bench.pool.readyCount("s");
+    REQUIRE(recordsBefore > 0);
+    bench.pool.update({}); // every target is gone
+    call.onLost(attempt_loss::Broken, zero);
+    CHECK(bench.port.outcome.empty());
+    CHECK(bench.port.wake == zero + milliseconds(150));
+    call.onTimer(zero + milliseconds(150));
+    CHECK(bench.port.outcome.empty());
+    SECTION("a target comes back")
+    {
+        registry::target_record whole;
+        whole.id = "w";
+        whole.service = "s";
+        whole.failureDomain = "a";
+        whole.layers = { 0, 10 };
+        bench.pool.update({ { "w", whole } });
+        call.onTimer(zero + milliseconds(300));
+        CHECK(bench.port.target == "w");
+        CHECK(bench.port.resumeAfter == 1U);
+    }
+    SECTION("none does")
+    {
+        for (int at = 2; at < 20 && bench.port.outcome.empty(); ++at)
+            call.onTimer(zero + milliseconds(150 * at));
+        CHECK(bench.port.outcome == "broken off");
+    }
+}
+
 TEST_CASE("exchange: sound streams are left alone", "[exchange]")
 {
     exchange_bench bench(request_kind::Stream, true, true);
