--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,437 @@
+/// @file
+/// @brief A randomized soak over real processes: faults from outside in series that overlap, promises checked
+/// meanwhile.
+///
+/// soak --seed N [--seconds S]. Ends 0 when every promise held; else it prints what broke and leaves the logs.
+#include "support/gateway_world.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <deque>
+#include <filesystem>
+#include <iostream>
+#include <random>
+#include <tclap/CmdLine.h>
+#include <thread>
+
+namespace {
+
+using namespace test_support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using clock_type = std::chrono::steady_clock;
+
+constexpr seconds recoverTime { 15 }; ///< after the last fault everything works again
+constexpr milliseconds inForceTime { 2500 }; ///< after its acknowledgement no read shows an older document
+constexpr std::size_t callerThreads = 6;
+
+/// What is found to be wrong, told once each.
+class verdict {
+public:
+    void broken(const std::string& what)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_broken.push_back(what);
+        std::cout << "BROKEN " << what << std::endl;
+    }
+    [[nodiscard]] std::size_t count() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_broken.size();
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_broken;
+};
+
+/// One request and what its caller got.
+struct call_record {
+    std::string requestId;
+    std::string path;
+    caller_answer answer;
+};
+
+std::uint64_t eventsOf(const std::string& path) { return std::stoull(path.substr(path.rfind('n') + 1)); }
+
+/// Callers that never stop while the soak runs.
+class callers {
+public:
+    callers(gateway_world& world, std::uint64_t seed)
+        : m_world(world)
+    {
+        for (std::size_t at = 0; at < callerThreads; ++at)
+            m_threads.emplace_back([this, at, seed] { run(at, seed); });
+    }
+    callers(const callers&) = delete;
+    callers& operator=(const callers&) = delete;
+    ~callers() { stop(); }
+
+    std::vector<call_record> stop()
+    {
+        m_stopping = true;
+        for (auto& thread : m_threads)
+            thread.join();
+        m_threads.clear();
+        return m_records;
+    }
+
+private:
+    void run(std::size_t number, std::uint64_t seed)
+    {
+        std::mt19937_64 random(seed * 100 + number);
+        for (std::size_t at = 0; !m_stopping; ++at) {
+            const std::string id = "c" + std::to_string(number) + "-" + std::to_string(at);
+            const auto kind = random() % 3;
+            const std::string path = kind == 0 ? "/stream/" + id + "/n" + std::to_string(1 + random() % 120)
+                : kind == 1                    ? "/unsafe/" + id
+                                               : "/safe/" + id;
+            const auto& gateway = m_world.gateways()[random() % m_world.gateways().size()];
+            auto answer = m_world.call(gateway, "POST", path, id, milliseconds(4000));
+            if (answer.status == 0)
+                std::this_thread::sleep_for(milliseconds(20)); // nobody listens
+            const std::scoped_lock lock(m_mutex);
+            m_records.push_back({ id, path, std::move(answer) });
+        }
+    }
+
+    gateway_world& m_world;
+    std::atomic<bool> m_stopping { false };
+    std::mutex m_mutex;
+    std::vector<call_record> m_records;
+    std::vector<std::thread> m_threads;
+};
+
+/// A fault that is under way, and how it ends.
+struct open_fault {
+    clock_type::time_point end;
+    std::string what;
+    std::function<void()> undo;
+};
+
+class soak_run {
+public:
+    soak_run(std::uint64_t seed, seconds length)
+        : m_random(seed)
+        , m_seed(seed)
+        , m_length(length)
+    {
+    }
+
+    bool run()
+    {
+        if (!m_world.start()) {
+            m_verdict.broken("the system did not start");
+            return false;
+        }
+        callers asking(m_world, m_seed);
+        const auto end = clock_type::now() + m_length;
+        while (clock_type::now() < end) {
+            disturb();
+            endDue(clock_type::now());
+            operate();
+            std::this_thread::sleep_for(milliseconds(50 + m_random() % 400));
+        }
+        endDue(clock_type::time_point::max());
+        checkRecovery();
+        judge(asking.stop());
+        if (m_verdict.count() > 0)
+            std::cout << "logs: " << m_world.keepFolder() << std::endl;
+        return m_verdict.count() == 0;
+    }
+
+private:
+    using disturbance = void (soak_run::*)();
+
+    void disturb()
+    {
+        static constexpr std::array<disturbance, 10> disturbances { &soak_run::killProcess, &soak_run::pauseProcess,
+            &soak_run::stopGently, &soak_run::killTarget, &soak_run::freezeTarget, &soak_run::spoilTarget,
+            &soak_run::harmLink, &soak_run::resetLinks, &soak_run::loseDisk, &soak_run::reload };
+        (this->*disturbances[m_random() % disturbances.size()])();
+    }
+
+    void begin(const std::string& what, milliseconds lasts, std::function<void()> undo)
+    {
+        std::cout << "+ " << what << std::endl;
+        m_open.push_back({ clock_type::now() + lasts, what, std::move(undo) });
+    }
+
+    void endDue(clock_type::time_point now)
+    {
+        for (auto& fault : m_open) {
+            if (fault.end > now)
+                continue;
+            fault.undo();
+            std::cout << "- " << fault.what << std::endl;
+        }
+        std::erase_if(m_open, [now](const open_fault& fault) { return fault.end <= now; });
+    }
+
+    std::string anyProcess()
+    {
+        const auto& registries = m_world.registries();
+        const auto& gateways = m_world.gateways();
+        const std::size_t at = m_random() % (registries.size() + gateways.size());
+        return at < registries.size() ? registries[at] : gateways[at - registries.size()];
+    }
+    std::size_t anyTarget()
+    {
+        const auto& engines = m_world.engines();
+        const auto& plain = m_world.plainTargets();
+        const std::size_t at = m_random() % (engines.size() + plain.size());
+        return at < engines.size() ? engines[at] : plain[at - engines.size()];
+    }
+    milliseconds anyTime() { return milliseconds(200 + m_random() % 2500); }
+    bool claim(const std::string& name) { return m_claimed.insert(name).second; }
+
+    void killProcess()
+    {
+        const std::string name = anyProcess();
+        if (!claim(name))
+            return;
+        m_world.killHard(name);
+        begin("killed " + name, anyTime(), [this, name] {
+            m_world.startProcess(name);
+            m_claimed.erase(name);
+        });
+    }
+
+    void pauseProcess()
+    {
+        const std::string name = anyProcess();
+        if (!claim(name))
+            return;
+        m_world.signal(name, SIGSTOP);
+        begin("paused " + name, anyTime(), [this, name] {
+            m_world.signal(name, SIGCONT);
+            m_claimed.erase(name);
+        });
+    }
+
+    void stopGently()
+    {
+        const std::string name = anyProcess();
+        if (!claim(name))
+            return;
+        m_world.signal(name, SIGTERM);
+        begin("stopping " + name, seconds(9), [this, name] {
+            const int status = m_world.waitForExit(name, seconds(2));
+            if (status != 0)
+                m_verdict.broken(name + " did not end in good order after SIGTERM: " + std::to_string(status));
+            if (status == -1)
+                m_world.killHard(name);
+            m_world.startProcess(name);
+            m_claimed.erase(name);
+        });
+    }
+
+    void killTarget()
+    {
+        const std::size_t target = anyTarget();
+        if (!claim("target" + std::to_string(target)))
+            return;
+        m_world.fleet().kill(target);
+        begin("killed target " + std::to_string(target), anyTime(), [this, target] {
+            m_world.fleet().restart(target);
+            m_claimed.erase("target" + std::to_string(target));
+        });
+    }
+
+    void freezeTarget()
+    {
+        const std::size_t target = anyTarget();
+        if (!claim("target" + std::to_string(target)))
+            return;
+        m_world.fleet().setFrozen(target, true);
+        begin("froze target " + std::to_string(target), anyTime(), [this, target] {
+            m_world.fleet().setFrozen(target, false);
+            m_claimed.erase("target" + std::to_string(target));
+        });
+    }
+
+    void spoilTarget()
+    {
+        const std::size_t target = anyTarget();
+        if (!claim("target" + std::to_string(target)))
+            return;
+        m_world.fleet().setFaults(target, { 0.1, 0.1, 0.1, 0.1, 3 });
+        begin("spoilt target " + std::to_string(target), anyTime(), [this, target] {
+            m_world.fleet().setFaults(target, {});
+            m_claimed.erase("target" + std::to_string(target));
+        });
+    }
+
+    void harmLink()
+    {
+        static constexpr std::array modes { relay_mode::Silent, relay_mode::OutwardOnly, relay_mode::InwardOnly,
+            relay_mode::Slow };
+        const std::string name = m_world.registries()[m_random() % m_world.registries().size()];
+        if (!claim("link" + name))
+            return;
+        const std::size_t mode = m_random() % modes.size();
+        m_world.linkRelay(name).setMode(modes[mode]);
+        begin("harmed the links of " + name + ", way " + std::to_string(mode), anyTime(), [this, name] {
+            m_world.linkRelay(name).setMode(relay_mode::Pass);
+            m_claimed.erase("link" + name);
+        });
+    }
+
+    void resetLinks()
+    {
+        const std::string name = m_world.registries()[m_random() % m_world.registries().size()];
+        m_world.linkRelay(name).resetAll();
+        std::cout << "! reset the links of " << name << std::endl;
+    }
+
+    /// One disk at a time, and not again before the members have had time to make the copy good: what survives is
+    /// promised for the loss of one.
+    void loseDisk()
+    {
+        const std::string name = m_world.registries()[m_random() % m_world.registries().size()];
+        const bool othersWell = std::none_of(m_open.begin(), m_open.end(),
+            [](const open_fault& fault) { return fault.what.find("registry") != std::string::npos; });
+        if (!othersWell || clock_type::now() < m_nextDiskLoss || !allRead() || !claim(name))
+            return;
+        m_nextDiskLoss = clock_type::now() + seconds(8);
+        m_world.killHard(name);
+        m_world.loseDisk(name);
+        begin("lost the disk of " + name, milliseconds(500), [this, name] {
+            m_world.startProcess(name);
+            m_claimed.erase(name);
+        });
+    }
+
+    void reload()
+    {
+        const std::string name = anyProcess();
+        if (m_world.isRunning(name) && !m_claimed.contains(name))
+            m_world.signal(name, SIGHUP);
+    }
+
+    bool allRead()
+    {
+        return std::all_of(m_world.registries().begin(), m_world.registries().end(),
+            [this](const std::string& name) { return m_world.readVersion(name).has_value(); });
+    }
+
+    /// Publishes now and then, and reads: no read may show less than what was acknowledged a while ago.
+    void operate()
+    {
+        const std::string registry = m_world.registries()[m_random() % m_world.registries().size()];
+        if (m_random() % 3 == 0) {
+            const std::uint64_t version = ++m_version;
+            if (m_world.publish(version, registry, "v" + std::to_string(version)) == 200)
+                m_acknowledged.emplace_back(clock_type::now(), version);
+            return;
+        }
+        std::uint64_t least = 0;
+        const auto before = clock_type::now() - inForceTime;
+        for (const auto& [when, version] : m_acknowledged) {
+            if (when <= before)
+                least = std::max(least, version);
+        }
+        const auto read = m_world.readVersion(registry);
+        if (read && *read < least)
+            m_verdict.broken(registry + " reads version " + std::to_string(*read) + " after " + std::to_string(least)
+                + " was acknowledged");
+    }
+
+    void checkRecovery()
+    {
+        std::uint64_t newest = 0;
+        for (const auto& [when, version] : m_acknowledged)
+            newest = std::max(newest, version);
+        const auto reads = [&](const std::string& name) { return m_world.readVersion(name).value_or(0) >= newest; };
+        for (const auto& name : m_world.registries()) {
+            if (!waitUntil([&] { return reads(name); }, recoverTime))
+                m_verdict.broken(name + " does not read version " + std::to_string(newest) + " after all is well");
+        }
+        std::size_t number = 0;
+        const auto serves = [&](const std::string& gateway) {
+            const std::string id = "end-" + gateway + std::to_string(++number);
+            return m_world.call(gateway, "POST", "/stream/" + id + "/n5", id).isWhole
+                && m_world.call(gateway, "POST", "/safe/" + id, id + "s").status == 200;
+        };
+        for (const auto& name : m_world.gateways()) {
+            if (!waitUntil([&] { return serves(name); }, recoverTime))
+                m_verdict.broken(name + " does not serve after all is well");
+        }
+    }
+
+    void judge(const std::vector<call_record>& records)
+    {
+        std::map<std::string, std::size_t> runs;
+        for (const auto& run : m_world.fleet().runs()) {
+            ++runs[run.requestId];
+            if (run.workspace != "w1")
+                m_verdict.broken(run.requestId + " ran for workspace '" + run.workspace + "'");
+        }
+        std::map<int, std::size_t> statuses;
+        for (const auto& record : records) {
+            ++statuses[record.answer.status];
+            judgeOne(record, runs[record.requestId]);
+        }
+        std::cout << "calls " << records.size();
+        for (const auto& [status, count] : statuses)
+            std::cout << ", " << status << ": " << count;
+        std::cout << ", versions acknowledged " << m_acknowledged.size() << std::endl;
+        if (statuses[200] * 4 < records.size())
+            m_verdict.broken("less than a quarter of the calls were served");
+    }
+
+    void judgeOne(const call_record& record, std::size_t runs)
+    {
+        const auto& answer = record.answer;
+        const std::string what
+            = record.requestId + " (" + record.path + ", status " + std::to_string(answer.status) + ")";
+        if (record.path.starts_with("/unsafe/")) {
+            if (runs > 1)
+                m_verdict.broken(what + " ran " + std::to_string(runs) + " times");
+            const bool saysNotRun = answer.status == 503 || answer.status == 429 || answer.status == 408;
+            if (saysNotRun && runs > 0)
+                m_verdict.broken(what + " was told not to have run, and ran");
+        }
+        if (answer.status != 200)
+            return;
+        if (answer.stamp.empty())
+            m_verdict.broken(what + " bears no target's mark");
+        const std::string expected = record.path.starts_with("/stream/")
+            ? gateway_world::streamBody(record.path, eventsOf(record.path))
+            : stand_in_fleet::plainBody(record.path);
+        const bool isRight = answer.isWhole ? answer.body == expected : expected.starts_with(answer.body);
+        if (!isRight)
+            m_verdict.broken(what + (answer.isWhole ? " looks whole and isn't its own" : " begins with other bytes"));
+    }
+
+    std::mt19937_64 m_random;
+    std::uint64_t m_seed;
+    seconds m_length;
+    gateway_world m_world { 3 };
+    verdict m_verdict;
+    std::vector<open_fault> m_open;
+    std::set<std::string> m_claimed; ///< processes and targets that a fault is on
+    clock_type::time_point m_nextDiskLoss {};
+    std::uint64_t m_version = 1;
+    std::deque<std::pair<clock_type::time_point, std::uint64_t>> m_acknowledged;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        TCLAP::CmdLine line("Disturbs real processes at random and checks the promises.", ' ', "1");
+        TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Of the faults and the calls", true, 1, "number", line);
+        TCLAP::ValueArg<unsigned> length("", "seconds", "Time with faults", false, 15, "number", line);
+        line.parse(argc, argv);
+        std::cout << "soak: seed " << seed.getValue() << std::endl;
+        const bool held = soak_run(seed.getValue(), seconds(length.getValue())).run();
+        std::cout << "soak: seed " << seed.getValue() << (held ? " held" : " BROKEN") << std::endl;
+        return held ? 0 : 1;
+    } catch (const std::exception& fault) {
+        std::cerr << "soak: " << fault.what() << "\n";
+        return 2;
+    }
+}
--- a/tests/support/gateway_world.cpp
+++ b/tests/support/gateway_world.cpp
@@ -80,7 +80,14 @@
         (void)waitForProcess(pid, std::chrono::seconds(5));
     m_fleet.reset();
     std::error_code ignored;
-    std::filesystem::remove_all(m_folder, ignored);
+    if (!m_keepsFolder)
+        std::filesystem::remove_all(m_folder, ignored);
+}
+
+std::string gateway_world::keepFolder()
+{
+    m_keepsFolder = true;
+    return m_folder;
 }
 
 void gateway_world::writeSettings()
@@ -89,8 +96,12 @@
     const std::string linkPort = freeAddress().substr(10);
     const std::string controlPort = freeAddress().substr(10);
     std::string links;
-    for (std::size_t at = 0; at < seedCount; ++at)
-        links += (at == 0 ? "" : ", ") + std::string("127.0.0.1") + std::to_string(at + 1) + ":" + linkPort;
+    for (std::size_t at = 0; at < m_registries.size(); ++at) {
+        auto& before = m_relays[m_registries[at]];
+        before = std::make_unique<relay>("127.0.0.1" + std::to_string(at + 1) + ":" + linkPort);
+        if (at < seedCount)
+            links += (at == 0 ? "" : ", ") + before->address();
+    }
     const auto write = [this](const std::string& name, const std::string& role, const std::string& text) {
         const std::string file = m_folder + "/" + name + ".ini";
         std::ofstream(file) << text;
@@ -103,8 +114,8 @@
         write(name, "registry",
             "[instance]\nid = " + name + "\nfailure_domain = d" + std::to_string(at + 1)
                 + "\n[http]\naddress = " + m_addresses[name] + "\n[link]\naddress = " + ip + ":" + linkPort
-                + "\nkeep_alive_ms = 300\n[controllers]\naddresses = " + links
-                + "\n[registry]\nbootstrap = true\ntarget_heartbeat_ms = 200\n[storage]\nfolder = " + m_folder
+                + "\nannounce = " + m_relays.at(name)->address() + "\nkeep_alive_ms = 300\n[controllers]\naddresses = "
+                + links + "\n[registry]\nbootstrap = true\ntarget_heartbeat_ms = 200\n[storage]\nfolder = " + m_folder
                 + "/data-" + name + "\nelection_timeout_ms = 300\nsnapshot_entries = 100\n");
     }
     for (std::size_t at = 0; at < m_gateways.size(); ++at) {
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "support/child_process.hpp"
+#include "support/relay.hpp"
 #include "support/stand_in_fleet.hpp"
 
 #include <map>
@@ -58,13 +59,16 @@
     /// @brief Announces a target that isn't there, to one registry. @return the status
     int announceTo(const std::string& registry);
 
+    /// @brief The relay before a registry's links.
+    relay& linkRelay(const std::string& registry) { return *m_relays.at(registry); }
     stand_in_fleet& fleet() { return *m_fleet; }
     [[nodiscard]] const std::vector<std::string>& registries() const { return m_registries; }
     [[nodiscard]] const std::vector<std::string>& gateways() const { return m_gateways; }
     [[nodiscard]] const std::vector<std::size_t>& engines() const { return m_engines; }
     [[nodiscard]] const std::vector<std::size_t>& plainTargets() const { return m_plainTargets; }
     [[nodiscard]] std::string logOf(const std::string& name) const;
-    [[nodiscard]] const std::string& folder() const { return m_folder; }
+    /// @brief Leaves the logs where they are. @return their folder
+    std::string keepFolder();
 
     /// @brief Body of a stream with so many events.
     static std::string streamBody(const std::string& path, std::uint64_t events);
@@ -73,10 +77,12 @@
     void writeSettings();
 
     std::string m_folder;
+    bool m_keepsFolder = false;
     std::map<std::string, std::vector<std::string>> m_commands;
     std::map<std::string, pid_t> m_pids;
     std::map<std::string, std::string> m_addresses; ///< for callers, or for control
     std::map<std::string, std::string> m_health;
+    std::map<std::string, std::unique_ptr<relay>> m_relays; ///< by registry
     std::vector<std::string> m_registries;
     std::vector<std::string> m_gateways;
     std::vector<std::size_t> m_engines;
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -5,66 +5,95 @@
 #include <array>
 #include <asio.hpp>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace test_support {
 namespace {
 
 using asio::ip::tcp;
 
+constexpr std::chrono::milliseconds checkPeriod { 20 };
+constexpr std::chrono::milliseconds slowness { 120 }; ///< of each piece in mode Slow
+
+/// One direction of a bridge.
+struct lane {
+    lane(asio::io_context& io, tcp::socket& source, tcp::socket& sink, bool isOutward)
+        : from(source)
+        , to(sink)
+        , timer(io)
+        , outward(isOutward)
+    {
+    }
+    tcp::socket& from;
+    tcp::socket& to;
+    asio::steady_timer timer;
+    bool outward;
+    std::array<char, 16384> buffer {};
+};
+
 /// Two sockets whose bytes go from one to the other.
 struct bridge : std::enable_shared_from_this<bridge> {
-    bridge(asio::io_context& io, std::atomic<bool>& silentFlag)
+    bridge(asio::io_context& io, std::atomic<relay_mode>& chosen)
         : near(io)
         , far(io)
-        , timer(io)
-        , silent(silentFlag)
+        , mode(chosen)
+        , outward(io, near, far, true)
+        , inward(io, far, near, false)
     {
     }
 
-    void pump(tcp::socket& from, tcp::socket& to, std::array<char, 16384>& buffer)
+    [[nodiscard]] bool isHeld(const lane& one) const
     {
-        from.async_read_some(
-            asio::buffer(buffer), [self = shared_from_this(), &from, &to, &buffer](auto error, auto size) {
-                if (error) {
-                    self->close();
-                    return;
-                }
-                self->pass(from, to, buffer, size);
-            });
+        const auto now = mode.load();
+        return now == relay_mode::Silent || (now == relay_mode::OutwardOnly && !one.outward)
+            || (now == relay_mode::InwardOnly && one.outward);
     }
 
-    void pass(tcp::socket& from, tcp::socket& to, std::array<char, 16384>& buffer, std::size_t size)
+    void pump(lane& one)
     {
-        if (silent) {
-            timer.expires_after(std::chrono::milliseconds(20));
-            timer.async_wait([self = shared_from_this(), &from, &to, &buffer, size](auto error) {
-                if (!error || error == asio::error::operation_aborted)
-                    self->pass(from, to, buffer, size);
+        one.from.async_read_some(asio::buffer(one.buffer), [self = shared_from_this(), &one](auto error, auto size) {
+            if (error)
+                self->close();
+            else
+                self->pass(one, size, self->mode.load() == relay_mode::Slow);
+        });
+    }
+
+    void pass(lane& one, std::size_t size, bool slow)
+    {
+        if (slow || isHeld(one)) {
+            one.timer.expires_after(slow ? slowness : checkPeriod);
+            one.timer.async_wait([self = shared_from_this(), &one, size](auto error) {
+                if (!error)
+                    self->pass(one, size, false);
             });
             return;
         }
-        asio::async_write(
-            to, asio::buffer(buffer, size), [self = shared_from_this(), &from, &to, &buffer](auto error, auto) {
-                if (error)
-                    self->close();
-                else
-                    self->pump(from, to, buffer);
-            });
+        asio::async_write(one.to, asio::buffer(one.buffer, size), [self = shared_from_this(), &one](auto error, auto) {
+            if (error)
+                self->close();
+            else
+                self->pump(one);
+        });
     }
 
     void close()
     {
         std::error_code ignored;
-        near.close(ignored);
-        far.close(ignored);
+        for (auto* socket : { &near, &far }) {
+            socket->set_option(asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+        }
+        outward.timer.cancel();
+        inward.timer.cancel();
     }
 
     tcp::socket near;
     tcp::socket far;
-    asio::steady_timer timer;
-    std::atomic<bool>& silent;
-    std::array<char, 16384> outward {};
-    std::array<char, 16384> inward {};
+    std::atomic<relay_mode>& mode;
+    lane outward;
+    lane inward;
 };
 
 } // namespace
@@ -88,7 +117,8 @@
 
     void accept()
     {
-        auto one = std::make_shared<bridge>(io, silent);
+        auto one = std::make_shared<bridge>(io, mode);
+        bridges.push_back(one);
         acceptor.async_accept(one->near, [this, one](auto error) {
             if (error)
                 return;
@@ -97,15 +127,16 @@
                     one->close();
                     return;
                 }
-                one->pump(one->near, one->far, one->outward);
-                one->pump(one->far, one->near, one->inward);
+                one->pump(one->outward);
+                one->pump(one->inward);
             });
             accept();
         });
     }
 
     asio::io_context io;
-    std::atomic<bool> silent { false };
+    std::atomic<relay_mode> mode { relay_mode::Pass };
+    std::vector<std::weak_ptr<bridge>> bridges;
     tcp::acceptor acceptor;
     tcp::endpoint target;
     std::thread thread;
@@ -123,6 +154,16 @@
     return "127.0.0.1:" + std::to_string(m_implementation->acceptor.local_endpoint().port());
 }
 
-void relay::setSilent(bool silent) { m_implementation->silent = silent; }
+void relay::setMode(relay_mode mode) { m_implementation->mode = mode; }
+
+void relay::resetAll()
+{
+    asio::post(m_implementation->io, [this] {
+        for (const auto& one : std::exchange(m_implementation->bridges, {})) {
+            if (const auto open = one.lock())
+                open->close();
+        }
+    });
+}
 
 } // namespace test_support
--- a/tests/support/relay.hpp
+++ b/tests/support/relay.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief A TCP relay that can go silent: bytes stop in both directions while the connections stay open.
+/// @brief A TCP relay that can harm what it carries while the connections stay open.
 #pragma once
 
 #include <atomic>
@@ -9,6 +9,9 @@
 
 namespace test_support {
 
+/// What becomes of bytes. "Outward" is from who dials to who is dialled.
+enum class relay_mode { Pass, Silent, OutwardOnly, InwardOnly, Slow };
+
 class relay {
 public:
     /// @brief Listens on a free loopback port and forwards to "IP:port".
@@ -18,7 +21,10 @@
     ~relay();
 
     [[nodiscard]] std::string address() const;
-    void setSilent(bool silent);
+    void setMode(relay_mode mode);
+    void setSilent(bool silent) { setMode(silent ? relay_mode::Silent : relay_mode::Pass); }
+    /// @brief Breaks every connection that it carries.
+    void resetAll();
 
 private:
     struct implementation;
