--- a/include/buckthornrail/net/http_service.hpp
+++ b/include/buckthornrail/net/http_service.hpp
@@ -35,7 +35,7 @@
 /// @ingroup net
 class http_service {
 public:
-    http_service(link::event_loop& loop, request_handler handler, service_options options = {});
+    http_service(link::event_loop& loop, request_handler handler, const service_options& options = {});
     http_service(const http_service&) = delete;
     http_service& operator=(const http_service&) = delete;
     ~http_service();
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -105,7 +105,7 @@
     if (m_hub->listen(m_settings.linkAddress) == 0)
         return tl::make_unexpected(failure { result_code::BadSettings, "can't listen on " + m_settings.linkAddress });
     m_control = std::make_unique<net::http_service>(
-        m_loop, [this](const net::whole_request& request, net::responder respond) { onCall(request, respond); });
+        m_loop, [this](const net::whole_request& request, const net::responder& respond) { onCall(request, respond); });
     if (m_control->listen(m_settings.httpAddress) == 0)
         return tl::make_unexpected(failure { result_code::BadSettings, "can't listen on " + m_settings.httpAddress });
     m_formDeadline = steadyNow() + formPause;
@@ -138,7 +138,7 @@
     return m_settings.controllers.size() < leastVoters || voters >= static_cast<std::ptrdiff_t>(leastVoters);
 }
 
-void registry_role::onCall(const net::whole_request& request, net::responder respond)
+void registry_role::onCall(const net::whole_request& request, const net::responder& respond)
 {
     if (request.head.target == "/metrics") {
         respond(net::plainResponse(200, m_metrics.text(), "text/plain"));
@@ -460,10 +460,10 @@
     telemetry::logEvent(event_code::InstanceLost, { { "instance", targetId }, { "address", record->address } },
         telemetry::severity::Warning);
     m_targetLeases[targetId] = steadyNow() + targetLease();
-    submitTargets({ std::move(lost) }, [](bool) {});
+    submitTargets({ lost }, [](bool) {});
 }
 
-void registry_role::submitTargets(std::vector<registry::target_record> records, std::function<void(bool)> done)
+void registry_role::submitTargets(const std::vector<registry::target_record>& records, std::function<void(bool)> done)
 {
     const std::string id = randomName();
     m_log->submit(id, encodeTargets(id, records), std::move(done), callPatience);
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -35,7 +35,7 @@
         steady_time deadline {};
     };
 
-    void onCall(const net::whole_request& request, net::responder respond);
+    void onCall(const net::whole_request& request, const net::responder& respond);
     void onPublish(gateway::publish_call call, const net::responder& respond);
     void onRead(const net::responder& respond);
     void onAnnounce(const registry::target_record& record, const net::responder& respond);
@@ -54,7 +54,7 @@
     void pushAll();
     void sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence);
     void expireTargets();
-    void submitTargets(std::vector<registry::target_record> records, std::function<void(bool)> done);
+    void submitTargets(const std::vector<registry::target_record>& records, std::function<void(bool)> done);
     void onChanged();
     void formWhenFirst();
     void readDocument();
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -173,8 +173,6 @@
     auto targets = usable(service, bounds.excluded);
     if (!bounds.firstOnly.empty())
         std::erase_if(targets, [&bounds](const auto* one) { return !bounds.firstOnly.contains(one->record.id); });
-    if (targets.empty())
-        return std::nullopt;
     std::uniform_real_distribution<double> draw(0, 1);
     const bool explores = draw(m_random) < exploreShare;
     const pool_target* best = nullptr;
@@ -192,6 +190,8 @@
             bestCost = cost;
         }
     }
+    if (best == nullptr)
+        return std::nullopt;
     selection chosen;
     chosen.parts.push_back({ best->record.id, best->record.address, {} });
     chosen.summary = std::to_string(targets.size()) + " usable, expected "
--- a/src/buckthornrail/net/http_service.cpp
+++ b/src/buckthornrail/net/http_service.cpp
@@ -184,18 +184,17 @@
 } // namespace
 
 struct http_service::implementation {
-    implementation(link::event_loop& loop, request_handler handler, service_options options)
-        : listener(
-            loop, [&loop, handler = std::move(handler), options = std::move(options)](const channel_pointer& channel) {
-                std::make_shared<served_channel>(loop, channel, handler, options)->begin();
-            })
+    implementation(link::event_loop& loop, request_handler handler, const service_options& options)
+        : listener(loop, [&loop, handler = std::move(handler), options](const channel_pointer& channel) {
+            std::make_shared<served_channel>(loop, channel, handler, options)->begin();
+        })
     {
     }
     tcp_listener listener;
 };
 
-http_service::http_service(link::event_loop& loop, request_handler handler, service_options options)
-    : m_implementation(std::make_shared<implementation>(loop, std::move(handler), std::move(options)))
+http_service::http_service(link::event_loop& loop, request_handler handler, const service_options& options)
+    : m_implementation(std::make_shared<implementation>(loop, std::move(handler), options))
 {
 }
 
--- a/src/buckthornrail/net/tcp.cpp
+++ b/src/buckthornrail/net/tcp.cpp
@@ -145,7 +145,7 @@
         setIntOption(m_socket, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveSeconds);
         setIntOption(m_socket, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveSeconds);
         setIntOption(m_socket, IPPROTO_TCP, TCP_KEEPCNT,
-            std::max(1, static_cast<int>(m_options.silenceLimit.count() / (1000 * keepAliveSeconds))));
+            std::max(1, static_cast<int>(m_options.silenceLimit / std::chrono::seconds(keepAliveSeconds))));
     }
 
     void awaitRead()
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -24,6 +24,7 @@
 
 constexpr seconds recoverTime { 15 }; ///< after the last fault everything works again
 constexpr milliseconds inForceTime { 2500 }; ///< after its acknowledgement no read shows an older document
+constexpr seconds mostGrace { 9 }; ///< from SIGTERM to the end of a process
 constexpr std::size_t callerThreads = 6;
 
 /// What is found to be wrong, told once each.
@@ -216,8 +217,12 @@
         if (!claim(name))
             return;
         m_world.signal(name, SIGTERM);
-        begin("stopping " + name, seconds(9), [this, name] {
-            const int status = m_world.waitForExit(name, seconds(2));
+        const auto deadline = clock_type::now() + mostGrace;
+        begin("stopping " + name, mostGrace, [this, name, deadline] {
+            // The soak may end, and with it this fault, before the process has had its time.
+            const auto left = std::max<clock_type::duration>(deadline - clock_type::now(), milliseconds(0));
+            const int status
+                = m_world.waitForExit(name, std::chrono::duration_cast<milliseconds>(left) + milliseconds(500));
             if (status != 0)
                 m_verdict.broken(name + " did not end in good order after SIGTERM: " + std::to_string(status));
             if (status == -1)
