--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -3,7 +3,7 @@
 #include "app/gateway.hpp"
 
 #include "app/caller_channel.hpp"
-#include "app/settings_watch.hpp"
+#include "app/role_runner.hpp"
 
 #include <algorithm>
 
@@ -166,34 +166,10 @@
 int runGateway(const settings::settings& settings, const gateway::traffic_dialect& traffic,
     const gateway::control_dialect& control)
 {
-    link::event_loop loop;
-    telemetry::metrics metrics;
-    std::unique_ptr<gateway_role> role;
-    std::unique_ptr<settings_watch> reload;
-    const signal_watch watch(
-        loop,
-        [&] {
-            telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
-            role->stop([&loop] { loop.stop(); });
-        },
-        [&reload] { reload->read(true); });
-    role = std::make_unique<gateway_role>(loop, settings, traffic, control, metrics);
-    if (const auto started = role->start(); !started) {
-        telemetry::logEvent(
-            event_code::SettingsRejected, { { "reason", started.error().reason } }, telemetry::severity::Error);
-        return exitFailure;
-    }
-    telemetry::logEvent(event_code::ProcessStarted,
-        { { "role", "gateway" }, { "instance", settings.id }, { "address", settings.gatewayAddress },
-            { "http", settings.httpAddress } });
-    reload = std::make_unique<settings_watch>(loop, settings, settings::process_role::Gateway,
-        [&role](const settings::settings& changed) { role->reload(changed); });
-    const periodic_task logs(loop, milliseconds(100), [] { telemetry::flushLog(); });
-    loop.run();
-    reload.reset();
-    role.reset();
-    telemetry::logEvent(event_code::ProcessStopped, { { "instance", settings.id } });
-    return exitOk;
+    return runDirectRole<gateway_role>(
+        settings, settings::process_role::Gateway, [&](link::event_loop& loop, telemetry::metrics& metrics) {
+            return std::make_unique<gateway_role>(loop, settings, traffic, control, metrics);
+        });
 }
 
 } // namespace buckthornrail::app
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -3,7 +3,6 @@
 #include "app/registry.hpp"
 
 #include "app/role_runner.hpp"
-#include "app/settings_watch.hpp"
 
 #include <algorithm>
 
@@ -18,14 +17,8 @@
 constexpr milliseconds callPatience { 900 };
 /// A first member waits so long for word of an existing log before it forms one.
 constexpr milliseconds formPause { 300 };
-/// Missed heartbeats after which a target counts as lost; heartbeats come up to seconds late.
-constexpr int missedHeartbeats = 3;
-constexpr milliseconds heartbeatSlack { 400 };
 /// A gateway that has said nothing for so long doesn't count.
 constexpr milliseconds sessionLifetime { 2000 };
-/// A target that a gateway calls dark is asked; without an answer by then it counts as lost, without waiting for its
-/// heartbeats to be missed. That saves up to four seconds.
-constexpr milliseconds probePatience { 300 };
 constexpr std::size_t leastVoters = 2; ///< what is acknowledged stands on two disks
 
 net::whole_response errorResponse(int status, const std::string& reason)
@@ -59,6 +52,12 @@
     , m_dialect(dialect)
     , m_metrics(metrics)
     , m_orders(loop, dialect)
+    , m_watch(loop, dialect, m_state.targets(), milliseconds(settings.targetHeartbeatMs),
+          target_watch_callbacks {
+              [this] { return m_log->isLeader(); },
+              [this](const link::target_heard& heard) { return m_log->sendToLeader(heard); },
+              [this](const registry::target_record& lost) { submitTargets({ lost }, [](bool) {}); },
+          })
 {
 }
 
@@ -92,7 +91,7 @@
     m_log = std::make_unique<replicated_log>(m_loop, *m_hub, m_state, std::move(options));
     m_log->changed = [this] { onChanged(); };
     m_log->leadershipChanged = [this](bool leads) {
-        m_targetLeases.clear();
+        m_watch.forget();
         if (leads)
             m_orders.begin(m_log->replica().term(), steadyNow());
         else
@@ -222,7 +221,7 @@
 
 void registry_role::onAnnounce(const registry::target_record& record, const net::responder& respond)
 {
-    if (!heard(record)) {
+    if (!m_watch.heard(record.id, record.sequence)) {
         // Acknowledged here and not told to a leader, the target would pass for lost.
         respond(errorResponse(503, "no leader is known here"));
         return;
@@ -253,23 +252,6 @@
     answer();
 }
 
-bool registry_role::heard(const registry::target_record& record)
-{
-    if (!m_log->isLeader() && !m_log->sendToLeader(link::target_heard { record.id, record.sequence }))
-        return false;
-    auto& sequence = m_heardSequences[record.id];
-    if (record.sequence >= sequence) {
-        sequence = record.sequence;
-        m_targetLeases[record.id] = steadyNow() + targetLease();
-    }
-    return true;
-}
-
-milliseconds registry_role::targetLease() const
-{
-    return milliseconds(m_settings.targetHeartbeatMs) * missedHeartbeats + heartbeatSlack;
-}
-
 void registry_role::onMessage(link::channel_number channel, const std::string& bytes)
 {
     const auto message = decodeOrClose(*m_hub, channel, bytes);
@@ -278,11 +260,8 @@
     if (const auto* beat = std::get_if<link::gateway_beat>(&*message)) {
         onBeat(channel, *beat);
     } else if (const auto* target = std::get_if<link::target_heard>(&*message)) {
-        registry::target_record record;
-        record.id = target->id;
-        record.sequence = target->sequence;
         if (m_log->isLeader())
-            heard(record);
+            m_watch.heard(target->id, target->sequence);
     }
 }
 
@@ -298,7 +277,7 @@
     one.waitingSequence = beat.sequence;
     one.deadline = steadyNow() + sessionLifetime;
     for (const auto& id : beat.darkTargets)
-        onDark(id);
+        m_watch.suspect(id);
     if (m_log->isLeader())
         return; // answered after the next confirmation
     one.isConfirmed = false;
@@ -308,31 +287,6 @@
     m_hub->send(channel, link::encode(link::message(update)));
 }
 
-void registry_role::onDark(const std::string& targetId)
-{
-    const auto* record = m_state.targets().find(targetId);
-    const bool isUp = record != nullptr && record->state == registry::target_state::Ready;
-    if (m_log->isLeader() && isUp && !m_probes.contains(targetId))
-        probe(*record);
-}
-
-void registry_role::probe(const registry::target_record& record)
-{
-    m_probes[record.id] = net::http_call::start(m_loop, record.address, { m_dialect.writeReportCall(record.id), {} },
-        steadyNow() + probePatience,
-        [this, targetId = record.id](net::call_outcome outcome, const net::whole_response& response) {
-            const auto ended = m_probes.extract(targetId);
-            const bool answers = outcome == net::call_outcome::Answered && response.head.status == 200;
-            telemetry::logEvent(event_code::ReportReceived,
-                { { "target", targetId }, { "outcome", answers ? "answered" : "none" },
-                    { "status", std::to_string(response.head.status) } });
-            if (answers)
-                m_targetLeases[targetId] = steadyNow() + targetLease();
-            else
-                loseTarget(targetId);
-        });
-}
-
 void registry_role::tick()
 {
     const steady_time now = steadyNow();
@@ -347,7 +301,7 @@
     if (std::exchange(m_pushNeeded, false))
         pushAll();
     if (m_log->isLeader()) {
-        expireTargets();
+        m_watch.step(now);
         readDocument();
         m_orders.step(m_state.targets(), m_services, now);
     }
@@ -433,36 +387,6 @@
     m_loggedRevision = m_state.targets().revision();
 }
 
-void registry_role::expireTargets()
-{
-    const steady_time now = steadyNow();
-    for (const auto& [id, record] : m_state.targets().records()) {
-        if (record.state == registry::target_state::Gone || record.state == registry::target_state::Lost)
-            continue;
-        // A new leader has heard nobody yet: each target gets a whole lease to come.
-        const auto deadline = m_targetLeases.try_emplace(id, now + targetLease()).first;
-        // Announcements may be what is lost, and not the target: it is asked before it counts as lost.
-        if (now >= deadline->second && !m_probes.contains(id))
-            probe(record);
-    }
-}
-
-void registry_role::loseTarget(const std::string& targetId)
-{
-    const auto* record = m_state.targets().find(targetId);
-    const bool isOver = record == nullptr || record->state == registry::target_state::Gone
-        || record->state == registry::target_state::Lost;
-    if (!m_log->isLeader() || isOver)
-        return;
-    registry::target_record lost = *record;
-    lost.state = registry::target_state::Lost;
-    lost.sequence = std::max(record->sequence, m_heardSequences[targetId]);
-    telemetry::logEvent(event_code::InstanceLost, { { "instance", targetId }, { "address", record->address } },
-        telemetry::severity::Warning);
-    m_targetLeases[targetId] = steadyNow() + targetLease();
-    submitTargets({ lost }, [](bool) {});
-}
-
 void registry_role::submitTargets(const std::vector<registry::target_record>& records, std::function<void(bool)> done)
 {
     const std::string id = randomName();
@@ -503,34 +427,10 @@
 
 int runRegistry(const settings::settings& settings, const gateway::control_dialect& dialect)
 {
-    link::event_loop loop;
-    telemetry::metrics metrics;
-    std::unique_ptr<registry_role> role;
-    std::unique_ptr<settings_watch> reload;
-    const signal_watch watch(
-        loop,
-        [&] {
-            telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
-            role->stop([&loop] { loop.stop(); });
-        },
-        [&reload] { reload->read(true); });
-    role = std::make_unique<registry_role>(loop, settings, dialect, metrics);
-    if (const auto started = role->start(); !started) {
-        telemetry::logEvent(
-            event_code::SettingsRejected, { { "reason", started.error().reason } }, telemetry::severity::Error);
-        return exitFailure;
-    }
-    telemetry::logEvent(event_code::ProcessStarted,
-        { { "role", "registry" }, { "instance", settings.id }, { "link", settings.linkAddress },
-            { "http", settings.httpAddress } });
-    reload = std::make_unique<settings_watch>(loop, settings, settings::process_role::Registry,
-        [&role](const settings::settings& changed) { role->reload(changed); });
-    const periodic_task logs(loop, milliseconds(100), [] { telemetry::flushLog(); });
-    loop.run();
-    reload.reset();
-    role.reset();
-    telemetry::logEvent(event_code::ProcessStopped, { { "instance", settings.id } });
-    return exitOk;
+    return runDirectRole<registry_role>(
+        settings, settings::process_role::Registry, [&](link::event_loop& loop, telemetry::metrics& metrics) {
+            return std::make_unique<registry_role>(loop, settings, dialect, metrics);
+        });
 }
 
 } // namespace buckthornrail::app
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -4,6 +4,7 @@
 
 #include "app/layer_orders.hpp"
 #include "app/registry_state.hpp"
+#include "app/target_watch.hpp"
 
 #include <set>
 
@@ -41,19 +42,11 @@
     void onAnnounce(const registry::target_record& record, const net::responder& respond);
     void onMessage(link::channel_number channel, const std::string& bytes);
     void onBeat(link::channel_number channel, const link::gateway_beat& beat);
-    void onDark(const std::string& targetId);
-    /// @return false when this isn't the leader and can't tell it
-    bool heard(const registry::target_record& record);
-    [[nodiscard]] milliseconds targetLease() const;
-    /// @brief Asks a target whether it is there; without an answer it is lost.
-    void probe(const registry::target_record& record);
-    void loseTarget(const std::string& targetId);
 
     void tick();
     void confirmSessions();
     void pushAll();
     void sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence);
-    void expireTargets();
     void submitTargets(const std::vector<registry::target_record>& records, std::function<void(bool)> done);
     void onChanged();
     void formWhenFirst();
@@ -71,13 +64,11 @@
     std::unique_ptr<replicated_log> m_log;
     std::unique_ptr<net::http_service> m_control;
     layer_orders m_orders;
+    target_watch m_watch;
     std::vector<gateway::service> m_services; ///< of the document in force
     std::uint64_t m_readVersion = 0; ///< of that document
     std::uint64_t m_loggedRevision = 0; ///< changes of targets up to it are in the log
     std::map<link::channel_number, session> m_sessions;
-    std::map<std::string, steady_time> m_targetLeases; ///< only the leader's counts
-    std::map<std::string, std::uint64_t> m_heardSequences;
-    std::map<std::string, std::shared_ptr<net::http_call>> m_probes; ///< of targets that gateways called dark
     std::set<std::string> m_submitted; ///< announcements on their way into the log
     steady_time m_formDeadline {};
     steady_time m_confirmDeadline {};
--- a/src/app/role_runner.hpp
+++ b/src/app/role_runner.hpp
@@ -3,11 +3,15 @@
 #pragma once
 
 #include "app/process.hpp"
+#include "app/settings_watch.hpp"
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/link/message.hpp"
 
 namespace buckthornrail::app {
 
+/// Lines gather for so long: one wake-up and one write for many.
+inline constexpr milliseconds logFlushPeriod { 100 };
+
 /// @brief Decodes a message; logs one that can't be read, and closes its link.
 std::optional<link::message> decodeOrClose(link::link_hub& hub, link::channel_number channel, const std::string& bytes);
 
@@ -46,7 +50,7 @@
     telemetry::logEvent(event_code::ProcessStarted,
         { { "role", std::string(nameIn(settings::processRoleNames, kind)) }, { "instance", settings.id },
             { "link", settings.linkAddress }, { "http", settings.httpAddress } });
-    const periodic_task logs(loop, milliseconds(100), [] { telemetry::flushLog(); });
+    const periodic_task logs(loop, logFlushPeriod, [] { telemetry::flushLog(); });
     loop.run();
     server->reset();
     role.reset();
@@ -54,4 +58,44 @@
     return exitOk;
 }
 
+/// @brief Starts a role that serves its own addresses, and runs until a signal has ended its work. Settings are taken
+/// up again when they change.
+/// @tparam Role has start(), stop(std::function<void()>) and reload(const settings::settings&)
+/// @param make makes the role
+/// @return the exit status
+template <typename Role>
+int runDirectRole(const settings::settings& settings, settings::process_role kind,
+    const std::function<std::unique_ptr<Role>(link::event_loop&, telemetry::metrics&)>& make)
+{
+    link::event_loop loop;
+    telemetry::metrics metrics;
+    std::unique_ptr<Role> role;
+    std::unique_ptr<settings_watch> reload;
+    const signal_watch watch(
+        loop,
+        [&] {
+            telemetry::logEvent(event_code::ProcessStopping, { { "instance", settings.id } });
+            role->stop([&loop] { loop.stop(); });
+        },
+        [&reload] { reload->read(true); });
+    role = make(loop, metrics);
+    if (const auto started = role->start(); !started) {
+        telemetry::logEvent(
+            event_code::SettingsRejected, { { "reason", started.error().reason } }, telemetry::severity::Error);
+        return exitFailure;
+    }
+    telemetry::logEvent(event_code::ProcessStarted,
+        { { "role", std::string(nameIn(settings::processRoleNames, kind)) }, { "instance", settings.id },
+            { "link", settings.linkAddress }, { "callers", settings.gatewayAddress },
+            { "http", settings.httpAddress } });
+    reload = std::make_unique<settings_watch>(
+        loop, settings, kind, [&role](const settings::settings& changed) { role->reload(changed); });
+    const periodic_task logs(loop, logFlushPeriod, [] { telemetry::flushLog(); });
+    loop.run();
+    reload.reset();
+    role.reset();
+    telemetry::logEvent(event_code::ProcessStopped, { { "instance", settings.id } });
+    return exitOk;
+}
+
 } // namespace buckthornrail::app
--- a/tests/days/play.sh
+++ b/tests/days/play.sh
@@ -10,9 +10,12 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 
+# The service whose targets hold layers.
+service=$(sed -n 's/.*{ name = "\([^"]*\)", model = .*/\1/p' "$site" | head -n 1)
+
 # name|the table of faults or of planned work|its entries
 days() {
-  sed -e '/^#/d' -e '/^$/d' "$here/kinds.txt"
+  sed -e '/^#/d' -e '/^$/d' -e "s/@SERVICE@/$service/" "$here/kinds.txt"
 }
 
 write_day() { # name, table, entries
@@ -29,7 +32,10 @@
 play() { # name
   "$bench" run "$site" "$work/$1.toml" --jobs 1 >"$work/$1.out" 2>&1 || true
   row=$(awk -v name="$1" '$1 == name' "$work/$1.out" | head -n 1)
-  [ -n "$row" ] || row="$1 - - - - - - not played: $(tail -n 1 "$work/$1.out")"
+  if [ -z "$row" ]; then
+    printf '%-34s %-22s %s\n' "$1" "NOT PLAYED" "$(grep -E 'panicked|error' "$work/$1.out" | head -n 1)"
+    return
+  fi
   rules=$(printf '%s' "$row" | sed -n 's/.*BROKEN: \([A-Za-z0-9 ,]*\).*/\1/p')
   printf '%-34s %-22s %s\n' "$1" "${rules:-kept}" \
     "$(printf '%s' "$row" | awk '{print "worth " $4 " served " $5 " refused " $6 " failed " $7}')"
@@ -43,7 +49,7 @@
   [ "$table" = faults ] || continue
   write_day "$name-leader" faults "$entries { at = 8.0, kind = \"node_kill\", on = \"core\", count = 1, how = \"leader\" },"
   write_day "$name-gateway" faults "$entries { at = 8.0, kind = \"node_kill\", on = \"front\", count = 1 },"
-  write_day "$name-dark" faults "$entries { at = 7.0, kind = \"srv_crash\", count = 1, how = \"joined dark\", for_s = 6.0 },"
+  write_day "$name-dark" faults "$entries { at = 7.0, kind = \"srv_crash\", service = \"$service\", count = 1, how = \"joined dark\", for_s = 6.0 },"
   printf '%s\n' "$name-leader" "$name-gateway" "$name-dark" >>"$work/names"
 done < <(days)
 echo "day                                rules                  worth"
