--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -290,6 +290,8 @@
     if (!next.why.empty())
         return next;
     next.ranAt = m_ranAt;
+    // Targets that have ended don't count against the route's number, and one that leaves is about to.
+    std::erase_if(next.ranAt, [this](const std::string& id) { return !m_pool.takesWork(id); });
     if (last.ran != ran_state::No && !last.targetEnded)
         next.ranAt.insert(m_where.parts.front().targetId);
     // The route's number bounds the targets, not the attempts: what ran before may run there again.
@@ -297,7 +299,8 @@
     if (next.ranAt.size() >= m_request.chosen->maxAttempts)
         bounds.firstOnly = next.ranAt;
     next.where = m_pool.select(m_request.service, bounds, now);
-    if (!next.where && !bounds.excluded.empty()) {
+    // A stream that has begun waits a little instead: what refused it just now would refuse it again.
+    if (!next.where && !bounds.excluded.empty() && !m_streamBegun) {
         // Better one that failed before than none: it may have been a moment's fault.
         bounds.excluded.clear();
         next.where = m_pool.select(m_request.service, bounds, now);
--- a/src/buckthornrail/gateway/exchange_test.cpp
+++ b/src/buckthornrail/gateway/exchange_test.cpp
@@ -93,6 +93,7 @@
                 records[record.id] = record;
             }
         }
+        m_records = records;
         pool.update(records);
         if (layered) {
             layered_engine engine;
@@ -102,6 +103,13 @@
         }
     }
 
+    /// The controllers tell that a target leaves.
+    void leave(const std::string& id)
+    {
+        m_records.at(id).state = registry::target_state::Draining;
+        pool.update(m_records);
+    }
+
     exchange make()
     {
         exchange_request request;
@@ -120,6 +128,7 @@
 
 private:
     std::shared_ptr<route_index> m_index;
+    std::map<std::string, registry::target_record> m_records;
 };
 
 target_answer ownAnswer(int status, bool stream = false) { return { status, false, true, stream, {} }; }
@@ -357,6 +366,50 @@
     }
 }
 
+TEST_CASE("exchange: a begun stream doesn't press upon targets that refuse it", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    call.onSent(zero);
+    call.onHead(ownAnswer(200, true), zero);
+    call.onEvent("1", 1, zero);
+    call.onLost(attempt_loss::Broken, zero);
+    for (int at = 0; at < 30 && bench.port.isOpen; ++at) {
+        call.onSent(zero);
+        call.onHead(refusal(), zero);
+    }
+    CHECK(bench.port.outcome.empty());
+    CHECK(bench.port.attempts <= 4); // each first target once, and then it waits
+    CHECK(bench.port.wake == zero + milliseconds(150));
+    call.onTimer(zero + milliseconds(150));
+    CHECK(bench.port.isOpen);
+}
+
+TEST_CASE("exchange: a target that leaves doesn't bind a stream that ran there", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    std::set<std::string> ranAt;
+    while (ranAt.size() < 2) {
+        call.onSent(zero);
+        call.onHead(ownAnswer(200, true), zero);
+        call.onEvent("e", 1 + ranAt.size(), zero);
+        ranAt.insert(bench.port.target);
+        call.onLost(attempt_loss::Broken, zero);
+        REQUIRE(bench.port.isOpen);
+        if (ranAt.contains(bench.port.target) && ranAt.size() < 2)
+            bench.leave(bench.port.target);
+    }
+    for (const auto& id : ranAt)
+        bench.leave(id);
+    call.onSent(zero);
+    call.onHead(refusal(), zero);
+    CHECK(bench.port.isOpen);
+    CHECK_FALSE(ranAt.contains(bench.port.target));
+}
+
 TEST_CASE("exchange: sound streams are left alone", "[exchange]")
 {
     exchange_bench bench(request_kind::Stream, true, true);
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -327,6 +327,15 @@
     return {};
 }
 
+bool target_pool::takesWork(const std::string& targetId) const
+{
+    const auto found = m_targets.find(targetId);
+    if (found == m_targets.end())
+        return false;
+    const auto state = found->second.record.state;
+    return state == registry::target_state::Ready || state == registry::target_state::Lost;
+}
+
 std::size_t target_pool::readyCount(const std::string& service) const
 {
     return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [&service](const auto& item) {
--- a/src/buckthornrail/registry/target_record_test.cpp
+++ b/src/buckthornrail/registry/target_record_test.cpp
@@ -122,6 +122,7 @@
         constexpr std::uint32_t layers = 80;
         const auto capacities = *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(1, 33));
         std::vector<plan_target> targets;
+        targets.reserve(capacities.size());
         for (const auto capacity : capacities) {
             targets.push_back(
                 { std::to_string(targets.size()), targets.size() % 2 == 0 ? "a" : "b", capacity, {}, true });
