--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -95,8 +95,8 @@
     std::vector<std::string> takeDark() { return std::exchange(m_newlyDark, {}); }
     /// @brief Id of the target at an address; empty when there is none.
     [[nodiscard]] std::string idAt(const std::string& address) const;
-    /// @brief Whether a target neither leaves nor is gone.
-    [[nodiscard]] bool takesWork(const std::string& targetId) const;
+    /// @brief Whether a target has ended: one that leaves has not.
+    [[nodiscard]] bool isGone(const std::string& targetId) const;
     /// @brief Targets of a service that take new work.
     [[nodiscard]] std::size_t readyCount(const std::string& service) const;
 
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -327,13 +327,10 @@
     return {};
 }
 
-bool target_pool::takesWork(const std::string& targetId) const
+bool target_pool::isGone(const std::string& targetId) const
 {
     const auto found = m_targets.find(targetId);
-    if (found == m_targets.end())
-        return false;
-    const auto state = found->second.record.state;
-    return state == registry::target_state::Ready || state == registry::target_state::Lost;
+    return found == m_targets.end() || found->second.record.state == registry::target_state::Gone;
 }
 
 std::size_t target_pool::readyCount(const std::string& service) const
