A begun stream looks for a place until its caller leaves

Change: they look until the caller leaves, 5 s at the most. Test: with the old bound such a stream is broken off while its caller waits.

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -100,8 +100,8 @@
     std::uint32_t mostTriesOnceBegun = 20;
     /// A stream that has begun and finds no place, or no repeat in the budget, looks again after so long,
     milliseconds pauseBetweenTries { 150 };
-    /// as long as its caller surely waits for the next event: callers leave after 2 s.
-    milliseconds longestPause { 1700 };
+    /// until its caller leaves, which callers do after 2 s without an event, or so long after the last one.
+    milliseconds longestPause { 5000 };
 };
 
 /// @ingroup gateway
--- a/src/buckthornrail/gateway/exchange_test.cpp
+++ b/src/buckthornrail/gateway/exchange_test.cpp
@@ -359,7 +359,14 @@
         CHECK(bench.port.target == "w");
         CHECK(bench.port.resumeAfter == 1U);
     }
-    SECTION("none does")
+    SECTION("none does, and the caller waits for longer than most")
+    {
+        for (int at = 2; (at + 1) * 150 < 1000; ++at) { // with less time left nothing new is begun
+            call.onTimer(zero + milliseconds(150 * at));
+            CHECK(bench.port.outcome.empty());
+        }
+    }
+    SECTION("none does until its deadline")
     {
         for (int at = 2; at < 20 && bench.port.outcome.empty(); ++at)
             call.onTimer(zero + milliseconds(150 * at));
