--- a/src/app/gateway_session.hpp
+++ b/src/app/gateway_session.hpp
@@ -21,8 +21,6 @@
 public:
     gateway_session(link::event_loop& loop, const settings::settings& settings, gateway_session_callbacks callbacks);
 
-    [[nodiscard]] const versioned_text& document() const { return m_document; }
-    [[nodiscard]] const registry::target_view& targets() const { return m_targets; }
     /// @brief Takes other seeds over.
     void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
 
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -298,8 +298,6 @@
         return isOver;
     });
     confirmSessions();
-    if (std::exchange(m_pushNeeded, false))
-        pushAll();
     if (m_log->isLeader()) {
         m_watch.step(now);
         readDocument();
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -73,7 +73,6 @@
     steady_time m_formDeadline {};
     steady_time m_confirmDeadline {};
     bool m_confirming = false;
-    bool m_pushNeeded = false;
     std::unique_ptr<periodic_task> m_ticker;
 };
 
--- a/src/app/replicated_log.hpp
+++ b/src/app/replicated_log.hpp
@@ -75,7 +75,6 @@
     [[nodiscard]] const agreement::replica& replica() const { return *m_replica; }
     [[nodiscard]] bool isLeader() const { return m_replica->role() == agreement::replica_role::Leader; }
     [[nodiscard]] std::string leaderAddress() const;
-    [[nodiscard]] agreement::log_index applied() const { return m_applied; }
     /// @brief True when a member elsewhere holds a log.
     [[nodiscard]] bool knowsOtherLog() const;
 
--- /dev/null
+++ b/src/buckthornrail/gateway/exchange_stream_test.cpp
@@ -0,0 +1,233 @@
+/// @file
+/// @brief Streams that break, stand still or move: what the caller gets of them.
+#include "support/exchange_bench.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace test_support;
+
+TEST_CASE("exchange: a broken stream goes on after its last event", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    CHECK_FALSE(bench.port.begun); // an attempt that fails before its first event leaves no trace
+    call.onEvent("1", 1, zero);
+    call.onEvent("2", 2, zero);
+    call.onLost(attempt_loss::Broken, zero);
+    REQUIRE(bench.port.attempts == 2);
+    CHECK(bench.port.resumeAfter == 2U);
+    beginStream(call);
+    call.onEvent("2", 2, zero); // the caller has it
+    call.onEvent("3", 3, zero);
+    call.onStreamEnd(zero);
+    CHECK(bench.port.events == "123");
+    CHECK(bench.port.outcome == "ended");
+}
+
+TEST_CASE("exchange: a gap in the events is not passed on", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    call.onEvent("1", 1, zero);
+    call.onEvent("3", 3, zero);
+    CHECK(bench.port.events == "1");
+    CHECK(bench.port.attempts == 2);
+    CHECK(bench.port.resumeAfter == 1U);
+}
+
+TEST_CASE("exchange: a stream that may not be resumed is broken off, never ended", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, false, true);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    call.onEvent("1", 1, zero);
+    call.onLost(attempt_loss::Broken, zero);
+    CHECK(bench.port.outcome == "broken off");
+}
+
+TEST_CASE("exchange: a stream held up by a member moves to a path without it", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    call.onSent(zero);
+    CHECK(bench.port.target == "a0");
+    call.onTimer(zero + milliseconds(250));
+    REQUIRE(bench.port.reports == 1);
+    call.onReport(true, "a1:1", zero + milliseconds(260));
+    CHECK(bench.port.attempts == 2);
+    CHECK(bench.port.target != "a0");
+    CHECK(bench.pool.takeDark() == std::vector<std::string> { "a1" });
+}
+
+TEST_CASE("exchange: a slow stream that can't move stays where it is", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    repeat_budget_options spent;
+    spent.ratio = 0;
+    spent.slack = 0;
+    bench.budget = repeat_budget(spent);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    call.onEvent("1", 1, zero);
+    call.onTimer(zero + milliseconds(250));
+    call.onReport(true, "a1:1", zero + milliseconds(260));
+    call.onTimer(zero + milliseconds(900));
+    CHECK(bench.port.isOpen);
+    CHECK(bench.port.outcome.empty());
+    call.onEvent("2", 2, zero + milliseconds(910));
+    call.onStreamEnd(zero + milliseconds(920));
+    CHECK(bench.port.outcome == "ended");
+    CHECK(bench.port.events == "12");
+}
+
+TEST_CASE("exchange: a begun stream that finds no place looks again, until its caller leaves", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    call.onEvent("1", 1, zero);
+    const auto recordsBefore = bench.pool.readyCount("s");
+    REQUIRE(recordsBefore > 0);
+    bench.pool.update({}); // every target is gone
+    call.onLost(attempt_loss::Broken, zero);
+    CHECK(bench.port.outcome.empty());
+    CHECK(bench.port.wake == zero + milliseconds(150));
+    call.onTimer(zero + milliseconds(150));
+    CHECK(bench.port.outcome.empty());
+    SECTION("a target comes back")
+    {
+        registry::target_record whole;
+        whole.id = "w";
+        whole.service = "s";
+        whole.failureDomain = "a";
+        whole.layers = { 0, 10 };
+        bench.pool.update({ { "w", whole } });
+        call.onTimer(zero + milliseconds(300));
+        CHECK(bench.port.target == "w");
+        CHECK(bench.port.resumeAfter == 1U);
+    }
+    SECTION("none does, and the caller waits for longer than most")
+    {
+        for (int at = 2; (at + 1) * 150 < 1000; ++at) { // with less time left nothing new is begun
+            call.onTimer(zero + milliseconds(150 * at));
+            CHECK(bench.port.outcome.empty());
+        }
+    }
+    SECTION("none does until its deadline")
+    {
+        for (int at = 2; at < 20 && bench.port.outcome.empty(); ++at)
+            call.onTimer(zero + milliseconds(150 * at));
+        CHECK(bench.port.outcome == "broken off");
+    }
+}
+
+TEST_CASE("exchange: a begun stream doesn't press upon targets that refuse it", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    call.onEvent("1", 1, zero);
+    call.onLost(attempt_loss::Broken, zero);
+    for (int at = 0; at < 30 && bench.port.isOpen; ++at) {
+        call.onSent(zero);
+        call.onHead(refusal(), zero);
+    }
+    CHECK(bench.port.outcome.empty());
+    CHECK(bench.port.attempts <= 4); // each first target once, and then it waits
+    CHECK(bench.port.wake == zero + milliseconds(150));
+    call.onTimer(zero + milliseconds(150));
+    CHECK(bench.port.isOpen);
+}
+
+TEST_CASE("exchange: a target that leaves counts against the route's number, one that is gone doesn't", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    std::set<std::string> ranAt;
+    std::uint64_t next = 1;
+    const auto runAndBreak = [&] {
+        beginStream(call);
+        call.onEvent("e", next++, zero);
+        ranAt.insert(bench.port.target);
+        call.onLost(attempt_loss::Broken, zero);
+    };
+    runAndBreak();
+    bench.end(*ranAt.begin(), registry::target_state::Draining);
+    while (ranAt.size() < 2)
+        runAndBreak();
+    REQUIRE(bench.port.isOpen);
+    CHECK(ranAt.contains(bench.port.target));
+    const std::string third = *std::find_if(
+        bench.firsts.begin(), bench.firsts.end(), [&](const std::string& id) { return !ranAt.contains(id); });
+    SECTION("both leave")
+    {
+        for (const auto& id : ranAt)
+            bench.end(id, registry::target_state::Draining);
+        call.onLost(attempt_loss::Broken, zero);
+        CHECK_FALSE(bench.port.isOpen); // it waits, and goes nowhere else
+        CHECK(bench.port.outcome.empty());
+    }
+    SECTION("both are gone")
+    {
+        call.onSent(zero);
+        for (const auto& id : ranAt)
+            bench.end(id, registry::target_state::Gone);
+        call.onHead(refusal(), zero);
+        CHECK(bench.port.target == third);
+    }
+}
+
+TEST_CASE("exchange: sound streams are left alone", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    for (std::uint64_t at = 1; at < 10; ++at) {
+        const auto now = zero + milliseconds(40 * at);
+        call.onEvent("e", at, now);
+        call.onTimer(now + milliseconds(39));
+    }
+    call.onTimer(zero + milliseconds(620));
+    call.onReport(true, "", zero + milliseconds(630));
+    CHECK(bench.port.reports == 1);
+    CHECK(bench.port.attempts == 1);
+}
+
+TEST_CASE("exchange: a first target that answers nothing at all is left", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    call.onSent(zero);
+    call.onTimer(zero + milliseconds(250));
+    call.onReport(false, "", zero + milliseconds(450));
+    CHECK(bench.port.attempts == 1); // one unanswered question may be chance
+    call.onTimer(zero + milliseconds(450));
+    call.onReport(false, "", zero + milliseconds(650));
+    CHECK(bench.port.attempts == 2);
+}
+
+TEST_CASE("exchange: streams run at no more living first targets than the route allows", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    for (int at = 0; at < 10 && bench.port.outcome.empty(); ++at) {
+        beginStream(call);
+        call.onLost(attempt_loss::Broken, zero);
+    }
+    const std::set<std::string> distinct(bench.port.targets.begin(), bench.port.targets.end());
+    CHECK(distinct.size() <= 2);
+    CHECK(bench.port.attempts > 2);
+}
--- a/src/buckthornrail/membership/membership_table.cpp
+++ b/src/buckthornrail/membership/membership_table.cpp
@@ -2,6 +2,8 @@
 /// @brief Transitions of instances.
 #include "buckthornrail/membership/membership_table.hpp"
 
+#include "buckthornrail/core/revision_delta.hpp"
+
 #include <algorithm>
 
 namespace buckthornrail::membership {
@@ -60,15 +62,7 @@
 
 membership_delta membership_table::changesSince(std::uint64_t since) const
 {
-    membership_delta delta;
-    delta.from = since;
-    delta.to = m_revision;
-    delta.full = since < m_prunedRevision || since > m_revision || since == 0;
-    for (const auto& [id, record] : m_records) {
-        if (delta.full || record.revision > since)
-            delta.records.push_back(record);
-    }
-    return delta;
+    return buckthornrail::changesSince<membership_delta>(m_records, since, m_revision, m_prunedRevision);
 }
 
 const instance_record* membership_table::find(const instance_id& id) const
--- a/src/buckthornrail/registry/target_record.cpp
+++ b/src/buckthornrail/registry/target_record.cpp
@@ -2,6 +2,8 @@
 /// @brief Transitions of targets.
 #include "buckthornrail/registry/target_record.hpp"
 
+#include "buckthornrail/core/revision_delta.hpp"
+
 #include <algorithm>
 
 namespace buckthornrail::registry {
@@ -58,15 +60,7 @@
 
 target_delta target_table::changesSince(std::uint64_t since) const
 {
-    target_delta delta;
-    delta.from = since;
-    delta.to = m_revision;
-    delta.full = since < m_prunedRevision || since > m_revision || since == 0;
-    for (const auto& [id, record] : m_records) {
-        if (delta.full || record.revision > since)
-            delta.records.push_back(record);
-    }
-    return delta;
+    return buckthornrail::changesSince<target_delta>(m_records, since, m_revision, m_prunedRevision);
 }
 
 const target_record* target_table::find(const std::string& id) const
--- /dev/null
+++ b/tests/support/exchange_bench.hpp
@@ -0,0 +1,146 @@
+/// @file
+/// @brief An exchange with three targets, or three chains, and a port that notes what it is asked for.
+#pragma once
+
+#include "buckthornrail/gateway/exchange.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace test_support {
+
+using namespace buckthornrail;
+using namespace buckthornrail::gateway;
+
+inline constexpr steady_time zero {};
+
+/// Notes what the exchange asks for.
+class recording_port : public exchange_port {
+public:
+    void openAttempt(std::uint32_t number, const selection& where, std::optional<std::uint64_t> lastEventId) override
+    {
+        CHECK_FALSE(isOpen);
+        isOpen = true;
+        attempts = number;
+        target = where.parts.front().targetId;
+        targets.push_back(target);
+        resumeAfter = lastEventId;
+    }
+    void cancelAttempt() override { isOpen = false; }
+    void askForReport() override { ++reports; }
+    void passOn() override { end("passed on"); }
+    void beginStream() override { begun = true; }
+    void passEvent(std::string_view bytes) override { events += bytes; }
+    void endStream() override { end("ended"); }
+    void breakOff() override { end("broken off"); }
+    void answer(result_code code, ran_state ran, const std::string& /*reason*/) override
+    {
+        answerCode = code;
+        answerRan = ran;
+        end("answered");
+    }
+    void wakeAt(steady_time when) override { wake = when; }
+    void note(event_code /*event*/, std::initializer_list<log_field> /*fields*/) override { }
+
+    bool isOpen = false;
+    bool begun = false;
+    std::uint32_t attempts = 0;
+    std::string target;
+    std::vector<std::string> targets;
+    std::optional<std::uint64_t> resumeAfter;
+    int reports = 0;
+    std::string events;
+    std::string outcome; ///< empty: none yet
+    result_code answerCode = result_code::Ok;
+    ran_state answerRan = ran_state::No;
+    steady_time wake {};
+
+private:
+    void end(const std::string& how)
+    {
+        CHECK(outcome.empty()); // one final answer
+        CHECK_FALSE(isOpen);
+        outcome = how;
+    }
+};
+
+/// A gateway with three targets of one service, or three chains of two targets each.
+class exchange_bench {
+public:
+    exchange_bench(request_kind kind, bool resumable, bool layered)
+    {
+        route one;
+        one.name = "r";
+        one.kind = kind;
+        one.resumable = resumable;
+        one.longestWait = milliseconds(1000);
+        one.latencyTarget = milliseconds(100);
+        one.maxAttempts = 2;
+        one.services = { { "s", 1 } };
+        route_document document;
+        document.routes.push_back(one);
+        m_index = std::make_shared<route_index>(document);
+        std::map<std::string, registry::target_record> records;
+        for (const std::string domain : { "a", "b", "c" }) {
+            for (const std::uint32_t part : { 0U, 1U }) {
+                if (part == 1 && !layered)
+                    continue;
+                registry::target_record record;
+                record.id = domain + std::to_string(part);
+                record.address = record.id + ":1";
+                record.service = "s";
+                record.failureDomain = domain;
+                if (layered)
+                    record.layers = { part * 5, part * 5 + 5 };
+                records[record.id] = record;
+            }
+        }
+        m_records = records;
+        pool.update(records);
+        if (layered) {
+            layered_engine engine;
+            engine.layers = 10;
+            engine.stepMs = 1;
+            pool.setEngine("s", engine);
+        }
+    }
+
+    /// The controllers tell what a target has come to.
+    void end(const std::string& id, registry::target_state state)
+    {
+        m_records.at(id).state = state;
+        pool.update(m_records);
+    }
+
+    exchange make()
+    {
+        exchange_request request;
+        request.id = "q";
+        request.service = "s";
+        request.document = m_index;
+        request.chosen = &m_index->document().routes.front();
+        request.arrived = zero;
+        request.deadline = zero + milliseconds(1000);
+        return { request, port, pool, budget, 1 };
+    }
+
+    const std::vector<std::string> firsts { "a0", "b0", "c0" }; ///< targets that may take a request
+    recording_port port;
+    target_pool pool { pool_options { "a" }, 7 };
+    repeat_budget budget { repeat_budget_options {} };
+
+private:
+    std::shared_ptr<route_index> m_index;
+    std::map<std::string, registry::target_record> m_records;
+};
+
+inline target_answer ownAnswer(int status, bool stream = false) { return { status, false, true, stream, {} }; }
+inline target_answer refusal(const std::string& faulty = {}) { return { 503, true, false, false, faulty }; }
+
+/// @brief The open attempt's target begins an event stream.
+inline void beginStream(exchange& call)
+{
+    call.onSent(zero);
+    call.onHead(ownAnswer(200, true), zero);
+}
+
+} // namespace test_support
