Members that end are known from a watched connection, dark ones from a dialled one

Change: net/reachability keeps an idle connection to each member of paths in use; its end is followed by a dial, and a refusal moves silent streams at once. A stream silent for two of its usual gaps has its members dialled (twice, so that a lost packet isn't taken for a dead member) unless another stream's event has just come through them.

--- a/include/buckthornrail/core/event_code.hpp
+++ b/include/buckthornrail/core/event_code.hpp
@@ -27,6 +27,7 @@
     TargetAvoided = 208,
     CallRefused = 209,
     ReportReceived = 210,
+    TargetUnreachable = 211,
     WorkStarted = 300,
     WorkFinished = 301,
     WorkCancelled = 302,
--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -63,6 +63,9 @@
     virtual void cancelAttempt() = 0;
     /// @brief Asks the first target of the open attempt which member of the path holds it up; onReport() follows.
     virtual void askForReport() = 0;
+    /// @brief Finds out whether the members of the open attempt's path can be reached; onUnreachable() follows for each
+    /// that can't.
+    virtual void checkMembers() = 0;
     /// @brief Gives the caller the target's whole response.
     virtual void passOn() = 0;
     /// @brief Gives the caller the head of the target's stream.
@@ -79,6 +82,14 @@
 };
 
 struct exchange_options {
+    /// A path without an event for so long is looked at: each member is dialled, which costs a connection and tells at
+    /// once of a process that is gone. Events come every 30 to 60 ms, every 140 ms where prompts crowd.
+    milliseconds checkAfter { 90 };
+    double checkAfterGaps = 2; ///< the same, in gaps that are usual for the attempt; the longer of both counts
+    milliseconds checkUnstartedAfter { 200 }; ///< the same before the first event: nearly all come within 100 ms
+    milliseconds checkAgainAfter { 100 }; ///< doubles with each look that finds nothing
+    /// A stream that has been silent for so long leaves a member that can't be reached, whoever found out.
+    milliseconds silentEnough { 40 };
     /// A path without an event for so long is asked which member holds it up. Events come every 30 ms on a calm day;
     /// asking is priced like a health check.
     milliseconds askAfter { 250 };
@@ -122,10 +133,14 @@
     void onLost(attempt_loss how, steady_time now);
     /// @param faultyAddress of the member that holds the request up; empty: none, or nobody answered
     void onReport(bool answered, const std::string& faultyAddress, steady_time now);
+    /// @brief A target takes no connection. A silent stream over it moves at once.
+    void onUnreachable(const std::string& targetId, steady_time now);
     void onTimer(steady_time now);
     void onCallerGone(steady_time now);
 
     [[nodiscard]] bool isOver() const { return m_over; }
+    /// @brief Whether an event came through a target since a moment: proof that it was alive then.
+    [[nodiscard]] bool heardThrough(const std::string& targetId, steady_time since) const;
     [[nodiscard]] const exchange_request& request() const { return m_request; }
 
 private:
@@ -158,6 +173,8 @@
     void giveUp(const std::string& reason, steady_time now);
     void finish(result_code code, ran_state ran, const std::string& reason, steady_time now);
     void scheduleWake(steady_time now);
+    void checkMembersWhenDue(steady_time now);
+    [[nodiscard]] bool isMember(const std::string& targetId) const;
     void blameFirst(steady_time now);
     void blame(const std::string& targetId, bool dark, steady_time now);
     [[nodiscard]] bool hasPath() const { return !m_where.parts.empty() && !m_where.parts.front().layers.isEmpty(); }
@@ -190,6 +207,9 @@
     std::size_t m_events = 0;
     steady_time m_attemptStart {};
     steady_time m_askAt {};
+    steady_time m_checkAt {};
+    std::uint32_t m_vainChecks = 0; ///< since the last event
+    milliseconds m_usualGap { 0 }; ///< moving average of the open attempt's gaps
     steady_time m_moveAt {};
     steady_time m_lastEventAt {};
     milliseconds m_longestGap { 0 };
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -59,6 +59,8 @@
               [this] { return m_context.pool.takeDark(); },
           })
 {
+    m_context.reachability = std::make_unique<net::reachability_checks>(
+        loop, [this](const std::string& address, net::reachability found) { onUnreachable(address, found); });
 }
 
 gateway_role::~gateway_role()
@@ -101,7 +103,7 @@
         for (const auto& channel : channels)
             channel->closeWhenIdle();
     }
-    const bool isDone = now >= m_earliestStop && m_context.openCalls == 0;
+    const bool isDone = now >= m_earliestStop && m_context.openCalls.empty();
     if ((isDone || now >= m_context.stopBy) && m_stopped)
         std::exchange(m_stopped, nullptr)();
 }
@@ -154,6 +156,22 @@
     m_context.metrics.gauge("target_revision", static_cast<double>(targets.revision()));
 }
 
+void gateway_role::onUnreachable(const std::string& address, net::reachability found)
+{
+    const std::string id = m_context.pool.idAt(address);
+    if (id.empty())
+        return; // controllers have told of its end meanwhile
+    telemetry::logEvent(event_code::TargetUnreachable,
+        { { "target", id }, { "address", address },
+            { "how", found == net::reachability::Refused ? "refused" : "silent" } });
+    m_context.pool.wentDark(id, steadyNow());
+    std::vector<std::shared_ptr<gateway_call>> calls;
+    for (auto* call : m_context.openCalls)
+        calls.push_back(call->shared_from_this());
+    for (const auto& call : calls)
+        call->targetUnreachable(id);
+}
+
 void gateway_role::onHealthCall(const net::whole_request& request, const net::responder& respond)
 {
     if (request.head.target == "/metrics") {
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -35,6 +35,7 @@
     void onChannel(net::channel_pointer channel);
     void onDocument(const versioned_text& document);
     void onTargets(const registry::target_view& targets);
+    void onUnreachable(const std::string& address, net::reachability found);
     void onHealthCall(const net::whole_request& request, const net::responder& respond);
     void checkStopped();
     [[nodiscard]] bool isReady() const { return m_context.document != nullptr && !m_context.isStopping; }
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -13,6 +13,9 @@
 constexpr milliseconds reportPatience { 200 };
 /// Unread bytes at a caller from which on its target is read no more.
 constexpr std::size_t mostPendingBytes = 128U << 10U;
+/// A target through which another stream's event came so lately isn't dialled: that would cost a connection for
+/// nothing.
+constexpr milliseconds heardLately { 80 };
 constexpr gateway::exchange_options exchangeOptions {};
 constexpr http1::parser_limits responseLimits { 32U << 10U, 64U << 20U };
 /// When to come back after a refusal: a path that was lost is whole again after about three seconds.
@@ -46,13 +49,13 @@
     , m_timer(context.loop)
     , m_connectTimer(context.loop)
 {
-    ++m_context.openCalls;
+    m_context.openCalls.insert(this);
 }
 
 gateway_call::~gateway_call()
 {
     cancelAttempt();
-    --m_context.openCalls;
+    m_context.openCalls.erase(this);
 }
 
 void gateway_call::start(steady_time arrived)
@@ -180,6 +183,10 @@
             nullptr,
             [ifCurrent](net::channel_end how) { ifCurrent([how](gateway_call& self) { self.onEnded(how); }); },
         });
+    if (where.parts.size() > 1) {
+        for (const auto& part : where.parts)
+            m_context.reachability->watch(part.address);
+    }
     m_channel->write(http1::formatRequest(m_context.dialect.writeForwarded(m_head, added), m_body));
     m_connectTimer.set(now + connectPatience, [ifCurrent] {
         ifCurrent([](gateway_call& self) {
@@ -222,6 +229,25 @@
         });
 }
 
+void gateway_call::checkMembers()
+{
+    const auto since = steadyNow() - heardLately;
+    for (const auto& part : m_where.parts) {
+        const bool isHeard
+            = std::any_of(m_context.openCalls.begin(), m_context.openCalls.end(), [&](const gateway_call* other) {
+                  return other->m_exchange && other->m_exchange->heardThrough(part.targetId, since);
+              });
+        if (!isHeard)
+            m_context.reachability->check(part.address);
+    }
+}
+
+void gateway_call::targetUnreachable(const std::string& targetId)
+{
+    if (m_exchange && m_sink != nullptr && !m_exchange->isOver())
+        m_exchange->onUnreachable(targetId, steadyNow());
+}
+
 void gateway_call::onBytes(std::string_view bytes)
 {
     m_parser->put(bytes);
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway_call.hpp
@@ -7,8 +7,10 @@
 #include "buckthornrail/http1/event_stream.hpp"
 #include "buckthornrail/http1/message_parser.hpp"
 #include "buckthornrail/net/http_service.hpp"
+#include "buckthornrail/net/reachability.hpp"
 
 #include <map>
+#include <set>
 
 namespace buckthornrail::app {
 
@@ -28,7 +30,8 @@
     bool isStopping = false;
     steady_time stopBy {}; ///< while stopping: what can't end by then is refused
     steady_time takesStreamsUntil {}; ///< while stopping: a stream that comes later may outlast the process
-    std::size_t openCalls = 0;
+    std::set<class gateway_call*> openCalls;
+    std::unique_ptr<net::reachability_checks> reachability;
 };
 
 /// Where a call's answer goes.
@@ -62,6 +65,7 @@
         std::uint32_t number, const gateway::selection& where, std::optional<std::uint64_t> lastEventId) override;
     void cancelAttempt() override;
     void askForReport() override;
+    void checkMembers() override;
     void passOn() override;
     void beginStream() override;
     void passEvent(std::string_view bytes) override;
@@ -73,6 +77,8 @@
 
     /// @brief The first document has come.
     void resume();
+    /// @brief A target takes no connection.
+    void targetUnreachable(const std::string& targetId);
 
 private:
     void route();
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -30,6 +30,8 @@
         "A call ended before it was routed; fields: request, code, reason, version." },
     event_info { event_code::ReportReceived, "report_received",
         "A target was asked what holds a stream up; fields: request, target, outcome, faulty." },
+    event_info { event_code::TargetUnreachable, "target_unreachable",
+        "A member of a silent stream's path takes no connection; fields: target, address, how." },
     event_info { event_code::WorkStarted, "work_started", "A sidecar handed an attempt to its target." },
     event_info { event_code::WorkFinished, "work_finished", "An attempt ended at the target." },
     event_info { event_code::WorkCancelled, "work_cancelled", "An attempt was cancelled at the target." },
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -13,6 +13,8 @@
 constexpr std::array promisingStatuses { 408, 421, 429, 503 };
 constexpr int firstServerError = 500;
 constexpr int firstFailure = 300;
+/// Weight of the newest gap in a stream's usual one: about the last five count.
+constexpr int gapsRemembered = 5;
 
 bool isPromise(int status)
 {
@@ -53,6 +55,7 @@
     m_sent = true;
     m_moveAt = now + m_options.moveUnstartedAfter;
     m_askAt = now + m_options.askAfter;
+    m_checkAt = now + m_options.checkUnstartedAfter;
     scheduleWake(now);
 }
 
@@ -150,12 +153,17 @@
         m_port.beginStream();
     } else {
         m_longestGap = std::max(m_longestGap, between(m_lastEventAt, now));
+        if (m_pacedEvents > 1)
+            m_usualGap += (between(m_lastEventAt, now) - m_usualGap) / gapsRemembered;
     }
     ++m_events;
     m_lastEventAt = now;
     m_openAsks = 0;
     m_askAt = now + m_options.askAfter * (1U << std::min(m_vainAsks, 3U));
     m_moveAt = now + m_options.moveAfter;
+    const auto patience = std::chrono::duration_cast<milliseconds>(m_usualGap * m_options.checkAfterGaps);
+    m_checkAt = now + std::max(m_options.checkAfter, patience);
+    m_vainChecks = 0;
     m_port.passEvent(bytes);
 }
 
@@ -221,6 +229,37 @@
     move({ ran_state::Unknown, firstIsDark, "held up by " + faulty }, m_bounds, now);
 }
 
+void exchange::onUnreachable(const std::string& targetId, steady_time now)
+{
+    if (!m_attemptOpen || !m_sent || !hasPath())
+        return;
+    const auto heard = std::max(m_lastEventAt, m_attemptStart);
+    if (!isMember(targetId) || now < heard + m_options.silentEnough)
+        return; // perhaps only this gateway can't reach it
+    blame(targetId, true, now);
+    const bool isFirst = m_where.parts.front().targetId == targetId;
+    move({ ran_state::Unknown, isFirst, "held up by " + targetId + ", which takes no connection" }, m_bounds, now);
+}
+
+bool exchange::isMember(const std::string& targetId) const
+{
+    return std::any_of(m_where.parts.begin(), m_where.parts.end(),
+        [&targetId](const auto& part) { return part.targetId == targetId; });
+}
+
+bool exchange::heardThrough(const std::string& targetId, steady_time since) const
+{
+    return m_attemptOpen && m_lastEventAt >= since && m_lastEventAt > m_attemptStart && isMember(targetId);
+}
+
+void exchange::checkMembersWhenDue(steady_time now)
+{
+    if (now < m_checkAt)
+        return;
+    m_checkAt = now + m_options.checkAgainAfter * (1U << std::min(m_vainChecks++, 3U));
+    m_port.checkMembers();
+}
+
 void exchange::onTimer(steady_time now)
 {
     if (m_over)
@@ -252,6 +291,7 @@
                 return;
             m_moveAt = now + m_options.moveAfter;
         }
+        checkMembersWhenDue(now);
         if (now >= m_askAt) {
             m_askAt = now + m_options.askAgainAfter * (1U << std::min(m_vainAsks, 5U));
             ++m_openAsks;
@@ -397,6 +437,9 @@
     ++m_tries;
     m_moveAt = now + m_options.moveUnstartedAfter;
     m_askAt = now + m_options.askAfter;
+    m_checkAt = now + m_options.checkUnstartedAfter;
+    m_usualGap = milliseconds(0);
+    m_vainChecks = 0;
     m_pool.began(m_where, m_request.size);
     m_port.note(event_code::RouteChosen,
         { { "request", m_request.id }, { "route", m_request.chosen->name },
@@ -443,7 +486,7 @@
     if (m_paused)
         when = std::min(when, m_goOnAt);
     if (m_attemptOpen && m_sent && hasPath())
-        when = std::min({ when, m_askAt, m_moveAt > now ? m_moveAt : when });
+        when = std::min({ when, m_askAt, m_checkAt, m_moveAt > now ? m_moveAt : when });
     if (m_attemptOpen && m_sent && !hasPath() && m_request.chosen->kind == request_kind::Safe && !m_answer) {
         const auto patience
             = std::chrono::duration_cast<milliseconds>(m_request.chosen->latencyTarget * m_options.retryPart);
--- a/src/buckthornrail/gateway/exchange_stream_test.cpp
+++ b/src/buckthornrail/gateway/exchange_stream_test.cpp
@@ -231,3 +231,49 @@
     CHECK(distinct.size() <= 2);
     CHECK(bench.port.attempts > 2);
 }
+
+TEST_CASE(
+    "exchange: a silent stream's members are looked at, and one that takes no connection is left at once", "[exchange]")
+{
+    const exchange_options options;
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    call.onEvent("1", 1, zero);
+    const auto domain = bench.port.target.substr(0, 1);
+    const auto soon = zero + options.silentEnough - milliseconds(1);
+    call.onUnreachable(domain + "1", soon); // events may still come: perhaps only this gateway can't reach it
+    CHECK(bench.port.attempts == 1);
+    const auto silent = zero + options.checkAfter;
+    call.onTimer(silent - milliseconds(1));
+    CHECK(bench.port.checks == 0);
+    call.onTimer(silent);
+    CHECK(bench.port.checks == 1);
+    CHECK(bench.port.reports == 0);
+    call.onUnreachable(domain == "a" ? "b1" : "a1", silent); // no member of this path
+    CHECK(bench.port.attempts == 1);
+    call.onUnreachable(domain + "1", silent);
+    REQUIRE(bench.port.attempts == 2);
+    CHECK(bench.port.resumeAfter == 1U);
+    CHECK(bench.port.target.substr(0, 1) != domain);
+}
+
+TEST_CASE("exchange: looks that find nothing become rare, and an event proves its path's members alive", "[exchange]")
+{
+    const exchange_options options;
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    CHECK_FALSE(call.heardThrough(bench.port.target, zero));
+    auto now = zero + milliseconds(10);
+    call.onEvent("1", 1, now);
+    CHECK(call.heardThrough(bench.port.target, zero));
+    CHECK_FALSE(call.heardThrough(bench.port.target, now + milliseconds(1)));
+    CHECK_FALSE(call.heardThrough("nobody", zero));
+    const auto end = now + milliseconds(800);
+    for (; now < end; now += milliseconds(10))
+        call.onTimer(now);
+    CHECK(bench.port.checks == 4); // after 90 ms, 100, 200 and 400 more
+}
--- a/src/buckthornrail/link/link_hub_test.cpp
+++ b/src/buckthornrail/link/link_hub_test.cpp
@@ -1,53 +1,18 @@
 /// @file
 /// @brief Links that don't open.
 #include "buckthornrail/link/link_hub.hpp"
+#include "support/mute_listener.hpp"
 
-#include <arpa/inet.h>
 #include <catch2/catch.hpp>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace buckthornrail;
 using namespace buckthornrail::link;
 
-namespace {
-
-/// A port that takes connections and never says a word.
-class mute_listener {
-public:
-    mute_listener()
-        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the sockets' own way
-        auto* plain = reinterpret_cast<sockaddr*>(&address);
-        REQUIRE(bind(m_socket, plain, size) == 0);
-        REQUIRE(listen(m_socket, 8) == 0);
-        REQUIRE(getsockname(m_socket, plain, &size) == 0);
-        m_port = ntohs(address.sin_port);
-    }
-    mute_listener(const mute_listener&) = delete;
-    mute_listener& operator=(const mute_listener&) = delete;
-    ~mute_listener() { close(m_socket); }
-
-    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
-
-private:
-    int m_socket;
-    std::uint16_t m_port = 0;
-};
-
-} // namespace
-
 TEST_CASE("link: a dialled link that doesn't open is closed, once, and the hub goes on", "[link]")
 {
     constexpr milliseconds openTimeout { 50 };
     constexpr milliseconds watchFor { 600 };
-    const mute_listener mute;
+    const test_support::mute_listener mute;
     event_loop loop;
     std::vector<channel_number> closed;
     std::vector<channel_number> opened;
--- a/tests/support/exchange_bench.hpp
+++ b/tests/support/exchange_bench.hpp
@@ -27,6 +27,7 @@
     }
     void cancelAttempt() override { isOpen = false; }
     void askForReport() override { ++reports; }
+    void checkMembers() override { ++checks; }
     void passOn() override { end("passed on"); }
     void beginStream() override { begun = true; }
     void passEvent(std::string_view bytes) override { events += bytes; }
@@ -48,6 +49,7 @@
     std::vector<std::string> targets;
     std::optional<std::uint64_t> resumeAfter;
     int reports = 0;
+    int checks = 0;
     std::string events;
     std::string outcome; ///< empty: none yet
     result_code answerCode = result_code::Ok;
