Gateways tell their work by target, count prompts that wait, and price crossings by the pipe

Change: beats carry the work at each target, controllers send each gateway the others' sum (registry/load_board); memory costs from three quarters on, added, no longer as a factor; prompts without a first event count at the targets that read them and on the pipe they cross; a crossing costs 4.5 times what a usual prompt takes of the pipe, 80 ms at the least. Tests: registry (loads, 3), gateway (3).

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -193,6 +193,7 @@
     std::optional<target_answer> m_answer; ///< head of the open attempt
     bool m_attemptOpen = false;
     bool m_sent = false; ///< bytes of the open attempt may have reached its target
+    bool m_promptRead = false; ///< the open attempt has had an event
     bool m_streamBegun = false; ///< the caller has a head
     bool m_mayHaveRun = false; ///< in any attempt
     bool m_hadOwnFailure = false; ///< a target answered that it failed
--- a/include/buckthornrail/gateway/layer_path.hpp
+++ b/include/buckthornrail/gateway/layer_path.hpp
@@ -35,6 +35,8 @@
     /// Activations cross between domains and fill a pipe that all share: a usual prompt takes 14 ms of it. The traffic
     /// of one domain may cross twice, so a path does it where the other domains' chains are crowded.
     double crossingMs = 80;
+    /// Besides, what waits for the pipe from one domain to another: at [from * domains + to]; empty: nothing.
+    std::vector<double> pipeWaitMs;
 };
 
 /// @brief Finds the cheapest path over layers [0, layerCount).
--- a/include/buckthornrail/gateway/route_document.hpp
+++ b/include/buckthornrail/gateway/route_document.hpp
@@ -70,6 +70,8 @@
     double usualPromptTokens = 0;
     double usualAnswerTokens = 0;
     double loadSeconds = 0; ///< loading all layers
+    double activationBytes = 0; ///< that a token hands from one target to the next
+    double pipeMbps = 0; ///< between two failure domains, shared by all that crosses there; 0: not bounded
     std::vector<accelerator_kind> kinds;
 };
 
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -4,6 +4,7 @@
 
 #include "buckthornrail/gateway/layer_path.hpp"
 #include "buckthornrail/gateway/route_document.hpp"
+#include "buckthornrail/registry/load_board.hpp"
 
 #include <array>
 #include <map>
@@ -68,8 +69,13 @@
     void update(const std::map<std::string, registry::target_record>& records);
     /// @brief How the engines of a service work.
     void setEngine(const std::string& service, const std::optional<layered_engine>& engine);
-    /// @brief Attempts that other gateways have under way; they are taken to be spread like this one's.
-    void setOthersOpenAttempts(std::size_t count) { m_othersOpenAttempts = static_cast<double>(count); }
+    /// @brief How many gateways there are, and how many attempts the others have under way. As long as their loads
+    /// aren't told by target, they are taken to be spread like this one's.
+    void setOthers(std::size_t gateways, std::size_t openAttempts);
+    /// @brief Work of the others' attempts at the targets told of last; a row of another length says nothing.
+    void setOthersLoads(const registry::load_row& row);
+    /// @brief Work of this gateway's attempts, for the others.
+    [[nodiscard]] registry::load_row loads() const;
     [[nodiscard]] std::size_t openAttempts() const { return m_openAttempts; }
 
     /// @brief Picks a target, or a path over several.
@@ -78,7 +84,10 @@
 
     /// @brief Counts an attempt at its targets, and out again.
     void began(const selection& chosen, const request_size& size);
-    void ended(const selection& chosen, const request_size& size);
+    /// @brief The first event has come: no target of the path reads the prompt any more.
+    void promptRead(const selection& chosen, const request_size& size);
+    /// @param wasRead promptRead() was told of
+    void ended(const selection& chosen, const request_size& size, bool wasRead);
 
     /// @brief A stream over a path took so long for something. Members of paths that are slower than expected, against
     /// all others, cost more for a while.
@@ -106,6 +115,9 @@
         std::size_t domain = 0;
         double sequences = 0; ///< attempts of this gateway in flight
         double tokenLayers = 0; ///< key-value memory that they need, in tokens times layers
+        double unreadTokenLayers = 0; ///< prompts that no event has followed yet, in the same unit
+        double othersTokenLayers = 0; ///< of other gateways' attempts, as told last
+        double tokenLayersWhenTold = 0; ///< own ones at that moment
         double answerMs = 0; ///< moving average; 0: not known
         double failureShare = 0; ///< moving average of attempts that failed
         std::size_t refusalsInRow = 0;
@@ -114,6 +126,7 @@
         steady_time avoidUntil {};
         double stepFactor = 1;
         double memoryTokenLayers = 0; ///< room for requests, at the layers held now
+        double readMsPerTokenLayer = 0;
     };
 
     std::optional<selection> selectPath(
@@ -122,6 +135,15 @@
     [[nodiscard]] std::vector<pool_target*> usable(const std::string& service, const std::set<std::string>& excluded);
     /// @brief Load of all gateways over that of this one.
     [[nodiscard]] double loadScale() const;
+    /// @brief Work of all gateways at a target, as far as it is known.
+    [[nodiscard]] double allTokenLayers(const pool_target& target) const;
+    [[nodiscard]] double allSequences(const pool_target& target, const layered_engine& engine) const;
+    /// @brief Gateways of one domain: what makes one of them send much elsewhere meets the others as well.
+    [[nodiscard]] double peers() const;
+    [[nodiscard]] double crowdingMs(const pool_target& target) const;
+    [[nodiscard]] std::vector<double> pipeWaits(const layered_engine& engine) const;
+    void countUnread(const selection& chosen, double promptTokens);
+    [[nodiscard]] std::size_t domainOf(const std::string& targetId) const;
     [[nodiscard]] static double doubtMs(const pool_target& target, steady_time now);
     [[nodiscard]] double msPerLayer(const pool_target& target, const layered_engine& engine) const;
     [[nodiscard]] static double slownessOf(const pool_target& target, steady_time now);
@@ -134,6 +156,10 @@
     std::mt19937_64 m_random;
     std::size_t m_openAttempts = 0;
     double m_othersOpenAttempts = 0;
+    double m_gateways = 1;
+    bool m_loadsAreTold = false;
+    std::map<std::pair<std::size_t, std::size_t>, double>
+        m_unreadOverPipe; ///< tokens of prompts, by domains from and to
     std::map<std::string, pool_target> m_targets;
     std::map<std::string, layered_engine> m_engines;
     /// Times over the expected time of a token, on sound paths; 0: not known.
--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -9,7 +9,7 @@
 #include "buckthornrail/dispatch/order_keeper.hpp"
 #include "buckthornrail/execution/stage_guard.hpp"
 #include "buckthornrail/membership/membership_table.hpp"
-#include "buckthornrail/registry/target_record.hpp"
+#include "buckthornrail/registry/load_board.hpp"
 
 #include <tl/expected.hpp>
 #include <variant>
@@ -151,6 +151,7 @@
     std::uint64_t targetRevision = 0;
     std::uint32_t openAttempts = 0; ///< under way at targets
     std::vector<std::string> darkTargets; ///< ids of targets that were dead or cut off for it since the last beat
+    registry::load_row loads; ///< of its attempts, at the targets of that revision
 };
 
 /// A text, whole or as what differs from an earlier one.
@@ -172,6 +173,7 @@
     std::vector<std::string> controllers; ///< link addresses of all members
     std::uint32_t gateways = 1; ///< that have a session now
     std::uint32_t othersOpenAttempts = 0; ///< under way from all other gateways, as they told last
+    registry::load_row othersLoads; ///< the same by target, once the changes above are applied; empty: not told
 };
 
 /// Member of the controllers to their leader: a target's heartbeat came here.
--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway_session.cpp
@@ -109,7 +109,7 @@
         m_dark.push_back(std::move(id));
     m_hub.send(m_channel,
         link::encode(link::gateway_beat { m_settings.id, ++m_sequence, m_document.version, m_targets.revision(),
-            m_callbacks.openAttempts(), std::exchange(m_dark, {}) }));
+            m_callbacks.openAttempts(), std::exchange(m_dark, {}), m_callbacks.loads() }));
 }
 
 void gateway_session::onMessage(link::channel_number channel, const std::string& bytes)
@@ -148,6 +148,7 @@
         }
         m_callbacks.targetsChanged(m_targets);
     }
+    m_callbacks.othersLoads(update.othersLoads);
 }
 
 } // namespace buckthornrail::app
--- a/src/app/gateway_session.hpp
+++ b/src/app/gateway_session.hpp
@@ -12,6 +12,8 @@
     std::function<void(const versioned_text&)> documentChanged;
     std::function<void(const registry::target_view&)> targetsChanged;
     std::function<std::uint32_t()> openAttempts;
+    std::function<registry::load_row()> loads; ///< of own attempts, at the targets told of last
+    std::function<void(const registry::load_row&)> othersLoads; ///< at the same targets
     std::function<void(const link::gateway_update&)> served; ///< by a leader, before the changes it brings
     std::function<std::vector<std::string>()> takeDarkTargets; ///< seen since the last call
 };
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -77,6 +77,7 @@
             [this](link::channel_number channel) {
                 m_log->onClosed(channel);
                 m_sessions.erase(channel);
+                m_loads.forget(channel);
             },
             [this](link::channel_number channel, const std::string& bytes) { onMessage(channel, bytes); },
         },
@@ -275,6 +276,8 @@
     one.documentVersion = beat.documentVersion;
     one.targetRevision = beat.targetRevision;
     one.openAttempts = beat.openAttempts;
+    if (beat.targetRevision == m_state.targets().revision())
+        m_loads.tell(channel, m_state.targets(), beat.loads);
     one.waitingSequence = beat.sequence;
     one.deadline = steadyNow() + sessionLifetime;
     for (const auto& id : beat.darkTargets)
@@ -292,10 +295,12 @@
 {
     const steady_time now = steadyNow();
     formWhenFirst();
-    std::erase_if(m_sessions, [now](const auto& item) {
+    std::erase_if(m_sessions, [this, now](const auto& item) {
         const bool isOver = now >= item.second.deadline;
-        if (isOver)
+        if (isOver) {
+            m_loads.forget(item.first);
             telemetry::logEvent(event_code::SessionLost, { { "gateway", item.second.instance } });
+        }
         return isOver;
     });
     confirmSessions();
@@ -365,6 +370,7 @@
     update.gateways = static_cast<std::uint32_t>(std::max<std::size_t>(m_sessions.size(), 1));
     for (const auto& [other, open] : m_sessions)
         update.othersOpenAttempts += other == channel ? 0 : open.openAttempts;
+    update.othersLoads = m_loads.othersOf(channel, m_state.targets());
     one.documentVersion = std::max(one.documentVersion, m_state.document().version);
     one.targetRevision = m_state.targets().revision();
     m_hub->send(channel, link::encode(link::message(update)));
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -139,6 +139,8 @@
         m_lastEventId = id;
     if (m_pacedEvents == 0) {
         m_pacedFrom = now;
+        m_promptRead = true;
+        m_pool.promptRead(m_where, m_request.size);
         m_pool.paced(m_where, pace_kind::FirstEvent, static_cast<double>(between(m_attemptStart, now).count()), now);
     }
     if (m_pacedEvents++ == m_options.paceEvents) {
@@ -440,6 +442,7 @@
     m_checkAt = now + m_options.checkUnstartedAfter;
     m_usualGap = milliseconds(0);
     m_vainChecks = 0;
+    m_promptRead = false;
     m_pool.began(m_where, m_request.size);
     m_port.note(event_code::RouteChosen,
         { { "request", m_request.id }, { "route", m_request.chosen->name },
@@ -453,7 +456,7 @@
 void exchange::closeAttempt()
 {
     m_attemptOpen = false;
-    m_pool.ended(m_where, m_request.size);
+    m_pool.ended(m_where, m_request.size, m_promptRead);
     m_port.cancelAttempt();
 }
 
--- a/src/buckthornrail/gateway/layer_path.cpp
+++ b/src/buckthornrail/gateway/layer_path.cpp
@@ -60,12 +60,18 @@
                 continue;
             double cost = before + own;
             if (domain != candidate.domain)
-                cost += layer == 0 ? m_costs.farStartMs : m_costs.crossingMs;
+                cost += layer == 0 ? m_costs.farStartMs : crossingMs(domain, candidate.domain);
             if (cost < goal.cost)
                 goal = { cost, index, layer, domain };
         }
     }
 
+    [[nodiscard]] double crossingMs(std::size_t from, std::size_t to) const
+    {
+        const double waits = m_costs.pipeWaitMs.empty() ? 0 : m_costs.pipeWaitMs[from * m_domainCount + to];
+        return m_costs.crossingMs + waits;
+    }
+
     std::vector<path_part> collect()
     {
         std::size_t domain = 0;
--- a/src/buckthornrail/gateway/routing_test.cpp
+++ b/src/buckthornrail/gateway/routing_test.cpp
@@ -214,10 +214,80 @@
     for (int at = 0; at < 5; ++at)
         pool.began(*first, { 900, 100 });
     CHECK(pool.select("s", {}, now)->parts.front().targetId == "x");
-    pool.setOthersOpenAttempts(15);
+    pool.setOthers(4, 15);
     CHECK(pool.select("s", {}, now)->parts.front().targetId == "y");
 }
 
+TEST_CASE("pool: work that others tell of by target counts there, and what grows here grows at its peers", "[gateway]")
+{
+    // Room for 190,000 tokens times layers at each target; from three quarters of it on a target costs more.
+    auto pool = poolOf({ readyTarget("x", "a", { 0, 10 }), readyTarget("y", "b", { 0, 10 }) });
+    pool.setEngine("s", engineOf(10));
+    pool.setOthers(20, 400);
+    const steady_time now {};
+    pool.setOthersLoads({ 90, 190 });
+    const auto near = pool.select("s", {}, now);
+    REQUIRE(near);
+    CHECK(near->parts.front().targetId == "x");
+    pool.setOthersLoads({ 190, 90 });
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "y");
+    pool.setOthersLoads({ 90 }); // a row of other targets: only the count of attempts is known
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "x");
+    pool.setOthersLoads({ 90, 90 });
+    pool.began(*near, { 900, 100 }); // 10,000, at ten gateways of the domain
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "y");
+    CHECK(pool.loads() == registry::load_row { 10, 0 });
+    pool.setOthersLoads({ 90, 90 }); // the others have told since
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "x");
+    pool.ended(*near, { 900, 100 }, false);
+    CHECK(pool.loads() == registry::load_row { 0, 0 });
+}
+
+TEST_CASE("pool: prompts that wait to be read count until the first event", "[gateway]")
+{
+    auto pool = poolOf({ readyTarget("x", "a", { 0, 10 }), readyTarget("y", "b", { 0, 10 }) });
+    auto engine = engineOf(10);
+    engine.readTokensPerSecond = 10000;
+    engine.tokenBytes = 1; // memory doesn't count here
+    pool.setEngine("s", engine);
+    const steady_time now {};
+    const auto near = pool.select("s", {}, now);
+    REQUIRE(near->parts.front().targetId == "x");
+    pool.began(*near, { 1000, 1 }); // 100 ms
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "y");
+    pool.promptRead(*near, { 1000, 1 });
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "x");
+    pool.ended(*near, { 1000, 1 }, true);
+    pool.began(*near, { 1000, 1 });
+    pool.ended(*near, { 1000, 1 }, false);
+    CHECK(pool.select("s", {}, now)->parts.front().targetId == "x");
+}
+
+TEST_CASE("pool: a narrow pipe between domains keeps paths inside one", "[gateway]")
+{
+    // Layers 5 to 10 are held in both domains, crowded in the own one.
+    auto pool = poolOf(
+        { readyTarget("x", "a", { 0, 5 }), readyTarget("near", "a", { 5, 10 }), readyTarget("far", "b", { 5, 10 }) });
+    auto engine = engineOf(10);
+    engine.usualPromptTokens = 1000;
+    engine.activationBytes = 10000;
+    engine.pipeMbps = 10000; // 8 ms for a prompt
+    pool.setEngine("s", engine);
+    pool.setOthers(2, 10);
+    pool.setOthersLoads({ 0, 195, 0 }); // in the order of ids: far, near, x
+    const steady_time now {};
+    const auto crossing = pool.select("s", {}, now);
+    REQUIRE(crossing);
+    CHECK(crossing->parts.back().targetId == "far");
+    pool.began(*crossing, { 20000, 1 }); // 160 ms of the pipe
+    CHECK(pool.select("s", {}, now)->parts.back().targetId == "near");
+    pool.promptRead(*crossing, { 20000, 1 });
+    CHECK(pool.select("s", {}, now)->parts.back().targetId == "far");
+    engine.pipeMbps = 1000; // 80 ms for a prompt
+    pool.setEngine("s", engine);
+    CHECK(pool.select("s", {}, now)->parts.back().targetId == "near");
+}
+
 TEST_CASE("pool: a path slower than others is left, and tried again later", "[gateway]")
 {
     auto pool = poolOf({ readyTarget("x", "a", { 0, 10 }), readyTarget("y", "b", { 0, 10 }) });
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -91,11 +91,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_request, member, address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_hello, member, address, initialized)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
-    gateway_beat, instance, sequence, documentVersion, targetRevision, openAttempts, darkTargets)
+    gateway_beat, instance, sequence, documentVersion, targetRevision, openAttempts, darkTargets, loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_heard, id, sequence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(text_update, from, to, keptFront, keptBack, middle)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
-    gateway_update, sequence, leads, leader, document, targets, controllers, gateways, othersOpenAttempts)
+    gateway_update, sequence, leads, leader, document, targets, controllers, gateways, othersOpenAttempts, othersLoads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fence, request, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fenced, request, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_close, request)
--- /dev/null
+++ b/src/buckthornrail/registry/load_board_test.cpp
@@ -0,0 +1,84 @@
+/// @file
+/// @brief Sums of what sessions tell of their work.
+#include "buckthornrail/registry/load_board.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace buckthornrail::registry;
+
+namespace {
+
+target_record record(const std::string& id)
+{
+    target_record one;
+    one.id = id;
+    one.service = "s";
+    one.address = id + ":1";
+    return one;
+}
+
+target_table tableOf(const std::vector<std::string>& ids)
+{
+    target_table table;
+    for (const auto& id : ids)
+        table.apply(record(id));
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("loads: a session is told of all others' work, and not of its own", "[registry]")
+{
+    const auto table = tableOf({ "a", "b" });
+    load_board board;
+    board.tell(1, table, load_row { 5, 0 });
+    board.tell(2, table, load_row { 7, 3 });
+    CHECK(board.othersOf(1, table) == load_row { 7, 3 });
+    CHECK(board.othersOf(2, table) == load_row { 5, 0 });
+    CHECK(board.othersOf(3, table) == load_row { 12, 3 });
+    board.tell(2, table, load_row { 1, 0 });
+    CHECK(board.othersOf(1, table) == load_row { 1, 0 });
+    board.forget(2);
+    CHECK(board.othersOf(1, table) == load_row { 0, 0 });
+}
+
+TEST_CASE("loads: rows follow targets that come between, and rows of another length say nothing", "[registry]")
+{
+    auto table = tableOf({ "a", "c" });
+    load_board board;
+    board.tell(1, table, load_row { 5, 6 });
+    board.tell(2, table, load_row { 5 });
+    table.apply(record("b"));
+    CHECK(board.othersOf(2, table) == load_row { 5, 0, 6 });
+}
+
+TEST_CASE("loads: what is told last counts, in any order of telling and forgetting", "[registry]")
+{
+    rc::prop("any steps", [] {
+        constexpr std::size_t targets = 3;
+        const auto table = tableOf({ "a", "b", "c" });
+        load_board board;
+        std::map<std::uint64_t, load_row> told;
+        const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(0, 1000));
+        for (const auto step : steps) {
+            const std::uint64_t session = step % 4;
+            if (step % 5 == 0) {
+                board.forget(session);
+                told.erase(session);
+                continue;
+            }
+            const load_row row { step % 7, step % 11, step % 13 };
+            board.tell(session, table, row);
+            told[session] = row;
+        }
+        for (std::uint64_t session = 0; session < 5; ++session) {
+            load_row expected(targets, 0);
+            for (const auto& [other, row] : told) {
+                for (std::size_t at = 0; other != session && at < targets; ++at)
+                    expected[at] += row[at];
+            }
+            RC_ASSERT(board.othersOf(session, table) == expected);
+        }
+    });
+}
