Room for requests by what a domain can spare; gaps grow over without a spare

Change: comfortableTokens (registry/layer_plan); empty targets go where holders have the least room; a gap without a spare is filled by its neighbours up to the least room. Tests: registry (plan: 3 new; the property draws comfortable sizes below the capacity, its assertions stand).

--- a/include/buckthornrail/registry/layer_plan.hpp
+++ b/include/buckthornrail/registry/layer_plan.hpp
@@ -14,7 +14,8 @@
 struct plan_target {
     std::string id;
     std::string failureDomain;
-    std::uint32_t capacity = 0; ///< layers that fit beside the requests' memory
+    std::uint32_t capacity = 0; ///< layers that fit beside the memory that requests need at the least
+    std::uint32_t comfortable = 0; ///< layers that leave much more of it; at most the capacity
     layer_range holds; ///< or is about to hold: an order that is out counts as carried out
     bool isSettled = true; ///< false: an order is out, so it takes no other one
 };
@@ -38,10 +39,15 @@
 /// @brief Layers that fit into an accelerator with room for the tokens.
 std::uint32_t layersThatFit(const memory_needs& needs);
 
+/// @brief The most tokens for which the layers of all accelerators together still cover a model.
+/// @param tokens of each are the least to have room for, and the result when they cover no model
+double comfortableTokens(std::span<const memory_needs> accelerators, std::uint32_t layerCount);
+
 /// @brief The next orders. Domains are planned each by itself.
 ///
-/// Targets that hold nothing take the window that is covered least. A gap that no empty target can fill is filled by
-/// one whose layers others hold too. So a domain first gets a whole chain, then a second hold on as many layers as fit.
+/// Targets that hold nothing take as many layers as is comfortable, where layers are held least: so a domain is one
+/// whole chain with much room for requests. A gap is filled by its neighbours up to their capacity, which loads few
+/// layers each and cuts nothing; or else by a target whose layers others hold too.
 /// @return at most one step a target; nothing when there is nothing to improve
 std::vector<plan_step> planLayers(std::span<const plan_target> targets, std::uint32_t layerCount);
 
--- a/src/app/layer_orders.cpp
+++ b/src/app/layer_orders.cpp
@@ -27,17 +27,16 @@
     return std::to_string(range.first) + "-" + std::to_string(range.end);
 }
 
-std::uint32_t capacityOf(const registry::target_record& record, const gateway::layered_engine& engine)
+/// What a target's accelerator must have room for at the least; no memory for an unknown one.
+registry::memory_needs needsOf(const registry::target_record& record, const gateway::layered_engine& engine)
 {
+    const double tokens = sequencesInMemory * (engine.usualPromptTokens + engine.usualAnswerTokens);
+    const double tokenBytesPerLayer = engine.tokenBytes / std::max(engine.layers, 1U);
     for (const auto& kind : engine.kinds) {
-        if (kind.name != record.accelerator)
-            continue;
-        const double tokens = sequencesInMemory * (engine.usualPromptTokens + engine.usualAnswerTokens);
-        return std::min(engine.layers,
-            registry::layersThatFit(
-                { kind.memoryMb, engine.layerMb, engine.tokenBytes / std::max(engine.layers, 1U), tokens }));
+        if (kind.name == record.accelerator)
+            return { kind.memoryMb, engine.layerMb, tokenBytesPerLayer, tokens };
     }
-    return 0;
+    return { 0, engine.layerMb, tokenBytesPerLayer, tokens };
 }
 
 } // namespace
@@ -110,14 +109,30 @@
 
 void layer_orders::plan(const registry::target_table& targets, const gateway::service& service, steady_time now)
 {
+    const auto& engine = *service.engine;
+    const auto isPlanned = [&service](const registry::target_record& record) {
+        return record.service == service.name && record.state == registry::target_state::Ready;
+    };
+    std::map<std::string, std::vector<registry::memory_needs>> domains;
+    for (const auto& [id, record] : targets.records()) {
+        if (isPlanned(record))
+            domains[record.failureDomain].push_back(needsOf(record, engine));
+    }
+    std::map<std::string, double> comfortable;
+    for (const auto& [domain, accelerators] : domains)
+        comfortable[domain] = registry::comfortableTokens(accelerators, engine.layers);
     std::vector<registry::plan_target> candidates;
     for (const auto& [id, record] : targets.records()) {
-        if (record.service != service.name || record.state != registry::target_state::Ready)
+        if (!isPlanned(record))
             continue;
         const auto open = m_open.find(id);
         const bool isSettled = open == m_open.end();
-        candidates.push_back({ id, record.failureDomain, capacityOf(record, *service.engine),
-            isSettled ? record.layers : open->second.layers, isSettled });
+        auto needs = needsOf(record, engine);
+        const std::uint32_t capacity = std::min(engine.layers, registry::layersThatFit(needs));
+        needs.tokens = comfortable[record.failureDomain];
+        const std::uint32_t most = std::min(capacity, registry::layersThatFit(needs));
+        candidates.push_back(
+            { id, record.failureDomain, capacity, most, isSettled ? record.layers : open->second.layers, isSettled });
     }
     for (const auto& step : registry::planLayers(candidates, service.engine->layers))
         m_open[step.id] = { step.layers, now + orderPatience, now, step.isUrgent, false, nullptr };
--- a/src/buckthornrail/registry/target_record_test.cpp
+++ b/src/buckthornrail/registry/target_record_test.cpp
@@ -121,20 +121,21 @@
     rc::prop("any targets, any losses one after the other", [] {
         constexpr std::uint32_t layers = 80;
         const auto capacities = *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(1, 33));
+        const auto less = *rc::gen::inRange<std::uint32_t>(0, 6);
         std::vector<plan_target> targets;
         targets.reserve(capacities.size());
         for (const auto capacity : capacities) {
-            targets.push_back(
-                { std::to_string(targets.size()), targets.size() % 2 == 0 ? "a" : "b", capacity, {}, true });
+            targets.push_back({ std::to_string(targets.size()), targets.size() % 2 == 0 ? "a" : "b", capacity,
+                std::max(capacity, less + 1) - less, {}, true });
         }
-        const auto capacityOf = [&targets](const std::string& domain) {
+        const auto comfortableIn = [&targets](const std::string& domain) {
             return std::accumulate(targets.begin(), targets.end(), 0U, [&](std::uint32_t sum, const plan_target& one) {
-                return sum + (one.failureDomain == domain ? one.capacity : 0);
+                return sum + (one.failureDomain == domain ? one.comfortable : 0);
             });
         };
         settle(targets, layers);
         for (const std::string domain : { "a", "b" })
-            RC_ASSERT(capacityOf(domain) < layers || leastHolders(targets, domain, layers) >= 1);
+            RC_ASSERT(comfortableIn(domain) < layers || leastHolders(targets, domain, layers) >= 1);
         while (!targets.empty()) {
             targets.erase(targets.begin() + *rc::gen::inRange<std::ptrdiff_t>(0, std::ssize(targets)));
             settle(targets, layers);
@@ -149,19 +150,67 @@
 TEST_CASE("plan: a gap is filled by the smallest spare that fills it", "[registry]")
 {
     std::vector<plan_target> targets {
-        { "big", "a", 40, { 0, 40 }, true },
-        { "spareBig", "a", 40, { 0, 40 }, true },
-        { "spareSmall", "a", 10, { 0, 10 }, true },
-        { "mid", "a", 30, { 40, 70 }, true },
+        { "big", "a", 40, 40, { 0, 40 }, true },
+        { "spareBig", "a", 40, 40, { 0, 40 }, true },
+        { "spareSmall", "a", 10, 10, { 0, 10 }, true },
+        { "mid", "a", 30, 30, { 40, 70 }, true },
     };
     const auto steps = planLayers(targets, 80);
     REQUIRE(steps.size() == 1);
     CHECK(steps.front() == plan_step { "spareSmall", { 70, 80 }, true });
 }
 
+TEST_CASE("plan: without a spare a gap's neighbours grow into it, by what each has left, and cut nothing", "[registry]")
+{
+    std::vector<plan_target> targets {
+        { "below", "a", 36, 30, { 0, 30 }, true },
+        { "above", "a", 43, 40, { 39, 79 }, true },
+        { "last", "a", 1, 1, { 79, 80 }, true },
+    };
+    CHECK(planLayers(targets, 80)
+        == std::vector<plan_step> { { "below", { 0, 36 }, false }, { "above", { 36, 79 }, false } });
+    targets[0].capacity = 35; // one layer too few: nobody grows in vain
+    CHECK(planLayers(targets, 80).empty());
+    targets[0].capacity = 60;
+    targets[1].isSettled = false; // has an order already
+    CHECK(planLayers(targets, 80) == std::vector<plan_step> { { "below", { 0, 39 }, false } });
+}
+
+TEST_CASE("plan: a new target goes where the holders have the least room", "[registry]")
+{
+    const std::vector<plan_target> targets {
+        { "first", "a", 40, 40, { 0, 40 }, true },
+        { "grown", "a", 40, 30, { 40, 80 }, true },
+        { "new", "a", 20, 20, {}, true },
+    };
+    CHECK(planLayers(targets, 80) == std::vector<plan_step> { { "new", { 40, 60 }, false } });
+}
+
+TEST_CASE("plan: room is what is left once chains and spares are held", "[registry]")
+{
+    // Each has 100 MB for 10 MB layers and 1 kB a token and layer: 10 layers at no tokens, 5 at 10,000.
+    const auto domainOf = [](std::size_t count, double leastTokens) {
+        return std::vector<memory_needs>(count, { 100, 10, 1000, leastTokens });
+    };
+    const auto layersAt = [](const std::vector<memory_needs>& domain, double tokens) {
+        auto one = domain.front();
+        one.tokens = tokens;
+        return layersThatFit(one) * domain.size();
+    };
+    const auto spare = domainOf(4, 1000); // 36 layers at the least room: one chain of 20, and half a chain to spare
+    CHECK(layersAt(spare, comfortableTokens(spare, 20)) >= 30);
+    CHECK(comfortableTokens(spare, 20) > 1000);
+    CHECK(layersAt(spare, comfortableTokens(spare, 20) + 500) < 30);
+    const auto two = domainOf(5, 1000); // 45 layers: two whole chains
+    CHECK(layersAt(two, comfortableTokens(two, 20)) >= 40);
+    const auto few = domainOf(3, 1000); // 27 layers: less than a chain and a half
+    CHECK(comfortableTokens(few, 20) == 1000);
+    CHECK(comfortableTokens({}, 20) == 0);
+}
+
 TEST_CASE("plan: a target with an order under way gets no other one", "[registry]")
 {
-    const std::vector<plan_target> targets { { "1", "a", 80, {}, false } };
+    const std::vector<plan_target> targets { { "1", "a", 80, 80, {}, false } };
     CHECK(planLayers(targets, 80).empty());
     CHECK(planLayers(targets, 0).empty());
 }
