Who is refused by the last gateways left comes back when one is up again

Nothing is cut for it: a stream taken late may outlast the process. Change: on a connection opened after the balancer has left it out, an ending gateway names the time until it is up again. Test: gateway_process (failed before: 0.01 s).

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -84,7 +84,7 @@
 struct exchange_options {
     /// A path without an event for so long is looked at: each member is dialled, which costs a connection and tells at
     /// once of a process that is gone. Events come every 30 to 60 ms, every 140 ms where prompts crowd.
-    milliseconds checkAfter { 55 };
+    milliseconds checkAfter { 90 };
     double checkAfterGaps = 2; ///< the same, in gaps that are usual for the attempt; the longer of both counts
     milliseconds checkUnstartedAfter { 200 }; ///< the same before the first event: nearly all come within 100 ms
     milliseconds checkAgainAfter { 100 }; ///< doubles with each look that finds nothing
--- a/src/app/caller_channel.hpp
+++ b/src/app/caller_channel.hpp
@@ -18,6 +18,7 @@
     void drop();
 
     [[nodiscard]] bool keepsAlive() const override;
+    [[nodiscard]] steady_time openedAt() const override { return m_openedAt; }
     void write(std::string_view bytes) override { m_channel->write(bytes); }
     [[nodiscard]] std::size_t pendingBytes() const override { return m_channel->pendingBytes(); }
     void finished(bool broken) override;
@@ -34,6 +35,7 @@
     gateway_role& m_gateway;
     net::channel_pointer m_channel;
     http1::request_parser m_parser;
+    steady_time m_openedAt = steadyNow();
     std::shared_ptr<gateway_call> m_call;
     steady_time m_firstByte {}; ///< of the request that is arriving
     bool m_requestBegun = false;
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -25,8 +25,12 @@
 /// moment elect a leader within a second, and callers wait two seconds for a first event.
 constexpr milliseconds documentPatience { 1400 };
 constexpr milliseconds elsewherePause { 10 }; ///< another gateway takes it at once
+/// A process that ends is up again so long after it is gone, with its first document.
+constexpr milliseconds restartTime { 700 };
+/// A gateway that ends is often gone sooner than it must be, and others that end with it as well.
+constexpr milliseconds longestRestartPause { 2500 };
 
-milliseconds pauseFor(result_code code)
+milliseconds usualPause(result_code code)
 {
     switch (code) {
     case result_code::NoTarget:
@@ -373,6 +377,15 @@
     answer(code, ran_state::No, reason);
 }
 
+milliseconds gateway_call::comeBackAfter(result_code code) const
+{
+    if (code != result_code::ShuttingDown || m_sink->openedAt() < m_context.takesStreamsUntil)
+        return usualPause(code);
+    // The balancer has long left this gateway out, and still leads new connections here: no other one is there.
+    const auto untilEnd = std::chrono::duration_cast<milliseconds>(m_context.stopBy - steadyNow());
+    return std::min(std::max(untilEnd, milliseconds(0)) + restartTime, longestRestartPause);
+}
+
 void gateway_call::answer(result_code code, ran_state ran, const std::string& /*reason*/)
 {
     if (m_sink == nullptr)
@@ -382,7 +395,7 @@
         "{\"code\":" + std::to_string(static_cast<int>(code)) + ",\"name\":\"" + std::string(info.name)
             + "\",\"ran\":\"" + std::string(nameOf(ran)) + "\"}");
     if (ran == ran_state::No && info.retryAfterSeconds > 0)
-        response.head.fields.push_back(m_context.dialect.writeComeBack(pauseFor(code)));
+        response.head.fields.push_back(m_context.dialect.writeComeBack(comeBackAfter(code)));
     m_sink->write(http1::formatResponse(response.head, response.body, m_sink->keepsAlive()));
     countAnswer(std::string(info.name));
     finish(false);
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway_call.hpp
@@ -44,6 +44,7 @@
 
     /// @brief Whether the connection stays open after this answer.
     [[nodiscard]] virtual bool keepsAlive() const = 0;
+    [[nodiscard]] virtual steady_time openedAt() const = 0;
     virtual void write(std::string_view bytes) = 0;
     [[nodiscard]] virtual std::size_t pendingBytes() const = 0;
     /// @brief The answer is whole. @param broken true: it isn't, and must not look so
@@ -85,6 +86,8 @@
     /// @brief Whether the request can't end before this process does.
     [[nodiscard]] bool comesTooLate(const gateway::route& route) const;
     void refuse(result_code code, const std::string& reason);
+    /// @brief When a refused caller should come back.
+    [[nodiscard]] milliseconds comeBackAfter(result_code code) const;
     void onBytes(std::string_view bytes);
     void onEnded(net::channel_end how);
     void advance();
--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -146,6 +146,29 @@
     CHECK(world.waitForExit(gateway, seconds(9)) == 0);
 }
 
+TEST_CASE("gateway: callers that only an ending gateway is left for come back when it is up again", "[gateway_process]")
+{
+    constexpr double shortest = 0.5; // s; another gateway would take them at once
+    gateway_world world(1);
+    REQUIRE(world.start());
+    const std::string gateway = world.gateways()[0];
+    std::thread longCall([&] { world.call(gateway, "POST", "/stream/n900", "long", seconds(9)); });
+    std::this_thread::sleep_for(milliseconds(300));
+    world.signal(gateway, SIGTERM);
+    caller_answer refused;
+    int number = 0;
+    CHECK(waitUntil(
+        [&] {
+            refused = world.call(gateway, "POST", "/stream/n2", "late-" + std::to_string(++number), seconds(2));
+            return refused.status == 503;
+        },
+        seconds(6)));
+    REQUIRE_FALSE(refused.comeBack.empty());
+    CHECK(std::stod(refused.comeBack) >= shortest);
+    longCall.join();
+    CHECK(world.waitForExit(gateway, seconds(9)) == 0);
+}
+
 TEST_CASE("registry: what was acknowledged outlives the leader, a lost disk, and all at once", "[gateway_process]")
 {
     gateway_world world;
