Streams leave a member that gives its layers up when the table says so

Change: exchange::onTargetsChanged moves a stream whose member holds other layers now; targets that leave keep theirs. Test: exchange.

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -135,6 +135,9 @@
     void onReport(bool answered, const std::string& faultyAddress, steady_time now);
     /// @brief A target takes no connection. A silent stream over it moves at once.
     void onUnreachable(const std::string& targetId, steady_time now);
+    /// @brief The table of targets has changed. A stream leaves a member that was ordered to hold other layers: what
+    /// passed through it is cut.
+    void onTargetsChanged(steady_time now);
     void onTimer(steady_time now);
     void onCallerGone(steady_time now);
 
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -106,6 +106,8 @@
     [[nodiscard]] std::string idAt(const std::string& address) const;
     /// @brief Whether a target has ended: one that leaves has not.
     [[nodiscard]] bool isGone(const std::string& targetId) const;
+    /// @brief Whether a target has given layers up that it held: it holds others now, and has not ended.
+    [[nodiscard]] bool gaveUp(const std::string& targetId, const registry::layer_range& layers) const;
     /// @brief Targets of a service that take new work.
     [[nodiscard]] std::size_t readyCount(const std::string& service) const;
 
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -151,6 +151,8 @@
 void gateway_role::onTargets(const registry::target_view& targets)
 {
     m_context.pool.update(targets.records());
+    for (const auto& call : openCalls())
+        call->targetsChanged();
     for (const auto& call : std::exchange(m_context.waiting, {})) {
         if (const auto waiting = call.lock())
             waiting->resume();
@@ -158,6 +160,14 @@
     m_context.metrics.gauge("target_revision", static_cast<double>(targets.revision()));
 }
 
+std::vector<std::shared_ptr<gateway_call>> gateway_role::openCalls() const
+{
+    std::vector<std::shared_ptr<gateway_call>> calls;
+    for (auto* call : m_context.openCalls)
+        calls.push_back(call->shared_from_this());
+    return calls;
+}
+
 void gateway_role::onUnreachable(const std::string& address, net::reachability found)
 {
     const std::string id = m_context.pool.idAt(address);
@@ -167,10 +177,7 @@
         { { "target", id }, { "address", address },
             { "how", found == net::reachability::Refused ? "refused" : "silent" } });
     m_context.pool.wentDark(id, steadyNow());
-    std::vector<std::shared_ptr<gateway_call>> calls;
-    for (auto* call : m_context.openCalls)
-        calls.push_back(call->shared_from_this());
-    for (const auto& call : calls)
+    for (const auto& call : openCalls())
         call->targetUnreachable(id);
 }
 
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -35,6 +35,8 @@
     void onChannel(net::channel_pointer channel);
     void onDocument(const versioned_text& document);
     void onTargets(const registry::target_view& targets);
+    /// @brief Calls that are open now, kept alive while they are told something.
+    [[nodiscard]] std::vector<std::shared_ptr<gateway_call>> openCalls() const;
     void onUnreachable(const std::string& address, net::reachability found);
     void onHealthCall(const net::whole_request& request, const net::responder& respond);
     void checkStopped();
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -252,6 +252,12 @@
         m_exchange->onUnreachable(targetId, steadyNow());
 }
 
+void gateway_call::targetsChanged()
+{
+    if (m_exchange && m_sink != nullptr && !m_exchange->isOver())
+        m_exchange->onTargetsChanged(steadyNow());
+}
+
 void gateway_call::onBytes(std::string_view bytes)
 {
     m_parser->put(bytes);
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway_call.hpp
@@ -80,6 +80,7 @@
     void resume();
     /// @brief A target takes no connection.
     void targetUnreachable(const std::string& targetId);
+    void targetsChanged();
 
 private:
     void route();
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -243,6 +243,19 @@
     move({ ran_state::Unknown, isFirst, "held up by " + targetId + ", which takes no connection" }, m_bounds, now);
 }
 
+void exchange::onTargetsChanged(steady_time now)
+{
+    if (!m_attemptOpen || !m_sent)
+        return;
+    for (const auto& part : m_where.parts) {
+        if (!m_pool.gaveUp(part.targetId, part.layers))
+            continue;
+        const bool isFirst = part.targetId == m_where.parts.front().targetId;
+        move({ ran_state::Unknown, isFirst, "cut off: " + part.targetId + " gave its layers up" }, m_bounds, now);
+        return;
+    }
+}
+
 bool exchange::isMember(const std::string& targetId) const
 {
     return std::any_of(m_where.parts.begin(), m_where.parts.end(),
--- a/src/buckthornrail/gateway/exchange_stream_test.cpp
+++ b/src/buckthornrail/gateway/exchange_stream_test.cpp
@@ -277,3 +277,26 @@
         call.onTimer(now);
     CHECK(bench.port.checks == 4); // after 90 ms, 100, 200 and 400 more
 }
+
+TEST_CASE("exchange: a stream leaves a member that was given other layers at once, and stays at one that leaves",
+    "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    call.onEvent("1", 1, zero);
+    const auto domain = bench.port.target.substr(0, 1);
+    bench.place(domain == "a" ? "b1" : "a1", { 0, 5 }); // no member of this path
+    call.onTargetsChanged(zero);
+    bench.end(domain + "0", registry::target_state::Draining);
+    call.onTargetsChanged(zero);
+    bench.end(domain + "0", registry::target_state::Gone); // it may still serve for a while
+    call.onTargetsChanged(zero);
+    CHECK(bench.port.attempts == 1);
+    bench.place(domain + "1", { 3, 8 });
+    call.onTargetsChanged(zero);
+    REQUIRE(bench.port.attempts == 2);
+    CHECK(bench.port.resumeAfter == 1U);
+    CHECK(bench.port.target.substr(0, 1) != domain);
+}
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -457,6 +457,14 @@
     return found == m_targets.end() || found->second.record.state == registry::target_state::Gone;
 }
 
+bool target_pool::gaveUp(const std::string& targetId, const registry::layer_range& layers) const
+{
+    if (layers.isEmpty() || isGone(targetId))
+        return false;
+    const auto& held = m_targets.at(targetId).record.layers;
+    return layers.first < held.first || held.end < layers.end;
+}
+
 std::size_t target_pool::readyCount(const std::string& service) const
 {
     return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [&service](const auto& item) {
--- a/tests/support/exchange_bench.hpp
+++ b/tests/support/exchange_bench.hpp
@@ -113,6 +113,13 @@
         pool.update(m_records);
     }
 
+    /// The controllers tell which layers a target holds now.
+    void place(const std::string& id, registry::layer_range layers)
+    {
+        m_records.at(id).layers = layers;
+        pool.update(m_records);
+    }
+
     exchange make()
     {
         exchange_request request;
