Targets that said their last word count against a route's number until their address refuses

A target that takes its leave by its last word serves on for seconds; it was taken for ended, so a stream that ran there, and at one whose member then died, went to a third. Change: a target has ended when its address refuses a connection (target_pool::endedAt, told by net/reachability).

--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -104,7 +104,12 @@
     std::vector<std::string> takeDark() { return std::exchange(m_newlyDark, {}); }
     /// @brief Id of the target at an address; empty when there is none.
     [[nodiscard]] std::string idAt(const std::string& address) const;
-    /// @brief Whether a target has ended: one that leaves has not.
+    /// @brief Nothing listens at an address any more: whoever was there has ended.
+    void endedAt(const std::string& address);
+    /// @brief Whether a target has surely ended. One that leaves has not, nor one that has said its last word: it may
+    /// serve on for seconds.
+    [[nodiscard]] bool hasEnded(const std::string& targetId) const;
+    /// @brief Whether a target has said its last word, or isn't known any more.
     [[nodiscard]] bool isGone(const std::string& targetId) const;
     /// @brief Whether a target has given layers up that it held: it holds others now, and has not ended.
     [[nodiscard]] bool gaveUp(const std::string& targetId, const registry::layer_range& layers) const;
@@ -129,6 +134,7 @@
         double stepFactor = 1;
         double memoryTokenLayers = 0; ///< room for requests, at the layers held now
         double readMsPerTokenLayer = 0;
+        bool hasEnded = false; ///< its address refused a connection
     };
 
     std::optional<selection> selectPath(
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -171,8 +171,10 @@
 void gateway_role::onUnreachable(const std::string& address, net::reachability found)
 {
     const std::string id = m_context.pool.idAt(address);
+    if (found == net::reachability::Refused)
+        m_context.pool.endedAt(address);
     if (id.empty())
-        return; // controllers have told of its end meanwhile
+        return; // controllers have told of its end already
     telemetry::logEvent(event_code::TargetUnreachable,
         { { "target", id }, { "address", address },
             { "how", found == net::reachability::Refused ? "refused" : "silent" } });
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -346,7 +346,7 @@
         return next;
     next.ranAt = m_ranAt;
     // Targets that have ended don't count against the route's number; one that leaves still does.
-    std::erase_if(next.ranAt, [this](const std::string& id) { return m_pool.isGone(id); });
+    std::erase_if(next.ranAt, [this](const std::string& id) { return m_pool.hasEnded(id); });
     if (last.ran != ran_state::No && !last.targetEnded)
         next.ranAt.insert(m_where.parts.front().targetId);
     // The route's number bounds the targets, not the attempts: what ran before may run there again.
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -451,6 +451,18 @@
     return {};
 }
 
+void target_pool::endedAt(const std::string& address)
+{
+    for (auto& [id, target] : m_targets)
+        target.hasEnded = target.hasEnded || target.record.address == address;
+}
+
+bool target_pool::hasEnded(const std::string& targetId) const
+{
+    const auto found = m_targets.find(targetId);
+    return found == m_targets.end() || found->second.hasEnded;
+}
+
 bool target_pool::isGone(const std::string& targetId) const
 {
     const auto found = m_targets.find(targetId);
