--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -177,6 +177,10 @@
     void finish(result_code code, ran_state ran, const std::string& reason, steady_time now);
     void scheduleWake(steady_time now);
     void checkMembersWhenDue(steady_time now);
+    /// @brief Looks after a stream without events. @return true when it moved
+    bool leaveSilentPath(steady_time now);
+    /// @brief Tries a safe request elsewhere when its answer is late. @return true when it moved
+    bool leaveSlowTarget(steady_time now);
     [[nodiscard]] bool isMember(const std::string& targetId) const;
     void blameFirst(steady_time now);
     void blame(const std::string& targetId, bool dark, steady_time now);
--- a/include/buckthornrail/gateway/route_document.hpp
+++ b/include/buckthornrail/gateway/route_document.hpp
@@ -73,6 +73,14 @@
     double activationBytes = 0; ///< that a token hands from one target to the next
     double pipeMbps = 0; ///< between two failure domains, shared by all that crosses there; 0: not bounded
     std::vector<accelerator_kind> kinds;
+
+    /// @brief What a token takes of the pipe between two domains.
+    [[nodiscard]] double pipeMsPerToken() const
+    {
+        constexpr double bitsPerByte = 8;
+        constexpr double bitsPerMsAndMbps = 1000;
+        return pipeMbps > 0 ? activationBytes * bitsPerByte / (pipeMbps * bitsPerMsAndMbps) : 0;
+    }
 };
 
 /// A service that requests are sent to.
--- /dev/null
+++ b/src/buckthornrail/gateway/exchange_watch.cpp
@@ -0,0 +1,150 @@
+/// @file
+/// @brief Watching an open attempt: silence, members that are gone, deadlines.
+#include "buckthornrail/gateway/exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornrail::gateway {
+namespace {
+
+constexpr const char* silentReason = "silent for too long";
+
+} // namespace
+
+void exchange::onReport(bool answered, const std::string& faultyAddress, steady_time now)
+{
+    if (!m_attemptOpen)
+        return;
+    if (answered)
+        m_openAsks = 0;
+    const bool firstIsDark = !answered && m_openAsks >= m_options.unansweredAsks;
+    const std::string faulty = firstIsDark ? m_where.parts.front().targetId
+        : faultyAddress.empty()            ? std::string()
+                                           : m_pool.idAt(faultyAddress);
+    if (faulty.empty()) {
+        m_vainAsks += answered ? 1 : 0;
+        return;
+    }
+    blame(faulty, true, now);
+    move({ ran_state::Unknown, firstIsDark, "held up by " + faulty }, m_bounds, now);
+}
+
+void exchange::onUnreachable(const std::string& targetId, steady_time now)
+{
+    if (!m_attemptOpen || !m_sent || !hasPath())
+        return;
+    const auto heard = std::max(m_lastEventAt, m_attemptStart);
+    if (!isMember(targetId) || now < heard + m_options.silentEnough)
+        return; // perhaps only this gateway can't reach it
+    blame(targetId, true, now);
+    const bool isFirst = m_where.parts.front().targetId == targetId;
+    move({ ran_state::Unknown, isFirst, "held up by " + targetId + ", which takes no connection" }, m_bounds, now);
+}
+
+void exchange::onTargetsChanged(steady_time now)
+{
+    if (!m_attemptOpen || !m_sent)
+        return;
+    for (const auto& part : m_where.parts) {
+        if (!m_pool.gaveUp(part.targetId, part.layers))
+            continue;
+        const bool isFirst = part.targetId == m_where.parts.front().targetId;
+        move({ ran_state::Unknown, isFirst, "cut off: " + part.targetId + " gave its layers up" }, m_bounds, now);
+        return;
+    }
+}
+
+bool exchange::isMember(const std::string& targetId) const
+{
+    return std::any_of(m_where.parts.begin(), m_where.parts.end(),
+        [&targetId](const auto& part) { return part.targetId == targetId; });
+}
+
+bool exchange::heardThrough(const std::string& targetId, steady_time since) const
+{
+    return m_attemptOpen && m_lastEventAt >= since && m_lastEventAt > m_attemptStart && isMember(targetId);
+}
+
+void exchange::checkMembersWhenDue(steady_time now)
+{
+    if (now < m_checkAt)
+        return;
+    m_checkAt = now + m_options.checkAgainAfter * (1U << std::min(m_vainChecks++, 3U));
+    m_port.checkMembers();
+}
+
+void exchange::onTimer(steady_time now)
+{
+    if (m_over)
+        return;
+    if (now >= m_request.deadline) {
+        if (m_attemptOpen)
+            closeAttempt();
+        const bool mayHaveRun = m_mayHaveRun || m_sent;
+        finish(mayHaveRun ? result_code::OutcomeUnknown : result_code::DeadlinePassed,
+            mayHaveRun ? ran_state::Unknown : ran_state::No, "no time left", now);
+        return;
+    }
+    if (m_paused && now >= m_goOnAt) {
+        const auto last = *std::exchange(m_paused, std::nullopt);
+        goOn(last, now);
+        return;
+    }
+    if (m_attemptOpen && m_sent) {
+        const bool hasLeft = hasPath() ? leaveSilentPath(now) : leaveSlowTarget(now);
+        if (hasLeft || m_over || !m_attemptOpen)
+            return;
+    }
+    scheduleWake(now);
+}
+
+bool exchange::leaveSilentPath(steady_time now)
+{
+    if (now >= m_moveAt) {
+        auto bounds = m_bounds;
+        for (const auto& part : m_where.parts)
+            bounds.excluded.insert(part.targetId);
+        if (move({ ran_state::Unknown, false, silentReason }, std::move(bounds), now))
+            return true;
+        m_moveAt = now + m_options.moveAfter;
+    }
+    checkMembersWhenDue(now);
+    if (now >= m_askAt) {
+        m_askAt = now + m_options.askAgainAfter * (1U << std::min(m_vainAsks, 5U));
+        ++m_openAsks;
+        m_port.askForReport();
+    }
+    return false;
+}
+
+bool exchange::leaveSlowTarget(steady_time now)
+{
+    if (m_request.chosen->kind != request_kind::Safe || m_answer || now < m_moveAt)
+        return false;
+    const auto first = m_where.parts.front().targetId;
+    const std::chrono::duration<double, std::milli> took = now - m_attemptStart;
+    m_pool.succeeded(first, took.count());
+    auto bounds = m_bounds;
+    bounds.excluded.insert(first);
+    return move({ ran_state::Unknown, false, silentReason }, std::move(bounds), now);
+}
+
+void exchange::scheduleWake(steady_time now)
+{
+    steady_time when = m_request.deadline;
+    if (m_paused)
+        when = std::min(when, m_goOnAt);
+    if (m_attemptOpen && m_sent && hasPath())
+        when = std::min({ when, m_askAt, m_checkAt, m_moveAt > now ? m_moveAt : when });
+    if (m_attemptOpen && m_sent && !hasPath() && m_request.chosen->kind == request_kind::Safe && !m_answer) {
+        const auto patience
+            = std::chrono::duration_cast<milliseconds>(m_request.chosen->latencyTarget * m_options.retryPart);
+        m_moveAt = m_attemptStart + patience;
+        if (m_moveAt > now)
+            when = std::min(when, m_moveAt);
+    }
+    m_port.wakeAt(when);
+}
+
+} // namespace buckthornrail::gateway
