--- a/src/buckthornrail/registry/layer_plan.cpp
+++ b/src/buckthornrail/registry/layer_plan.cpp
@@ -157,9 +157,10 @@
         auto* above = roomiest([&gap](const layer_range& held) { return held.first == gap.end; });
         const std::uint32_t spaceBelow = spaceOf(below);
         const std::uint32_t spaceAbove = spaceOf(above);
-        if (spaceBelow + spaceAbove < gap.size())
+        const std::uint32_t space = spaceBelow + spaceAbove;
+        if (space == 0 || space < gap.size())
             return;
-        const std::uint32_t share = gap.size() * spaceBelow / (spaceBelow + spaceAbove);
+        const std::uint32_t share = gap.size() * spaceBelow / space;
         const std::uint32_t taken = std::max(share, gap.size() - std::min(gap.size(), spaceAbove));
         if (taken > 0)
             order(*below, { below->holds.first, gap.first + taken }, steps);
