--- a/src/app/replicated_log.cpp
+++ b/src/app/replicated_log.cpp
@@ -15,8 +15,6 @@
 constexpr milliseconds joinWishLifetime { 2000 };
 /// A failed disk is read again after so long: it may have been full or hung for a moment.
 constexpr milliseconds recoverPeriod { 500 };
-/// A peer that can't be reached is dialled again after so long.
-constexpr milliseconds dialPause { 300 };
 /// A voter out of reach for so long may be replaced by a learner that stands ready. Longer than a restart takes.
 constexpr milliseconds replaceAfter { 2500 };
 /// Without a learner a voter is only dropped where one more than needed votes, and after longer.
@@ -129,35 +127,6 @@
     scheduleFlush();
 }
 
-bool replicated_log::onOpened(link::channel_number channel)
-{
-    for (auto& [address, peer] : m_peers) {
-        if (peer.channel != channel)
-            continue;
-        peer.open = true;
-        telemetry::logEvent(event_code::LinkOpened, { { "peer", address } });
-        dialPeers(); // introduces this member at once
-        return true;
-    }
-    return false;
-}
-
-bool replicated_log::onClosed(link::channel_number channel)
-{
-    for (auto& [address, peer] : m_peers) {
-        if (peer.channel != channel)
-            continue;
-        if (peer.open)
-            telemetry::logEvent(event_code::LinkClosed, { { "peer", address } }, telemetry::severity::Warning);
-        peer.channel = 0;
-        peer.dialDeadline = peer.open ? steady_time {} : steadyNow() + dialPause;
-        peer.open = false;
-        peer.heardBeforeDial = false;
-        return true;
-    }
-    return false;
-}
-
 bool replicated_log::onMessage(link::channel_number /*channel*/, const link::message& message)
 {
     if (const auto* peer = std::get_if<agreement::peer_message>(&message)) {
@@ -190,68 +159,6 @@
         m_joins[id] = { address, steadyNow() + joinWishLifetime };
 }
 
-bool replicated_log::sendToLeader(const link::message& message)
-{
-    const std::string address = leaderAddress();
-    const auto found = m_peers.find(address);
-    if (found == m_peers.end() || !found->second.open)
-        return false;
-    return m_hub.send(found->second.channel, link::encode(message));
-}
-
-std::string replicated_log::leaderAddress() const
-{
-    for (const auto& member : m_replica->members()) {
-        if (member.id == m_replica->leader())
-            return member.address;
-    }
-    return {};
-}
-
-bool replicated_log::knowsOtherLog() const
-{
-    return std::any_of(m_peers.begin(), m_peers.end(), [](const auto& item) { return item.second.initialized; });
-}
-
-void replicated_log::dialPeers()
-{
-    const steady_time now = steadyNow();
-    const auto& members = m_replica->members();
-    for (const auto& member : members) {
-        if (member.address != m_options.ownAddress)
-            m_peers.try_emplace(member.address);
-    }
-    std::erase_if(m_introduced, [now](const auto& item) { return now >= item.second.deadline; });
-    std::erase_if(
-        m_peers, [this](const auto& item) { return item.second.channel == 0 && !isWorthDialling(item.first); });
-    const bool isBlank = members.empty();
-    for (auto& [address, peer] : m_peers) {
-        if (peer.channel == 0 && now >= peer.dialDeadline)
-            peer.channel = m_hub.dial(address);
-        sendToPeer(address, link::controller_hello { m_replica->self(), m_options.ownAddress, !isBlank });
-        if (isBlank)
-            sendToPeer(address, link::join_request { m_replica->self(), m_options.ownAddress });
-    }
-}
-
-void replicated_log::dialNow(const std::string& address)
-{
-    auto& peer = m_peers[address];
-    if (peer.open || peer.heardBeforeDial)
-        return;
-    if (peer.channel != 0)
-        m_hub.close(peer.channel); // dialled while the peer was down: it may hang until its timeout
-    peer.heardBeforeDial = true;
-    peer.channel = m_hub.dial(address);
-}
-
-void replicated_log::sendToPeer(const std::string& address, const link::message& message)
-{
-    const auto found = m_peers.find(address);
-    if (found != m_peers.end() && found->second.open)
-        m_hub.send(found->second.channel, link::encode(message));
-}
-
 void replicated_log::tick()
 {
     m_replica->tick(steadyNow());
@@ -301,32 +208,6 @@
     watchLeadership();
 }
 
-void replicated_log::deliver(const agreement::peer_message& message)
-{
-    const auto& members = m_replica->members();
-    const auto to
-        = std::find_if(members.begin(), members.end(), [&](const auto& member) { return member.id == message.to; });
-    if (to != members.end()) {
-        sendToPeer(to->address, message);
-        return;
-    }
-    // An answer to a leader that this blank or outdated replica doesn't know yet. It has said where it is.
-    const auto known = m_introduced.find(message.to);
-    if (known != m_introduced.end())
-        sendToPeer(known->second.address, message);
-}
-
-bool replicated_log::isWorthDialling(const std::string& address) const
-{
-    const auto& seeds = m_options.seeds;
-    const auto& members = m_replica->members();
-    return std::find(seeds.begin(), seeds.end(), address) != seeds.end()
-        || std::any_of(
-            members.begin(), members.end(), [&address](const auto& member) { return member.address == address; })
-        || std::any_of(m_introduced.begin(), m_introduced.end(),
-            [&address](const auto& item) { return item.second.address == address; });
-}
-
 bool replicated_log::persist(const agreement::effects& effects)
 {
     if (!effects.needsPersist())
