--- a/include/buckthornrail/gateway/layer_path.hpp
+++ b/include/buckthornrail/gateway/layer_path.hpp
@@ -33,7 +33,8 @@
     /// The first target is in another domain than the caller's gateway: only events cross.
     double farStartMs = 4;
     /// Activations cross between domains and fill a pipe that all share: a usual prompt takes 14 ms of it. The traffic
-    /// of one domain may cross twice, so a path does it where the other domains' chains are crowded.
+    /// of one domain may cross twice, so a path does it where the other domains' chains are crowded. For narrower pipes
+    /// the pool raises it.
     double crossingMs = 80;
     /// Besides, what waits for the pipe from one domain to another: at [from * domains + to]; empty: nothing.
     std::vector<double> pipeWaitMs;
--- a/include/buckthornrail/registry/layer_plan.hpp
+++ b/include/buckthornrail/registry/layer_plan.hpp
@@ -39,15 +39,17 @@
 /// @brief Layers that fit into an accelerator with room for the tokens.
 std::uint32_t layersThatFit(const memory_needs& needs);
 
-/// @brief The most tokens for which the layers of all accelerators together still cover a model.
-/// @param tokens of each are the least to have room for, and the result when they cover no model
+/// @brief The most tokens that the accelerators of a domain can have room for, where they still hold all its whole
+/// chains, or one chain and half a second one.
+/// @param accelerators each with the least tokens to have room for
+/// @return that least when they can't hold so much
 double comfortableTokens(std::span<const memory_needs> accelerators, std::uint32_t layerCount);
 
 /// @brief The next orders. Domains are planned each by itself.
 ///
 /// Targets that hold nothing take as many layers as is comfortable, where layers are held least: so a domain is one
-/// whole chain with much room for requests. A gap is filled by its neighbours up to their capacity, which loads few
-/// layers each and cuts nothing; or else by a target whose layers others hold too.
+/// whole chain, and part of a second one. A gap is filled by a target whose layers others hold too, and without one by
+/// its neighbours, up to their capacity.
 /// @return at most one step a target; nothing when there is nothing to improve
 std::vector<plan_step> planLayers(std::span<const plan_target> targets, std::uint32_t layerCount);
 
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -186,6 +186,7 @@
 void gateway_role::onHealthCall(const net::whole_request& request, const net::responder& respond)
 {
     if (request.head.target == "/metrics") {
+        m_context.metrics.gauge("members_dialled", static_cast<double>(m_context.reachability->trials()));
         respond(net::plainResponse(200, m_context.metrics.text(), "text/plain"));
         return;
     }
