A request that met a newer configuration takes its terms anew and may go back to the same sidecar

Cause of the known red test (process_faults, version switch): a sidecar learns a version with its heartbeat's answer, an entry with the next push, up to 200 ms later. Offers sent in between are refused as stale and wait for the document. When it came, the run left that sidecar out of its choice and asked for the version drawn under the old document, which no other target serves: refused at once, 'not run'. Seen in the logs of two failed runs: refused at .725, document at .751, no_target at .751, while new requests were served at .751 by the other target.

Ruled out: an entry 1.5 s behind (the documents were 80 to 180 ms apart in both), the short first election timeouts (one leader throughout), links that reopen (none did).

Change: a refusal for a stale configuration excludes nobody, and the request's terms and version are drawn again from the document now in force, as long as its caller has been given nothing.

--- a/include/buckthornrail/dispatch/request_run.hpp
+++ b/include/buckthornrail/dispatch/request_run.hpp
@@ -122,6 +122,8 @@
     void offerNow(steady_time now);
     void claimOrOffer(steady_time now);
     void retryAfterNotRun(const failure& why, steady_time now);
+    /// @brief Gives the claim up and asks for a target, unless all attempts are used up.
+    void chooseAgain(const failure& why);
     void retryAfterRun(const failure& why, steady_time now);
     void loseAttempt(const failure& why, steady_time now);
     void rejectAnswer(steady_time now);
--- a/src/app/entry.cpp
+++ b/src/app/entry.cpp
@@ -137,9 +137,7 @@
         refuse(context, terms.error());
         return;
     }
-    context.terms = std::move(*terms);
-    context.version = drawVersion(context.terms.versions, m_routes.readyVersions(context.terms.model),
-        [this](std::uint32_t below) { return std::uniform_int_distribution<std::uint32_t>(0, below - 1)(m_random); });
+    applyTerms(context, std::move(*terms));
     const auto query = makeQuery(context, context.begun);
     const bool isSplit = !request.pipeline.empty() && !m_routes.servesWhole(query, context.begun)
         && !m_routes.stageCandidates(query, context.begun).empty();
@@ -165,6 +163,23 @@
     return admit(m_session->configuration().current(), request, inFlight == m_inFlight.end() ? 0 : inFlight->second);
 }
 
+void entry::applyTerms(run_context& context, admission_terms terms)
+{
+    context.terms = std::move(terms);
+    context.version = drawVersion(context.terms.versions, m_routes.readyVersions(context.terms.model),
+        [this](std::uint32_t below) { return std::uniform_int_distribution<std::uint32_t>(0, below - 1)(m_random); });
+}
+
+tl::expected<void, failure> entry::renewTerms(run_context& context)
+{
+    constexpr std::uint32_t othersInFlight = 0; // it was admitted before: the limit isn't asked again
+    auto terms = admit(m_session->configuration().current(), context.request, othersInFlight);
+    if (!terms)
+        return tl::make_unexpected(terms.error());
+    applyTerms(context, std::move(*terms));
+    return {};
+}
+
 void entry::refuse(const run_context& context, const failure& why)
 {
     const std::string code(describe(why.code).name);
@@ -353,15 +368,17 @@
         active.run.noTarget({ result_code::RetryBudgetSpent, "" }, now);
         return;
     }
+    const bool isStale = wish.previous.code == result_code::StaleConfiguration && context.nextSequence == 0;
+    const auto renewed = isStale ? renewTerms(context) : tl::expected<void, failure>();
+    if (!renewed) {
+        routeRefused(active, renewed.error(), now);
+        return;
+    }
     auto query = makeQuery(context, now);
     query.excluded = wish.excluded;
     const auto choice = m_routes.choose(query, now);
     if (!choice) {
-        telemetry::logEvent(event_code::RouteRefused,
-            { { "request", context.request.id }, { "code", std::string(describe(choice.error().code).name) },
-                { "reason", choice.error().reason } });
-        note(context.request.id, "no target: " + choice.error().reason);
-        active.run.noTarget(choice.error(), now);
+        routeRefused(active, choice.error(), now);
         return;
     }
     telemetry::logEvent(event_code::RouteChosen,
@@ -374,6 +391,15 @@
     active.run.targetChosen({ choice->instance, choice->incarnation }, now);
 }
 
+void entry::routeRefused(active_run& active, const failure& why, steady_time now)
+{
+    const std::string& request = active.context.request.id;
+    telemetry::logEvent(event_code::RouteRefused,
+        { { "request", request }, { "code", std::string(describe(why.code).name) }, { "reason", why.reason } });
+    note(request, "no target: " + why.reason);
+    active.run.noTarget(why, now);
+}
+
 void entry::sendOffer(active_run& active, const dispatch::send_offer& offer)
 {
     auto& context = active.context;
--- a/src/app/entry.hpp
+++ b/src/app/entry.hpp
@@ -72,6 +72,8 @@
     void onLinkLost(const instance_id& instance);
 
     [[nodiscard]] tl::expected<admission_terms, failure> termsFor(const caller_request& request) const;
+    /// @brief Draws the version that the request asks for.
+    void applyTerms(run_context& context, admission_terms terms);
     void refuse(const run_context& context, const failure& why);
     [[nodiscard]] routing::route_query makeQuery(const run_context& context, steady_time now) const;
     void startRun(run_context context);
@@ -81,6 +83,9 @@
     void carryOut(active_run& active, const dispatch::run_effect& effect);
     void carryOut(active_chain& active, const execution::chain_effect& effect);
     void chooseTarget(active_run& active, const dispatch::choose_target& wish);
+    void routeRefused(active_run& active, const failure& why, steady_time now);
+    /// @brief Takes the terms of the configuration now in force; the caller has been given nothing yet.
+    tl::expected<void, failure> renewTerms(run_context& context);
     void releaseStages(active_chain& active);
     void chooseChain(active_chain& active, const execution::choose_chain& wish);
     void sendOffer(active_run& active, const dispatch::send_offer& offer);
--- a/src/buckthornrail/dispatch/request_run.cpp
+++ b/src/buckthornrail/dispatch/request_run.cpp
@@ -189,8 +189,10 @@
 
 void request_run::retryNow(steady_time now)
 {
+    (void)now;
+    // The sidecar that knew the newer configuration is as good as any other one.
     if (m_phase == phase::Waiting)
-        retryAfterNotRun(m_lastFailure, now);
+        chooseAgain(m_lastFailure);
 }
 
 void request_run::callerGone(steady_time now)
@@ -297,11 +299,16 @@
 void request_run::retryAfterNotRun(const failure& why, steady_time now)
 {
     (void)now;
+    m_excluded.insert(m_target.instance);
+    chooseAgain(why);
+}
+
+void request_run::chooseAgain(const failure& why)
+{
     m_lastFailure = why;
     // Our own claim names an attempt that is proved not to have run; the next attempt takes its place.
     if (!m_claimed.attempt.request.empty())
         m_replaces = std::exchange(m_claimed, {});
-    m_excluded.insert(m_target.instance);
     if (m_attemptNumber >= m_options.maxAttempts) {
         finish(why);
         return;
