--- a/include/buckthornrail/gateway/route_document.hpp
+++ b/include/buckthornrail/gateway/route_document.hpp
@@ -66,6 +66,8 @@
     double tokenBytes = 0; ///< key-value memory of a token over all layers
     double stepMs = 0; ///< a step of the whole model at factor 1
     double stepMsPerSequence = 0;
+    double stepMsPerContextToken = 0; ///< for each token that the sequences of the step hold in memory
+    std::uint32_t stepsPerPass = 1; ///< tokens that an engine makes for its sequences before it takes new work
     double readTokensPerSecond = 0;
     double usualPromptTokens = 0;
     double usualAnswerTokens = 0;
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -25,7 +25,8 @@
 /// Where one attempt goes: the first part takes the request.
 struct selection {
     std::vector<selected_part> parts;
-    double expectedTokenMs = 0; ///< time of a token over all parts at the present load; 0: not a path
+    double expectedPassMs = 0; ///< from one event to the next over all parts at the present load; 0: not a path
+    bool hasRoom = true; ///< each part has memory for what is open there, or will have within a first event's time
     std::string summary; ///< for logs: how many were to be had, and what the choice is expected to cost
 };
 
@@ -33,6 +34,7 @@
 struct choice_bounds {
     std::set<std::string> excluded; ///< ids of targets not to use
     std::set<std::string> firstOnly; ///< ids of targets that may take the request; empty: any
+    milliseconds eventGapTarget { 0 }; ///< pauses between a stream's events are on time up to it; 0: none
 };
 
 /// What of a stream is timed.
@@ -73,7 +75,7 @@
     /// aren't told by target, they are taken to be spread like this one's.
     void setOthers(std::size_t gateways, std::size_t openAttempts);
     /// @brief Work of the others' attempts at the targets told of last; a row of another length says nothing.
-    void setOthersLoads(const registry::load_row& row);
+    void setOthersLoads(const registry::load_row& row, steady_time now);
     /// @brief Work of this gateway's attempts, for the others.
     [[nodiscard]] registry::load_row loads() const;
     [[nodiscard]] std::size_t openAttempts() const { return m_openAttempts; }
@@ -137,23 +139,44 @@
         bool hasEnded = false; ///< its address refused a connection
     };
 
+    /// A pass of an engine as a stream sees it.
+    struct pass_time {
+        double sharedMs = 0; ///< however many layers it runs: the other sequences' part, and half a pass of waiting
+        double perLayerMs = 0;
+    };
+
+    /// What counts for a path, beside doubt and crossings.
+    struct path_weights {
+        double pace = 1; ///< times what the passes of engines take, of which each makes several tokens
+        double comfortableMemory = 0; ///< share of its memory from which on a target costs more
+    };
+
     std::optional<selection> selectPath(
         const std::string& service, const layered_engine& engine, const choice_bounds& bounds, steady_time now);
     std::optional<selection> selectOne(const std::string& service, const choice_bounds& bounds, steady_time now);
+    std::optional<selection> findSelection(std::span<pool_target* const> targets, const layered_engine& engine,
+        const choice_bounds& bounds, const path_weights& weights, steady_time now);
     [[nodiscard]] std::vector<pool_target*> usable(const std::string& service, const std::set<std::string>& excluded);
     /// @brief Load of all gateways over that of this one.
     [[nodiscard]] double loadScale() const;
     /// @brief Work of all gateways at a target, as far as it is known.
     [[nodiscard]] double allTokenLayers(const pool_target& target) const;
-    [[nodiscard]] double allSequences(const pool_target& target, const layered_engine& engine) const;
     /// @brief Gateways of one domain: what makes one of them send much elsewhere meets the others as well.
     [[nodiscard]] double peers() const;
-    [[nodiscard]] double crowdingMs(const pool_target& target) const;
+    /// @brief Memory that all open attempts need at a target, over what it has.
+    [[nodiscard]] double fullnessOf(const pool_target& target) const;
+    /// @brief Whether a target has room, as far as the others told of their work lately.
+    [[nodiscard]] bool hasRoom(const pool_target& target, steady_time now) const;
+    [[nodiscard]] double crowdingMs(const pool_target& target, double comfortableMemory) const;
+    void countChoice(steady_time now);
+    /// @brief What a path costs more for each crossing between domains.
+    [[nodiscard]] double crossingMs(const layered_engine& engine) const;
     [[nodiscard]] std::vector<double> pipeWaits(const layered_engine& engine) const;
     void countUnread(const selection& chosen, double promptTokens);
     [[nodiscard]] std::size_t domainOf(const std::string& targetId) const;
     [[nodiscard]] static double doubtMs(const pool_target& target, steady_time now);
-    [[nodiscard]] double msPerLayer(const pool_target& target, const layered_engine& engine) const;
+    /// @brief What a stream's tokens take at a target for each pass of its engine.
+    [[nodiscard]] pass_time passTime(const pool_target& target, const layered_engine& engine) const;
     [[nodiscard]] static double slownessOf(const pool_target& target, steady_time now);
     [[nodiscard]] static double slownessOf(const pool_target& target, std::size_t kind, steady_time now);
     [[nodiscard]] std::size_t domainNumber(const std::string& name);
@@ -165,7 +188,10 @@
     std::size_t m_openAttempts = 0;
     double m_othersOpenAttempts = 0;
     double m_gateways = 1;
+    double m_choicesPerSecond = 0; ///< of paths, by this gateway; moving average
+    steady_time m_lastChoice {};
     bool m_loadsAreTold = false;
+    steady_time m_loadsToldAt {};
     std::map<std::pair<std::size_t, std::size_t>, double>
         m_unreadOverPipe; ///< tokens of prompts, by domains from and to
     std::map<std::string, pool_target> m_targets;
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -53,7 +53,7 @@
               [this](const registry::target_view& targets) { onTargets(targets); },
               [this] { return static_cast<std::uint32_t>(m_context.pool.openAttempts()); },
               [this] { return m_context.pool.loads(); },
-              [this](const registry::load_row& others) { m_context.pool.setOthersLoads(others); },
+              [this](const registry::load_row& others) { m_context.pool.setOthersLoads(others, steadyNow()); },
               [this](const link::gateway_update& update) {
                   m_context.gateways = std::max<std::size_t>(update.gateways, 1);
                   m_context.pool.setOthers(m_context.gateways, update.othersOpenAttempts);
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -20,7 +20,7 @@
 constexpr http1::parser_limits responseLimits { 32U << 10U, 64U << 20U };
 /// When to come back after a refusal: a path that was lost is whole again after about three seconds.
 constexpr milliseconds noTargetPause { 1500 };
-constexpr milliseconds busyPause { 300 };
+constexpr milliseconds busyPause { 120 };
 /// A call to a gateway that has just started waits so long for the first document: controllers that restart at the same
 /// moment elect a leader within a second, and callers wait two seconds for a first event.
 constexpr milliseconds documentPatience { 1400 };
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -37,6 +37,7 @@
     , m_options(options)
     , m_lastEventId(m_request.lastEventId)
 {
+    m_bounds.eventGapTarget = m_request.chosen->eventGapTarget;
 }
 
 void exchange::start(steady_time now)
@@ -47,6 +48,10 @@
         finish(result_code::NoTarget, ran_state::No, "no usable target or path", now);
         return;
     }
+    if (!where->hasRoom) {
+        finish(result_code::Busy, ran_state::No, "no path with room: " + where->summary, now);
+        return;
+    }
     open(*where, now);
 }
 
--- a/src/buckthornrail/gateway/routing_test.cpp
+++ b/src/buckthornrail/gateway/routing_test.cpp
@@ -220,24 +220,24 @@
 
 TEST_CASE("pool: work that others tell of by target counts there, and what grows here grows at its peers", "[gateway]")
 {
-    // Room for 190,000 tokens times layers at each target; from three quarters of it on a target costs more.
+    // Room for 190,000 tokens times layers at each target; close to it a target costs more.
     auto pool = poolOf({ readyTarget("x", "a", { 0, 10 }), readyTarget("y", "b", { 0, 10 }) });
     pool.setEngine("s", engineOf(10));
     pool.setOthers(20, 400);
     const steady_time now {};
-    pool.setOthersLoads({ 90, 190 });
+    pool.setOthersLoads({ 90, 190 }, now);
     const auto near = pool.select("s", {}, now);
     REQUIRE(near);
     CHECK(near->parts.front().targetId == "x");
-    pool.setOthersLoads({ 190, 90 });
+    pool.setOthersLoads({ 190, 90 }, now);
     CHECK(pool.select("s", {}, now)->parts.front().targetId == "y");
-    pool.setOthersLoads({ 90 }); // a row of other targets: only the count of attempts is known
+    pool.setOthersLoads({ 90 }, now); // a row of other targets: only the count of attempts is known
     CHECK(pool.select("s", {}, now)->parts.front().targetId == "x");
-    pool.setOthersLoads({ 90, 90 });
+    pool.setOthersLoads({ 90, 90 }, now);
     pool.began(*near, { 900, 100 }); // 10,000, at ten gateways of the domain
     CHECK(pool.select("s", {}, now)->parts.front().targetId == "y");
     CHECK(pool.loads() == registry::load_row { 10, 0 });
-    pool.setOthersLoads({ 90, 90 }); // the others have told since
+    pool.setOthersLoads({ 90, 90 }, now); // the others have told since
     CHECK(pool.select("s", {}, now)->parts.front().targetId == "x");
     pool.ended(*near, { 900, 100 }, false);
     CHECK(pool.loads() == registry::load_row { 0, 0 });
@@ -274,8 +274,8 @@
     engine.pipeMbps = 10000; // 8 ms for a prompt
     pool.setEngine("s", engine);
     pool.setOthers(2, 10);
-    pool.setOthersLoads({ 0, 195, 0 }); // in the order of ids: far, near, x
     const steady_time now {};
+    pool.setOthersLoads({ 0, 195, 0 }, now); // in the order of ids: far, near, x
     const auto crossing = pool.select("s", {}, now);
     REQUIRE(crossing);
     CHECK(crossing->parts.back().targetId == "far");
@@ -283,8 +283,10 @@
     CHECK(pool.select("s", {}, now)->parts.back().targetId == "near");
     pool.promptRead(*crossing, { 20000, 1 });
     CHECK(pool.select("s", {}, now)->parts.back().targetId == "far");
-    engine.pipeMbps = 1000; // 80 ms for a prompt
+    engine.pipeMbps = 1000; // 80 ms for a prompt, at two gateways
     pool.setEngine("s", engine);
+    for (int at = 0; at < 100; ++at)
+        pool.select("s", {}, now);
     CHECK(pool.select("s", {}, now)->parts.back().targetId == "near");
 }
 
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -28,9 +28,7 @@
 constexpr double farFactor = 1.3;
 /// A share of choices is drawn at random, so that a target that was slow once is measured again.
 constexpr double exploreShare = 0.02;
-/// A crossing between domains costs so many times what a usual prompt takes of the pipe: each stream's tokens wait
-/// behind other streams' prompts there.
-constexpr double crossingInPrompts = 4.5;
+constexpr double percent = 100;
 /// Costs are varied by so much, so that gateways don't all pick the same of two equal targets.
 constexpr double jitterShare = 0.1;
 /// Cost of using a target that failed lately, or whose heartbeats stopped: several times a whole chain of the slowest
@@ -39,6 +37,15 @@
 constexpr double avoidedMs = 1000;
 constexpr double lostMs = 2000;
 
+/// A path whose events are expected within this part of the gap target is safe: prompts that are read between two
+/// passes, and a lost packet, take about as much again.
+constexpr double safePartOfGap = 0.35;
+/// Share of its memory from which on a target costs more. Where all paths are soon enough, work is spread early: a full
+/// target refuses, or preempts what it has begun. Where slow accelerators would make a stream late, fast ones are
+/// filled.
+constexpr double comfortableForRoom = 0.75;
+constexpr double comfortableForPace = 0.95;
+
 } // namespace
 
 target_pool::target_pool(pool_options options, std::uint64_t seed)
@@ -135,44 +142,56 @@
     return doubt;
 }
 
-double target_pool::msPerLayer(const pool_target& target, const layered_engine& engine) const
+std::optional<selection> target_pool::selectPath(
+    const std::string& service, const layered_engine& engine, const choice_bounds& bounds, steady_time now)
 {
-    const double tokenMs
-        = target.stepFactor * (engine.stepMs + engine.stepMsPerSequence * allSequences(target, engine));
-    return tokenMs / std::max(engine.layers, 1U);
+    countChoice(now);
+    const auto targets = usable(service, bounds.excluded);
+    const path_weights roomFirst { 1.0 / engine.stepsPerPass, comfortableForRoom };
+    auto chosen = findSelection(targets, engine, bounds, roomFirst, now);
+    const double safeMs = safePartOfGap * static_cast<double>(bounds.eventGapTarget.count());
+    if (!chosen || safeMs <= 0 || chosen->expectedPassMs <= safeMs)
+        return chosen;
+    return findSelection(targets, engine, bounds, { 1, comfortableForPace }, now);
 }
 
-std::optional<selection> target_pool::selectPath(
-    const std::string& service, const layered_engine& engine, const choice_bounds& bounds, steady_time now)
+std::optional<selection> target_pool::findSelection(std::span<pool_target* const> targets, const layered_engine& engine,
+    const choice_bounds& bounds, const path_weights& weights, steady_time now)
 {
     std::uniform_real_distribution<double> jitter(1, 1 + jitterShare);
-    const auto targets = usable(service, bounds.excluded);
     std::vector<path_candidate> candidates;
     candidates.reserve(targets.size());
     for (const auto* target : targets) {
-        const double eachMs = msPerLayer(*target, engine) * slownessOf(*target, now) * jitter(m_random);
-        const double extraMs = doubtMs(*target, now) + crowdingMs(*target);
-        candidates.push_back({ target->record.layers, target->domain, eachMs, extraMs,
+        const auto pass = passTime(*target, engine);
+        const double pace = weights.pace * slownessOf(*target, now) * jitter(m_random);
+        const double extraMs
+            = doubtMs(*target, now) + crowdingMs(*target, weights.comfortableMemory) + pass.sharedMs * pace;
+        candidates.push_back({ target->record.layers, target->domain, pass.perLayerMs * pace, extraMs,
             bounds.firstOnly.empty() || bounds.firstOnly.contains(target->record.id) });
     }
     path_costs costs;
-    costs.crossingMs
-        = std::max(costs.crossingMs, crossingInPrompts * engine.usualPromptTokens * engine.pipeMsPerToken());
+    costs.crossingMs = crossingMs(engine);
     costs.pipeWaitMs = pipeWaits(engine);
     const auto path = findPath(candidates, engine.layers, m_domains.size(), 0, costs);
     if (path.empty())
         return std::nullopt;
     selection chosen;
     std::size_t doubtful = 0;
+    double fullest = 0;
     for (const auto& part : path) {
         const auto& record = targets[part.candidate]->record;
         chosen.parts.push_back({ record.id, record.address, part.layers });
-        chosen.expectedTokenMs
-            += path_costs().perPartMs + msPerLayer(*targets[part.candidate], engine) * part.layers.size();
-        doubtful += candidates[part.candidate].extraMs > 0 ? 1 : 0;
+        const auto& target = *targets[part.candidate];
+        const auto pass = passTime(target, engine);
+        chosen.expectedPassMs += path_costs().perPartMs + pass.sharedMs + pass.perLayerMs * part.layers.size();
+        doubtful += doubtMs(target, now) + crowdingMs(target, weights.comfortableMemory) > 0 ? 1 : 0;
+        chosen.hasRoom = chosen.hasRoom && hasRoom(target, now);
+        fullest = std::max(fullest, fullnessOf(target));
     }
     chosen.summary = std::to_string(targets.size()) + " usable, " + std::to_string(path.size()) + " parts, "
-        + std::to_string(doubtful) + " doubtful";
+        + std::to_string(doubtful) + " doubtful, fullest " + std::to_string(std::lround(fullest * percent))
+        + "%, loads " + std::to_string(std::chrono::duration_cast<milliseconds>(now - m_loadsToldAt).count())
+        + " ms old";
     return chosen;
 }
 
@@ -226,9 +245,9 @@
 
 void target_pool::paced(const selection& chosen, pace_kind kind, double ms, steady_time now)
 {
-    if (chosen.expectedTokenMs <= 0)
+    if (chosen.expectedPassMs <= 0)
         return;
-    const double pace = ms / chosen.expectedTokenMs;
+    const double pace = ms / chosen.expectedPassMs;
     const auto at = static_cast<std::size_t>(kind);
     double& usual = m_usualPace[at];
     if (usual == 0)
--- a/src/buckthornrail/gateway/target_pool_load.cpp
+++ b/src/buckthornrail/gateway/target_pool_load.cpp
@@ -8,15 +8,23 @@
 namespace buckthornrail::gateway {
 namespace {
 
-/// From this share of its memory on a target costs more, and at a whole memory as much as two crossings between
-/// domains: a full engine preempts requests, and refuses new ones.
-constexpr double comfortableMemory = 0.75;
+/// A target without room costs as much as two crossings between domains: a full engine preempts requests, and refuses
+/// new ones.
 constexpr double fullMemoryMs = 160;
+/// Part of a target's memory that may be asked for beyond what it has: streams last about two seconds, so as much comes
+/// free again within half a second, a usual latency target of first events. Gateways that decide at the same moment
+/// don't see each other's requests yet, so each takes its part of it.
+constexpr double overbooking = 0.3;
 constexpr double mostCrowdingMs = 600; ///< less than a target that refused just now
 /// Prompts that take so long to read at a target may wait there; what is beyond it counts as much as it takes. Latency
 /// targets of first events are 500 ms and more.
 constexpr double comfortableReadMs = 60;
 constexpr double loadUnit = 1000; ///< of load_row
+/// Nobody is refused by loads that were told longer ago: gateways tell them every 100 ms, and without a leader for a
+/// second nobody does; half of what was open then has ended.
+constexpr milliseconds loadsKeep { 1000 };
+/// The rate of choices is an average over about so long: a few residence times of a stream.
+constexpr double rateSeconds = 5;
 
 } // namespace
 
@@ -31,22 +39,55 @@
     return target.tokenLayers + target.othersTokenLayers + grown * (peers() - 1);
 }
 
-double target_pool::allSequences(const pool_target& target, const layered_engine& engine) const
+target_pool::pass_time target_pool::passTime(const pool_target& target, const layered_engine& engine) const
 {
-    const double each = (engine.usualPromptTokens + engine.usualAnswerTokens) * target.record.layers.size();
-    if (!m_loadsAreTold || each <= 0)
-        return target.sequences * loadScale();
-    return target.sequences + (allTokenLayers(target) - target.tokenLayers) / each;
+    const double usualTokens = engine.usualPromptTokens + engine.usualAnswerTokens;
+    const double tokenLayers = allTokenLayers(target);
+    const double sequenceLayers
+        = usualTokens > 0 ? tokenLayers / usualTokens : target.sequences * loadScale() * target.record.layers.size();
+    const double layerMs = engine.stepsPerPass * target.stepFactor / std::max(engine.layers, 1U);
+    pass_time time;
+    time.perLayerMs = layerMs * engine.stepMs;
+    const double othersMs
+        = layerMs * (engine.stepMsPerSequence * sequenceLayers + engine.stepMsPerContextToken * tokenLayers);
+    const double busy = std::min(1.0, sequenceLayers / std::max(target.record.layers.size(), 1U));
+    time.sharedMs = othersMs + (othersMs + time.perLayerMs * target.record.layers.size() * busy) / 2;
+    return time;
 }
 
-double target_pool::crowdingMs(const pool_target& target) const
+double target_pool::fullnessOf(const pool_target& target) const
 {
-    const double used = target.memoryTokenLayers > 0 ? allTokenLayers(target) / target.memoryTokenLayers : 1;
-    const double full = std::max(0.0, used - comfortableMemory) / (1 - comfortableMemory);
+    return target.memoryTokenLayers > 0 ? allTokenLayers(target) / target.memoryTokenLayers : 1;
+}
+
+bool target_pool::hasRoom(const pool_target& target, steady_time now) const
+{
+    const bool isKnown = m_loadsAreTold && now <= m_loadsToldAt + loadsKeep;
+    return !isKnown || fullnessOf(target) <= 1 + overbooking / peers();
+}
+
+double target_pool::crowdingMs(const pool_target& target, double comfortableMemory) const
+{
+    const double full = std::max(0.0, fullnessOf(target) - comfortableMemory) / (1 - comfortableMemory);
     const double readMs = target.unreadTokenLayers * target.readMsPerTokenLayer * peers();
     return std::min(mostCrowdingMs, full * fullMemoryMs) + std::max(0.0, readMs - comfortableReadMs);
 }
 
+void target_pool::countChoice(steady_time now)
+{
+    const std::chrono::duration<double> since = now - std::exchange(m_lastChoice, now);
+    m_choicesPerSecond = m_choicesPerSecond * std::exp(-since.count() / rateSeconds) + 1 / rateSeconds;
+}
+
+double target_pool::crossingMs(const layered_engine& engine) const
+{
+    // Gateways see the same crowded members and cross together: what counts is the pipe's use if all traffic did.
+    constexpr double msPerSecond = 1000;
+    const double promptMs = engine.usualPromptTokens * engine.pipeMsPerToken();
+    const double pipeUse = m_choicesPerSecond * m_gateways * promptMs / msPerSecond;
+    return path_costs().crossingMs * std::max(1.0, pipeUse);
+}
+
 std::vector<double> target_pool::pipeWaits(const layered_engine& engine) const
 {
     const std::size_t count = m_domains.size();
@@ -77,8 +118,9 @@
     m_othersOpenAttempts = static_cast<double>(openAttempts);
 }
 
-void target_pool::setOthersLoads(const registry::load_row& row)
+void target_pool::setOthersLoads(const registry::load_row& row, steady_time now)
 {
+    m_loadsToldAt = now;
     m_loadsAreTold = !row.empty() && row.size() == m_targets.size();
     if (!m_loadsAreTold)
         return;
