A first target that is only silent counts against the route's number

A target out of one gateway's reach, or whose packets were lost twice, runs on, so one request could run at three living first targets where its route allows two.

Change: it has ended when its address refuses connections, or when it is silent here and its heartbeats have stopped too.

Test: exchange, 'a first target that is only silent' (fails without the change; run). A late heartbeat of an old life after a new one registered at its address has a test as well; it passed before.

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -181,6 +181,9 @@
     bool leaveSilentPath(steady_time now);
     /// @brief Tries a safe request elsewhere when its answer is late. @return true when it moved
     bool leaveSlowTarget(steady_time now);
+    /// @brief Whether the open attempt's first target has surely ended, so that it doesn't count against the route's
+    /// number. One that is silent may only be out of this gateway's reach, and run the request on.
+    [[nodiscard]] bool firstHasEnded() const;
     [[nodiscard]] bool isMember(const std::string& targetId) const;
     void blameFirst(steady_time now);
     void blame(const std::string& targetId, bool dark, steady_time now);
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -108,8 +108,10 @@
     [[nodiscard]] std::string idAt(const std::string& address) const;
     /// @brief Nothing listens at an address any more: whoever was there has ended.
     void endedAt(const std::string& address);
-    /// @brief Whether a target has surely ended. One that leaves has not, nor one that has said its last word: it may
-    /// serve on for seconds.
+    /// @brief An address gives no answer: its machine is gone, cut off, or the question was lost twice.
+    void silentAt(const std::string& address);
+    /// @brief Whether a target has surely ended: its address refuses connections, or is silent here and its heartbeats
+    /// have stopped too. One that leaves has not, nor one that has said its last word: it may serve on for seconds.
     [[nodiscard]] bool hasEnded(const std::string& targetId) const;
     /// @brief Whether a target has said its last word, or isn't known any more.
     [[nodiscard]] bool isGone(const std::string& targetId) const;
@@ -137,6 +139,7 @@
         double memoryTokenLayers = 0; ///< room for requests, at the layers held now
         double readMsPerTokenLayer = 0;
         bool hasEnded = false; ///< its address refused a connection
+        bool isSilent = false; ///< its address gave no answer, and its heartbeats have not come back since
     };
 
     /// A pass of an engine as a stream sees it.
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -173,6 +173,8 @@
     const std::string id = m_context.pool.idAt(address);
     if (found == net::reachability::Refused)
         m_context.pool.endedAt(address);
+    else
+        m_context.pool.silentAt(address);
     if (id.empty())
         return; // controllers have told of its end already
     telemetry::logEvent(event_code::TargetUnreachable,
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -20,6 +20,8 @@
 constexpr http1::parser_limits responseLimits { 32U << 10U, 64U << 20U };
 /// When to come back after a refusal: a path that was lost is whole again after about three seconds.
 constexpr milliseconds noTargetPause { 1500 };
+/// A full path has room again soon, as streams end all the time: a caller that is back after so long can still have its
+/// first event within a latency target of 500 ms. After 300 ms few had: 0.013 of worth under a burst with losses.
 constexpr milliseconds busyPause { 120 };
 /// A call to a gateway that has just started waits so long for the first document: controllers that restart at the same
 /// moment elect a leader within a second, and callers wait two seconds for a first event.
--- a/src/buckthornrail/gateway/exchange_stream_test.cpp
+++ b/src/buckthornrail/gateway/exchange_stream_test.cpp
@@ -197,6 +197,45 @@
     }
 }
 
+// A first target out of one gateway's reach, or whose packets are lost twice, is silent there and runs on: found in a
+// played day, where requests ran on three targets of two. Its seed shows it in one of four plays.
+TEST_CASE("exchange: a first target that is only silent counts against the route's number", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    std::set<std::string> ranAt;
+    auto now = zero;
+    const auto runAndFallSilent = [&] {
+        call.onSent(now);
+        call.onHead(ownAnswer(200, true), now);
+        call.onEvent("e", ranAt.size() + 1, now);
+        const std::string first = bench.port.target;
+        ranAt.insert(first);
+        now += milliseconds(100);
+        bench.pool.silentAt(first + ":1");
+        call.onUnreachable(first, now);
+    };
+    runAndFallSilent();
+    REQUIRE(bench.port.attempts == 2);
+    runAndFallSilent();
+    REQUIRE(ranAt.size() == 2);
+    for (const auto& target : bench.port.targets)
+        CHECK(ranAt.contains(target));
+    SECTION("its heartbeats have stopped as well: it has ended")
+    {
+        for (const auto& id : ranAt)
+            bench.end(id, registry::target_state::Lost);
+        call.onLost(attempt_loss::Broken, now);
+        CHECK_FALSE(ranAt.contains(bench.port.target));
+    }
+    SECTION("its heartbeats come: it runs on")
+    {
+        call.onLost(attempt_loss::Broken, now);
+        CHECK(ranAt.contains(bench.port.target));
+    }
+}
+
 TEST_CASE("exchange: sound streams are left alone", "[exchange]")
 {
     exchange_bench bench(request_kind::Stream, true, true);
--- a/src/buckthornrail/gateway/exchange_watch.cpp
+++ b/src/buckthornrail/gateway/exchange_watch.cpp
@@ -27,7 +27,7 @@
         return;
     }
     blame(faulty, true, now);
-    move({ ran_state::Unknown, firstIsDark, "held up by " + faulty }, m_bounds, now);
+    move({ ran_state::Unknown, firstHasEnded(), "held up by " + faulty }, m_bounds, now);
 }
 
 void exchange::onUnreachable(const std::string& targetId, steady_time now)
@@ -38,8 +38,8 @@
     if (!isMember(targetId) || now < heard + m_options.silentEnough)
         return; // perhaps only this gateway can't reach it
     blame(targetId, true, now);
-    const bool isFirst = m_where.parts.front().targetId == targetId;
-    move({ ran_state::Unknown, isFirst, "held up by " + targetId + ", which takes no connection" }, m_bounds, now);
+    move({ ran_state::Unknown, firstHasEnded(), "held up by " + targetId + ", which takes no connection" }, m_bounds,
+        now);
 }
 
 void exchange::onTargetsChanged(steady_time now)
@@ -49,12 +49,14 @@
     for (const auto& part : m_where.parts) {
         if (!m_pool.gaveUp(part.targetId, part.layers))
             continue;
-        const bool isFirst = part.targetId == m_where.parts.front().targetId;
-        move({ ran_state::Unknown, isFirst, "cut off: " + part.targetId + " gave its layers up" }, m_bounds, now);
+        move({ ran_state::Unknown, firstHasEnded(), "cut off: " + part.targetId + " gave its layers up" }, m_bounds,
+            now);
         return;
     }
 }
 
+bool exchange::firstHasEnded() const { return m_pool.hasEnded(m_where.parts.front().targetId); }
+
 bool exchange::isMember(const std::string& targetId) const
 {
     return std::any_of(m_where.parts.begin(), m_where.parts.end(),
--- a/src/buckthornrail/gateway/heavy_load_test.cpp
+++ b/src/buckthornrail/gateway/heavy_load_test.cpp
@@ -119,7 +119,7 @@
     engine.kinds = { { "", 5 + 5 * 8.0, 1, 1 } }; // beside the weights of five layers, room for eight thousand tokens
     engine.tokenBytes = 10 * 1000.0;
     bench.pool.setEngine("s", engine);
-    bench.pool.setOthers(3 * 10, 40); // ten a domain: 3 in 100 over what a target has is too much
+    bench.pool.setOthers(30, 40); // ten a domain: 3 in 100 over what a target has is too much
     const std::uint32_t whole = 41; // thousands of tokens times layers
     const auto begin = [&bench] {
         auto call = bench.make();
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -68,8 +68,10 @@
             = target.record.state == registry::target_state::Lost && record.state == registry::target_state::Ready;
         target.record = record;
         target.domain = domainNumber(record.failureDomain);
-        if (cameBack)
+        if (cameBack) {
             target.avoidUntil = {};
+            target.isSilent = false;
+        }
         describeAccelerator(target);
     }
 }
@@ -322,10 +324,19 @@
         target.hasEnded = target.hasEnded || target.record.address == address;
 }
 
+void target_pool::silentAt(const std::string& address)
+{
+    for (auto& [id, target] : m_targets)
+        target.isSilent = target.isSilent || target.record.address == address;
+}
+
 bool target_pool::hasEnded(const std::string& targetId) const
 {
     const auto found = m_targets.find(targetId);
-    return found == m_targets.end() || found->second.hasEnded;
+    if (found == m_targets.end())
+        return true;
+    const auto& target = found->second;
+    return target.hasEnded || (target.isSilent && target.record.state == registry::target_state::Lost);
 }
 
 bool target_pool::isGone(const std::string& targetId) const
--- a/src/buckthornrail/registry/target_record_test.cpp
+++ b/src/buckthornrail/registry/target_record_test.cpp
@@ -89,6 +89,11 @@
     table.apply(second);
     CHECK(table.find("1")->state == target_state::Gone);
     CHECK(table.find("2")->state == target_state::Ready);
+    // Its last heartbeat was held up by a cut, and comes after it crashed.
+    first.sequence = 6;
+    CHECK_FALSE(table.apply(first));
+    CHECK(table.find("1")->state == target_state::Gone);
+    CHECK(table.find("2")->state == target_state::Ready);
 }
 
 TEST_CASE("targets: a view that follows the deltas shows the table", "[registry]")
