--- /dev/null
+++ b/src/app/entry_terms.cpp
@@ -0,0 +1,70 @@
+/// @file
+/// @brief Admission of a request at an entry: its terms under the configuration in force, and the version it asks for.
+#include "app/entry.hpp"
+
+namespace buckthornrail::app {
+
+void entry::submit(const caller_request& request, std::shared_ptr<answer_queue> queue)
+{
+    run_context context;
+    context.request = request;
+    context.queue = std::move(queue);
+    context.begun = steadyNow();
+    auto terms = termsFor(request);
+    if (!terms) {
+        refuse(context, terms.error());
+        return;
+    }
+    applyTerms(context, std::move(*terms));
+    const auto query = makeQuery(context, context.begun);
+    const bool isSplit = !request.pipeline.empty() && !m_routes.servesWhole(query, context.begun)
+        && !m_routes.stageCandidates(query, context.begun).empty();
+    if (isSplit && context.terms.nonIdempotent) {
+        refuse(context, { result_code::BadHeader, "a split pipeline takes no non-idempotent request" });
+        return;
+    }
+    ++m_inFlight[request.workspace];
+    m_budgets[request.workspace].requestStarted();
+    if (isSplit)
+        startChain(std::move(context));
+    else
+        startRun(std::move(context));
+}
+
+tl::expected<admission_terms, failure> entry::termsFor(const caller_request& request) const
+{
+    if (m_refusing || m_drainedByOperator)
+        return tl::make_unexpected(failure { result_code::ShuttingDown, "" });
+    if (!m_session->hasLease())
+        return tl::make_unexpected(failure { result_code::NoConfiguration, "" });
+    const auto inFlight = m_inFlight.find(request.workspace);
+    return admit(m_session->configuration().current(), request, inFlight == m_inFlight.end() ? 0 : inFlight->second);
+}
+
+void entry::applyTerms(run_context& context, admission_terms terms)
+{
+    context.terms = std::move(terms);
+    context.version = drawVersion(context.terms.versions, m_routes.readyVersions(context.terms.model),
+        [this](std::uint32_t below) { return std::uniform_int_distribution<std::uint32_t>(0, below - 1)(m_random); });
+}
+
+tl::expected<void, failure> entry::renewTerms(run_context& context)
+{
+    constexpr std::uint32_t othersInFlight = 0; // it was admitted before: the limit isn't asked again
+    auto terms = admit(m_session->configuration().current(), context.request, othersInFlight);
+    if (!terms)
+        return tl::make_unexpected(terms.error());
+    applyTerms(context, std::move(*terms));
+    return {};
+}
+
+void entry::refuse(const run_context& context, const failure& why)
+{
+    const std::string code(describe(why.code).name);
+    telemetry::logEvent(
+        event_code::RouteRefused, { { "request", context.request.id }, { "code", code }, { "reason", why.reason } });
+    m_metrics.count("requests_total", code);
+    context.queue->push(answer_finished { why, ran_state::No, "" });
+}
+
+} // namespace buckthornrail::app
