--- a/include/buckthornrail/core/clock.hpp
+++ b/include/buckthornrail/core/clock.hpp
@@ -11,4 +11,10 @@
 
 using std::chrono::milliseconds;
 
+/// @brief Whole milliseconds from one point in time to a later one.
+[[nodiscard]] inline milliseconds between(steady_time from, steady_time to)
+{
+    return std::chrono::duration_cast<milliseconds>(to - from);
+}
+
 } // namespace buckthornrail
--- a/include/buckthornrail/gateway/repeat_budget.hpp
+++ b/include/buckthornrail/gateway/repeat_budget.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <string>
 
 namespace buckthornrail::gateway {
 
@@ -35,6 +36,9 @@
     /// @return false when it is spent
     bool take(std::size_t gateways, bool wasRefused, steady_time now);
 
+    /// @brief What a decision was made from, for logs: requests and repeats in the window, gateways that share it.
+    [[nodiscard]] std::string describe(std::size_t gateways) const;
+
 private:
     void drop(steady_time now);
 
--- a/include/buckthornrail/link/link_hub.hpp
+++ b/include/buckthornrail/link/link_hub.hpp
@@ -12,11 +12,31 @@
 /// Number of a link within this process; never used again. 0 is no link.
 using channel_number = std::uint64_t;
 
+/// Why a link ended.
+enum class link_end_cause : std::uint8_t {
+    PeerEnded, ///< the connection was closed or reset at the other end, or never accepted
+    Silent, ///< nothing was heard of the other end for three keep-alive periods
+    NotOpened, ///< dialled, and not open in time
+    ReadTooSlowly, ///< more waited to be sent than a link may hold
+    OwnWish, ///< close() or stop() was called
+};
+
+/// @brief Name of a cause, in lower case.
+const char* nameOf(link_end_cause cause);
+
+/// What is known of a link at its end, for logs.
+struct link_end {
+    link_end_cause cause = link_end_cause::PeerEnded;
+    milliseconds silence { 0 }; ///< since the other end was heard last
+    std::size_t waitingBytes = 0; ///< given to send(), and not taken by the connection
+};
+
 /// Called on the loop thread.
 struct hub_handlers {
     std::function<void(channel_number, bool inbound)> opened;
     std::function<void(channel_number)> closed; ///< once for every channel that was opened or dialled
     std::function<void(channel_number, std::string)> received;
+    std::function<void(channel_number, const link_end&)> ending = nullptr; ///< may be empty; just before `closed`
 };
 
 struct hub_options {
@@ -51,6 +71,8 @@
     /// @brief Bytes of messages sent and received so far, for metrics.
     [[nodiscard]] std::uint64_t bytesSent() const;
     [[nodiscard]] std::uint64_t bytesReceived() const;
+    /// @brief Bytes given to send() that the connections haven't taken yet, over all links.
+    [[nodiscard]] std::size_t bytesWaiting() const;
 
 private:
     struct implementation;
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -55,7 +55,10 @@
               [this] { return m_context.pool.loads(); },
               [this](const registry::load_row& others) { m_context.pool.setOthersLoads(others, steadyNow()); },
               [this](const link::gateway_update& update) {
-                  m_context.gateways = std::max<std::size_t>(update.gateways, 1);
+                  const std::size_t told = std::max<std::size_t>(update.gateways, 1);
+                  if (const std::size_t before = std::exchange(m_context.gateways, told); before != told)
+                      telemetry::logEvent(event_code::GatewaysCounted,
+                          { { "gateways", std::to_string(told) }, { "before", std::to_string(before) } });
                   m_context.pool.setOthers(m_context.gateways, update.othersOpenAttempts);
               },
               [this] { return m_context.pool.takeDark(); },
--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway_session.cpp
@@ -3,8 +3,10 @@
 #include "app/gateway_session.hpp"
 
 #include "app/role_runner.hpp"
+#include "buckthornrail/core/enum_names.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace buckthornrail::app {
 namespace {
@@ -16,6 +18,14 @@
 /// election takes about as long.
 constexpr milliseconds leaderlessPatience { 150 };
 
+constexpr std::array leaveCauseNames {
+    enum_name<leave_cause> { leave_cause::None, "link_ended" },
+    enum_name<leave_cause> { leave_cause::Silence, "no_answer" },
+    enum_name<leave_cause> { leave_cause::OtherLeads, "other_leads" },
+    enum_name<leave_cause> { leave_cause::NoLeader, "no_leader" },
+    enum_name<leave_cause> { leave_cause::Unfitting, "unfitting_change" },
+};
+
 link::hub_options hubOptions(const settings::settings& settings)
 {
     link::hub_options options;
@@ -37,6 +47,7 @@
               [this](link::channel_number channel, bool) { onOpened(channel); },
               [this](link::channel_number channel) { onClosed(channel); },
               [this](link::channel_number channel, const std::string& bytes) { onMessage(channel, bytes); },
+              [this](link::channel_number channel, const link::link_end& end) { onEnding(channel, end); },
           },
           hubOptions(settings))
     , m_leaderlessTimer(loop)
@@ -64,6 +75,7 @@
         return;
     m_address = m_hint.empty() ? all[m_nextAddress++ % all.size()] : m_hint;
     m_hint.clear();
+    m_leaveCause = leave_cause::None;
     m_silenceDeadline = steadyNow() + silenceLimit;
     m_channel = m_hub.dial(m_address);
 }
@@ -76,14 +88,24 @@
     beat();
 }
 
+void gateway_session::onEnding(link::channel_number channel, const link::link_end& end)
+{
+    if (channel != m_channel || !m_isServed)
+        return;
+    const std::string why = m_leaveCause == leave_cause::None ? link::nameOf(end.cause)
+                                                              : std::string(nameIn(leaveCauseNames, m_leaveCause));
+    telemetry::logEvent(event_code::SessionLost,
+        { { "controller", m_address }, { "reason", why },
+            { "silent_ms", std::to_string(between(m_answeredAt, steadyNow()).count()) },
+            { "received", std::to_string(m_hub.bytesReceived() - m_receivedBefore) },
+            { "version", std::to_string(m_document.version) } },
+        telemetry::severity::Warning);
+}
+
 void gateway_session::onClosed(link::channel_number channel)
 {
     if (channel != m_channel)
         return;
-    if (m_isServed)
-        telemetry::logEvent(event_code::SessionLost,
-            { { "controller", m_address }, { "version", std::to_string(m_document.version) } },
-            telemetry::severity::Warning);
     m_channel = 0;
     m_open = false;
     const bool wasServed = std::exchange(m_isServed, false);
@@ -91,8 +113,9 @@
         connect(); // otherwise the next beat does, so that refused connections don't follow each other at once
 }
 
-void gateway_session::leave(const std::string& next)
+void gateway_session::leave(leave_cause cause, const std::string& next)
 {
+    m_leaveCause = cause;
     m_hint = next == m_address ? std::string() : next;
     m_hub.close(m_channel);
 }
@@ -103,7 +126,7 @@
         if (channel == 0 || channel != m_channel || m_isServed)
             return;
         m_triesNext = true;
-        leave({});
+        leave(leave_cause::NoLeader, {});
     });
 }
 
@@ -114,7 +137,7 @@
         return;
     }
     if (steadyNow() >= m_silenceDeadline) {
-        leave({});
+        leave(leave_cause::Silence, {});
         return;
     }
     if (!m_open)
@@ -138,20 +161,22 @@
 {
     if (!update.leads) {
         if (!update.leader.empty())
-            leave(update.leader);
+            leave(leave_cause::OtherLeads, update.leader);
         else
             leaveLeaderless();
         return;
     }
     if (!std::exchange(m_isServed, true))
         telemetry::logEvent(event_code::SessionOpened, { { "controller", m_address } });
-    m_silenceDeadline = steadyNow() + silenceLimit;
+    m_answeredAt = steadyNow();
+    m_receivedBefore = m_hub.bytesReceived();
+    m_silenceDeadline = m_answeredAt + silenceLimit;
     m_controllers = update.controllers;
     m_callbacks.served(update);
     for (const auto& change : update.document) {
         const std::uint64_t before = m_document.version;
         if (!applyTextUpdate(m_document, change)) {
-            leave({}); // the next session tells what is held, and gets what follows from it
+            leave(leave_cause::Unfitting, {}); // the next session tells what is held, and gets what follows from it
             return;
         }
         if (m_document.version != before)
@@ -159,7 +184,7 @@
     }
     for (const auto& delta : update.targets) {
         if (!m_targets.apply(delta)) {
-            leave({});
+            leave(leave_cause::Unfitting, {});
             return;
         }
         m_callbacks.targetsChanged(m_targets);
--- a/src/app/gateway_session.hpp
+++ b/src/app/gateway_session.hpp
@@ -9,6 +9,15 @@
 
 namespace buckthornrail::app {
 
+/// Why a gateway leaves a controller.
+enum class leave_cause : std::uint8_t {
+    None, ///< it doesn't: the link ended
+    Silence, ///< no answer by the deadline
+    OtherLeads, ///< it names the one that leads
+    NoLeader, ///< it knows of none, for as long as a gateway waits
+    Unfitting, ///< it sent a change that doesn't follow from what is held
+};
+
 struct gateway_session_callbacks {
     std::function<void(const versioned_text&)> documentChanged;
     std::function<void(const registry::target_view&)> targetsChanged;
@@ -34,7 +43,8 @@
     void onClosed(link::channel_number channel);
     void onMessage(link::channel_number channel, const std::string& bytes);
     void onUpdate(const link::gateway_update& update);
-    void leave(const std::string& next);
+    void leave(leave_cause cause, const std::string& next);
+    void onEnding(link::channel_number channel, const link::link_end& end);
     /// @brief Tries another controller soon, unless this one is heard of a leader meanwhile.
     void leaveLeaderless();
     [[nodiscard]] std::vector<std::string> addresses() const;
@@ -51,6 +61,9 @@
     bool m_isServed = false; ///< this controller leads and has answered
     bool m_triesNext = false; ///< the channel is being closed for another controller's
     std::uint64_t m_sequence = 0;
+    leave_cause m_leaveCause = leave_cause::None;
+    steady_time m_answeredAt {};
+    std::uint64_t m_receivedBefore = 0; ///< bytes, until the last answer
     steady_time m_silenceDeadline {}; ///< without an answer until then another controller is tried
     versioned_text m_document;
     registry::target_view m_targets;
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -80,6 +80,7 @@
                 m_loads.forget(channel);
             },
             [this](link::channel_number channel, const std::string& bytes) { onMessage(channel, bytes); },
+            [this](link::channel_number channel, const link::link_end& end) { m_log->onEnding(channel, end); },
         },
         hubOptions);
     replicated_log_options options;
@@ -314,6 +315,9 @@
     m_metrics.gauge("is_leader", m_log->isLeader() ? 1 : 0);
     m_metrics.gauge("commit_index", static_cast<double>(m_log->replica().commitIndex()));
     m_metrics.gauge("sessions", static_cast<double>(m_sessions.size()));
+    m_metrics.gauge("link_bytes_sent", static_cast<double>(m_hub->bytesSent()));
+    m_metrics.gauge("link_bytes_received", static_cast<double>(m_hub->bytesReceived()));
+    m_metrics.gauge("link_bytes_waiting", static_cast<double>(m_hub->bytesWaiting()));
 }
 
 void registry_role::confirmSessions()
@@ -373,9 +377,15 @@
     for (const auto& [other, open] : m_sessions)
         update.othersOpenAttempts += other == channel ? 0 : open.openAttempts;
     update.othersLoads = m_loads.othersOf(channel, m_state.targets());
+    const std::string bytes = link::encode(link::message(update));
+    if (!update.document.empty())
+        telemetry::logEvent(event_code::DocumentSent,
+            { { "gateway", one.instance }, { "from", std::to_string(update.document.front().from) },
+                { "to", std::to_string(update.document.front().to) }, { "bytes", std::to_string(bytes.size()) },
+                { "waiting", std::to_string(m_hub->bytesWaiting()) } });
     one.documentVersion = std::max(one.documentVersion, m_state.document().version);
     one.targetRevision = m_state.targets().revision();
-    m_hub->send(channel, link::encode(link::message(update)));
+    m_hub->send(channel, bytes);
 }
 
 void registry_role::onChanged()
--- a/src/app/replicated_log.cpp
+++ b/src/app/replicated_log.cpp
@@ -114,7 +114,7 @@
 void replicated_log::submit(const std::string& id, std::string bytes, done_callback done, milliseconds patience)
 {
     const steady_time now = steadyNow();
-    m_commands[id] = { std::move(bytes), std::move(done), now + patience, now };
+    m_commands[id] = { std::move(bytes), std::move(done), now + patience, now, {} };
     resendCommands();
     scheduleFlush();
 }
@@ -299,7 +299,7 @@
         if (now >= waiting.resendDeadline) {
             waiting.resendDeadline = now + commandResend;
             if (!m_replica->propose(waiting.bytes))
-                sendToLeader(link::forward_command { waiting.bytes });
+                forward(waiting, now);
         }
         ++at;
     }
@@ -307,6 +307,19 @@
         done(false);
 }
 
+void replicated_log::forward(pending_command& command, steady_time now)
+{
+    if (!sendToLeader(link::forward_command { command.bytes }))
+        return;
+    if (command.forwardedAt == steady_time {}) {
+        command.forwardedAt = now;
+        return;
+    }
+    telemetry::logEvent(event_code::CommandForwardedAgain,
+        { { "leader", leaderAddress() }, { "bytes", std::to_string(command.bytes.size()) },
+            { "after_ms", std::to_string(between(command.forwardedAt, now).count()) } });
+}
+
 void replicated_log::admitMembers()
 {
     const steady_time now = steadyNow();
--- a/src/app/replicated_log.hpp
+++ b/src/app/replicated_log.hpp
@@ -64,6 +64,8 @@
 
     /// @return true when the event was the log's
     bool onOpened(link::channel_number channel);
+    /// @brief Logs why a link to a peer ends; onClosed() follows.
+    void onEnding(link::channel_number channel, const link::link_end& end) const;
     bool onClosed(link::channel_number channel);
     bool onMessage(link::channel_number channel, const link::message& message);
     /// @brief Sends to the member that leads, if one is known and reachable.
@@ -87,6 +89,7 @@
         done_callback done;
         steady_time deadline {};
         steady_time resendDeadline {};
+        steady_time forwardedAt {}; ///< to a leader, for the first time; unset: not yet
     };
     struct pending_confirmation {
         std::function<void(bool)> callback;
@@ -125,6 +128,7 @@
     void releaseConfirmations();
     void saveSnapshotWhenDue();
     void resendCommands();
+    void forward(pending_command& command, steady_time now);
     void admitMembers();
     void noteWish(agreement::member_id id, const std::string& address);
     void watchLeadership();
--- a/src/app/replicated_log_links.cpp
+++ b/src/app/replicated_log_links.cpp
@@ -25,13 +25,23 @@
     return false;
 }
 
+void replicated_log::onEnding(link::channel_number channel, const link::link_end& end) const
+{
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.channel != channel || !peer.open)
+            continue;
+        telemetry::logEvent(event_code::LinkClosed,
+            { { "peer", address }, { "cause", link::nameOf(end.cause) },
+                { "silent_ms", std::to_string(end.silence.count()) }, { "waiting", std::to_string(end.waitingBytes) } },
+            telemetry::severity::Warning);
+    }
+}
+
 bool replicated_log::onClosed(link::channel_number channel)
 {
     for (auto& [address, peer] : m_peers) {
         if (peer.channel != channel)
             continue;
-        if (peer.open)
-            telemetry::logEvent(event_code::LinkClosed, { { "peer", address } }, telemetry::severity::Warning);
         peer.channel = 0;
         peer.dialDeadline = peer.open ? steady_time {} : steadyNow() + dialPause;
         peer.open = false;
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -47,6 +47,8 @@
     event_info { event_code::SnapshotSaved, "snapshot_saved", "A snapshot was saved and the log shortened." },
     event_info { event_code::StorageFault, "storage_fault", "The data folder failed; the controller stops voting." },
     event_info { event_code::StorageRegained, "storage_regained", "The data folder can be written again." },
+    event_info { event_code::CommandForwardedAgain, "command_forwarded_again",
+        "A command that isn't committed is sent to the leader once more; fields: leader, bytes, after_ms." },
     event_info { event_code::ConfigurationAccepted, "configuration_accepted", "A change was committed." },
     event_info {
         event_code::ConfigurationRejected, "configuration_rejected", "A change was refused, with its reason." },
@@ -63,9 +65,15 @@
     event_info {
         event_code::LayersSettled, "layers_settled", "An order for layers ended; fields: target, layers, outcome." },
     event_info { event_code::SessionOpened, "session_opened", "A gateway's session with the controllers began." },
-    event_info { event_code::SessionLost, "session_lost", "A gateway's session with the controllers ended." },
+    event_info { event_code::SessionLost, "session_lost",
+        "A gateway's session with the controllers ended; fields: reason, silent_ms, received, version." },
+    event_info { event_code::DocumentSent, "document_sent",
+        "A controller sends a gateway what it lacks; fields: gateway, from, to, bytes, waiting." },
+    event_info { event_code::GatewaysCounted, "gateways_counted",
+        "The number of gateways that share the budget of repeats has changed; fields: gateways, before." },
     event_info { event_code::LinkOpened, "link_opened", "A link between processes opened." },
-    event_info { event_code::LinkClosed, "link_closed", "A link between processes closed." },
+    event_info { event_code::LinkClosed, "link_closed",
+        "A link between processes closed; fields: peer, cause, silent_ms, waiting." },
     event_info { event_code::MessageRejected, "message_rejected", "A message could not be read." },
 };
 
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -21,8 +21,6 @@
     return std::find(promisingStatuses.begin(), promisingStatuses.end(), status) != promisingStatuses.end();
 }
 
-milliseconds between(steady_time from, steady_time to) { return std::chrono::duration_cast<milliseconds>(to - from); }
-
 std::string inMs(milliseconds time) { return std::to_string(time.count()); }
 
 } // namespace
@@ -261,7 +259,7 @@
     const bool mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
     const bool arrived = last.ran != ran_state::No || !last.targetEnded;
     if (arrived && !m_budget.take(m_gateways, !mayHaveRun, now)) {
-        next.why = "the budget of repeats is spent";
+        next.why = "the budget of repeats is spent: " + m_budget.describe(m_gateways);
         next.where.reset();
     }
     return next;
--- a/src/buckthornrail/gateway/repeat_budget.cpp
+++ b/src/buckthornrail/gateway/repeat_budget.cpp
@@ -24,6 +24,12 @@
     return true;
 }
 
+std::string repeat_budget::describe(std::size_t gateways) const
+{
+    return std::to_string(m_repeatsEnd.size()) + " for " + std::to_string(m_requestsEnd.size()) + " requests, one of "
+        + std::to_string(gateways) + " gateways";
+}
+
 void repeat_budget::drop(steady_time now)
 {
     while (!m_requestsEnd.empty() && m_requestsEnd.front() <= now)
--- a/src/buckthornrail/link/link_hub.cpp
+++ b/src/buckthornrail/link/link_hub.cpp
@@ -51,8 +51,12 @@
     bool inbound = false;
     bool open = false;
     steady_time silenceDeadline {};
+    steady_time heardAt {};
+    link_end_cause endCause = link_end_cause::PeerEnded; ///< once it is being ended
 };
 
+constexpr const char* endCauseNames[] { "peer_ended", "silent", "not_opened", "read_too_slowly", "own_wish" };
+
 std::pair<std::string, std::string> splitAddress(const std::string& address)
 {
     const auto colon = address.rfind(':');
@@ -63,6 +67,8 @@
 
 } // namespace
 
+const char* nameOf(link_end_cause cause) { return endCauseNames[static_cast<std::size_t>(cause)]; }
+
 struct link_hub::implementation {
     implementation(event_loop& owner, hub_handlers callbacks, hub_options limits)
         : loop(owner)
@@ -106,23 +112,49 @@
         auto known = channels.find(handle);
         if (known == channels.end()) {
             known = channels.emplace(handle, ++lastChannel).first;
-            links[known->second] = link_state { handle, inbound, false, {} };
+            links[known->second] = newLink(handle, inbound);
         }
         links[known->second].open = true;
         const channel_number channel = heard(handle);
         handlers.opened(channel, inbound);
     }
 
+    static link_state newLink(const connection_hdl& handle, bool inbound)
+    {
+        link_state state;
+        state.handle = handle;
+        state.inbound = inbound;
+        state.heardAt = std::chrono::steady_clock::now();
+        return state;
+    }
+
     void onClosed(const connection_hdl& handle)
     {
         const auto known = channels.find(handle);
         if (known == channels.end())
             return;
         const channel_number channel = known->second;
+        const link_state state = links[channel];
+        const link_end end { state.endCause,
+            std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - state.heardAt),
+            waitingBytesOf(state) };
         channels.erase(known);
         links.erase(channel);
-        if (!stopped)
-            handlers.closed(channel);
+        if (stopped)
+            return;
+        if (handlers.ending)
+            handlers.ending(channel, end);
+        handlers.closed(channel);
+    }
+
+    std::size_t waitingBytesOf(const link_state& state)
+    {
+        std::error_code error;
+        const auto inbound = state.inbound ? server.get_con_from_hdl(state.handle, error) : nullptr;
+        if (inbound)
+            return inbound->get_buffered_amount();
+        const auto outbound = state.inbound ? nullptr : client.get_con_from_hdl(state.handle, error);
+        return outbound ? outbound->get_buffered_amount() : 0;
     }
 
     channel_number heard(const connection_hdl& handle)
@@ -130,8 +162,9 @@
         const auto known = channels.find(handle);
         if (known == channels.end())
             return 0;
-        links[known->second].silenceDeadline
-            = std::chrono::steady_clock::now() + keepAliveMisses * options.keepAlivePeriod;
+        auto& link = links[known->second];
+        link.heardAt = std::chrono::steady_clock::now();
+        link.silenceDeadline = link.heardAt + keepAliveMisses * options.keepAlivePeriod;
         return known->second;
     }
 
@@ -164,7 +197,7 @@
                 client.ping(state.handle, "", ignored);
         }
         for (const channel_number channel : silent)
-            drop(channel);
+            drop(channel, link_end_cause::Silent);
     }
 
     /// Gives a dialled link up unless it is open by its deadline.
@@ -176,16 +209,17 @@
                 return;
             const auto found = links.find(channel);
             if (found != links.end() && !found->second.open)
-                drop(channel);
+                drop(channel, link_end_cause::NotOpened);
         });
     }
 
     /// Ends a link at once: the closing handshake would wait for a peer that may be gone.
-    void drop(channel_number channel)
+    void drop(channel_number channel, link_end_cause cause)
     {
         const auto found = links.find(channel);
         if (found == links.end())
             return;
+        found->second.endCause = cause;
         const link_state state = found->second;
         std::error_code ignored;
         if (!state.open) {
@@ -208,7 +242,7 @@
         if (error)
             return false;
         if (connection->get_buffered_amount() > options.maxBufferedBytes) {
-            drop(channel);
+            drop(channel, link_end_cause::ReadTooSlowly);
             return false;
         }
         endpoint.send(state.handle, message, websocketpp::frame::opcode::binary, error);
@@ -265,7 +299,7 @@
         return channel;
     }
     state.channels.emplace(connection->get_handle(), channel);
-    state.links[channel] = link_state { connection->get_handle(), false, false, {} };
+    state.links[channel] = link_hub::implementation::newLink(connection->get_handle(), false);
     state.client.connect(connection);
     state.watchOpening(channel);
     return channel;
@@ -282,7 +316,7 @@
                           : state.sendOver(state.client, channel, target, message);
 }
 
-void link_hub::close(channel_number channel) { m_implementation->drop(channel); }
+void link_hub::close(channel_number channel) { m_implementation->drop(channel, link_end_cause::OwnWish); }
 
 void link_hub::stop()
 {
@@ -297,11 +331,19 @@
     for (const auto& [channel, link] : state.links)
         all.push_back(channel);
     for (const channel_number channel : all)
-        state.drop(channel);
+        state.drop(channel, link_end_cause::OwnWish);
 }
 
 std::uint64_t link_hub::bytesSent() const { return m_implementation->bytesSent; }
 
 std::uint64_t link_hub::bytesReceived() const { return m_implementation->bytesReceived; }
 
+std::size_t link_hub::bytesWaiting() const
+{
+    std::size_t sum = 0;
+    for (const auto& [channel, state] : m_implementation->links)
+        sum += m_implementation->waitingBytesOf(state);
+    return sum;
+}
+
 } // namespace buckthornrail::link
