--- a/tests/support/gateway_world.cpp
+++ b/tests/support/gateway_world.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <sstream>
 
 namespace test_support {
@@ -27,12 +28,20 @@
         { "resumable", kind == "streaming" } };
 }
 
-std::string documentOf(std::uint64_t version, const std::string& extraRoute)
+std::string documentOf(std::uint64_t version, const document_options& options)
 {
+    const std::string& extraRoute = options.extraRoute;
     json routes = json::array({ routeOf("stream", "/stream/", "streaming", "llm"),
         routeOf("safe", "/safe/", "safe", "app"), routeOf("unsafe", "/unsafe/", "unsafe", "app") });
     if (!extraRoute.empty())
         routes.push_back(routeOf(extraRoute, "/" + extraRoute + "/", "safe", "app"));
+    std::mt19937 letters(1);
+    for (std::size_t at = 0; at < options.fillers; ++at) {
+        std::string name;
+        while (name.size() < options.fillerLength)
+            name += static_cast<char>('a' + letters() % 26);
+        routes.push_back(routeOf("filler-" + std::to_string(at), "/" + name + "/", "safe", "app"));
+    }
     const json engine { { "layers", stand_in_fleet::layers }, { "layer-mb", 100 }, { "kv-token-bytes", 16 },
         { "step_ms", 1 }, { "usual", { { "prompt", 10 }, { "answer", 10 } } },
         { "kinds", json::array({ { { "name", "l4" }, { "mb", 650 }, { "pace", 1 }, { "read-x", 1 } } }) } };
@@ -60,8 +69,10 @@
 
 } // namespace
 
-gateway_world::gateway_world(std::size_t gateways, std::size_t enginesPerDomain, std::size_t registries)
+gateway_world::gateway_world(
+    std::size_t gateways, std::size_t enginesPerDomain, std::size_t registries, std::string gatewaySettings)
     : m_enginesPerDomain(enginesPerDomain)
+    , m_gatewaySettings(std::move(gatewaySettings))
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "gateway-world-XXXXXX").string();
     m_folder = ::mkdtemp(pattern.data());
@@ -123,8 +134,8 @@
         m_addresses[name] = freeAddress();
         m_health[name] = freeAddress();
         write(name, "gateway",
-            "[instance]\nid = " + name + "\nfailure_domain = d" + std::to_string(at % 3 + 1)
-                + "\n[http]\naddress = " + m_health[name] + "\n[gateway]\naddress = " + m_addresses[name]
+            "[instance]\nid = " + name + "\nfailure_domain = d" + std::to_string(at % 3 + 1) + "\n[http]\naddress = "
+                + m_health[name] + "\n[gateway]\naddress = " + m_addresses[name] + "\n" + m_gatewaySettings
                 + "\n[controllers]\naddresses = " + links + "\nheartbeat_ms = 200\n[link]\nkeep_alive_ms = 300\n");
     }
 }
@@ -190,7 +201,14 @@
 
 int gateway_world::publish(std::uint64_t version, const std::string& registry, const std::string& extraRoute)
 {
-    return ask(m_addresses.at(registry), "PUT", "/config", documentOf(version, extraRoute), {}, controlPatience).status;
+    document_options options;
+    options.extraRoute = extraRoute;
+    return publish(version, registry, options);
+}
+
+int gateway_world::publish(std::uint64_t version, const std::string& registry, const document_options& options)
+{
+    return ask(m_addresses.at(registry), "PUT", "/config", documentOf(version, options), {}, controlPatience).status;
 }
 
 int gateway_world::publishAnywhere(std::uint64_t version, const std::string& extraRoute)
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -22,11 +22,21 @@
     std::string comeBack;
 };
 
+/// A document to publish.
+struct document_options {
+    std::string extraRoute; ///< named in its host's path; empty: none
+    std::size_t fillers = 0; ///< routes besides, each with a path of its own
+    /// Length of a filler's path: letters drawn from a fixed seed, which no compression makes short.
+    std::size_t fillerLength = 20;
+};
+
 /// @brief Registries, gateways, three failure domains of engines, and a plain service. Ends its processes by id.
 class gateway_world {
 public:
     /// @param registries of which all processes are told the first three
-    explicit gateway_world(std::size_t gateways = 2, std::size_t enginesPerDomain = 4, std::size_t registries = 3);
+    /// @param gatewaySettings further lines of the gateways' section of their settings
+    explicit gateway_world(std::size_t gateways = 2, std::size_t enginesPerDomain = 4, std::size_t registries = 3,
+        std::string gatewaySettings = {});
     gateway_world(const gateway_world&) = delete;
     gateway_world& operator=(const gateway_world&) = delete;
     ~gateway_world();
@@ -42,6 +52,7 @@
 
     /// @brief Publishes a document under a version to one registry. @return the status; 0: no answer
     int publish(std::uint64_t version, const std::string& registry, const std::string& extraRoute = {});
+    int publish(std::uint64_t version, const std::string& registry, const document_options& options);
     /// @brief Publishes until one of the registries acknowledges. @return the last status
     int publishAnywhere(std::uint64_t version, const std::string& extraRoute = {});
     /// @brief The version that a registry reads back; nothing when it doesn't know.
@@ -88,6 +99,7 @@
     std::vector<std::size_t> m_engines;
     std::vector<std::size_t> m_plainTargets;
     std::size_t m_enginesPerDomain;
+    std::string m_gatewaySettings;
     std::unique_ptr<stand_in_fleet> m_fleet;
 };
 
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -2,6 +2,7 @@
 /// @brief Relay by asio.
 #include "support/relay.hpp"
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <thread>
@@ -16,30 +17,57 @@
 constexpr std::chrono::milliseconds checkPeriod { 20 };
 constexpr std::chrono::milliseconds slowness { 120 }; ///< of each piece in mode Slow
 
+/// A bound on what all lanes of one direction carry together. Used on the relay's thread; the rate may be set from
+/// others.
+class shared_rate {
+public:
+    explicit shared_rate(std::atomic<std::uint64_t>& bytesPerSecond)
+        : m_rate(bytesPerSecond)
+    {
+    }
+
+    /// @brief Books a piece. @return when it may go on
+    std::chrono::steady_clock::time_point book(std::size_t size)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const std::uint64_t rate = m_rate.load();
+        if (rate == 0)
+            return now;
+        m_free = std::max(m_free, now) + std::chrono::microseconds(size * 1'000'000 / rate);
+        return m_free;
+    }
+
+private:
+    std::atomic<std::uint64_t>& m_rate;
+    std::chrono::steady_clock::time_point m_free;
+};
+
 /// One direction of a bridge.
 struct lane {
-    lane(asio::io_context& io, tcp::socket& source, tcp::socket& sink, bool isOutward)
+    lane(asio::io_context& io, tcp::socket& source, tcp::socket& sink, bool isOutward, shared_rate& bound)
         : from(source)
         , to(sink)
         , timer(io)
         , outward(isOutward)
+        , rate(bound)
     {
     }
     tcp::socket& from;
     tcp::socket& to;
     asio::steady_timer timer;
     bool outward;
+    shared_rate& rate;
     std::array<char, 16384> buffer {};
 };
 
 /// Two sockets whose bytes go from one to the other.
 struct bridge : std::enable_shared_from_this<bridge> {
-    bridge(asio::io_context& io, std::atomic<relay_mode>& chosen)
+    bridge(asio::io_context& io, std::atomic<relay_mode>& chosen, shared_rate& outwardRate, shared_rate& inwardRate)
         : near(io)
         , far(io)
         , mode(chosen)
-        , outward(io, near, far, true)
-        , inward(io, far, near, false)
+        , outward(io, near, far, true, outwardRate)
+        , inward(io, far, near, false, inwardRate)
     {
     }
 
@@ -56,7 +84,23 @@
             if (error)
                 self->close();
             else
-                self->pass(one, size, self->mode.load() == relay_mode::Slow);
+                self->hold(one, size);
+        });
+    }
+
+    /// Lets a piece wait for its turn under the bound on the rate.
+    void hold(lane& one, std::size_t size)
+    {
+        const bool slow = mode.load() == relay_mode::Slow;
+        const auto turn = one.rate.book(size);
+        if (turn <= std::chrono::steady_clock::now()) {
+            pass(one, size, slow);
+            return;
+        }
+        one.timer.expires_at(turn);
+        one.timer.async_wait([self = shared_from_this(), &one, size, slow](auto error) {
+            if (!error)
+                self->pass(one, size, slow);
         });
     }
 
@@ -117,7 +161,7 @@
 
     void accept()
     {
-        auto one = std::make_shared<bridge>(io, mode);
+        auto one = std::make_shared<bridge>(io, mode, outwardRate, inwardRate);
         bridges.push_back(one);
         acceptor.async_accept(one->near, [this, one](auto error) {
             if (error)
@@ -136,6 +180,9 @@
 
     asio::io_context io;
     std::atomic<relay_mode> mode { relay_mode::Pass };
+    std::atomic<std::uint64_t> bytesPerSecond { 0 };
+    shared_rate outwardRate { bytesPerSecond };
+    shared_rate inwardRate { bytesPerSecond };
     std::vector<std::weak_ptr<bridge>> bridges;
     tcp::acceptor acceptor;
     tcp::endpoint target;
@@ -156,6 +203,8 @@
 
 void relay::setMode(relay_mode mode) { m_implementation->mode = mode; }
 
+void relay::setRate(std::uint64_t bytesPerSecond) { m_implementation->bytesPerSecond = bytesPerSecond; }
+
 void relay::resetAll()
 {
     asio::post(m_implementation->io, [this] {
--- a/tests/support/relay.hpp
+++ b/tests/support/relay.hpp
@@ -23,6 +23,8 @@
     [[nodiscard]] std::string address() const;
     void setMode(relay_mode mode);
     void setSilent(bool silent) { setMode(silent ? relay_mode::Silent : relay_mode::Pass); }
+    /// @brief What all connections together carry in each direction, in bytes a second; 0: no bound.
+    void setRate(std::uint64_t bytesPerSecond);
     /// @brief Breaks every connection that it carries.
     void resetAll();
 
--- a/tests/support/stand_in_fleet.cpp
+++ b/tests/support/stand_in_fleet.cpp
@@ -126,6 +126,7 @@
     std::thread thread;
     std::vector<std::unique_ptr<target>> targets;
     std::vector<fleet_run> runs;
+    std::vector<std::string> arrivals;
     std::mt19937_64 random { 7 };
     std::size_t lives = 0;
     bool isEnding = false;
@@ -193,6 +194,7 @@
             order(m_parser.takeBody());
             return;
         }
+        m_fleet.arrivals.push_back(m_requestId);
         if (m_target.isDraining || m_fleet.drawn(m_target.faults.refuseShare)) {
             answer(503, "", { { "X-Buckthornrail-Not-Executed", "1" } });
             return;
@@ -510,6 +512,11 @@
     m_implementation->ask([&] { m_implementation->targets.at(target)->faults = faults; });
 }
 
+std::vector<std::string> stand_in_fleet::arrivals() const
+{
+    return m_implementation->ask([this] { return m_implementation->arrivals; });
+}
+
 std::vector<fleet_run> stand_in_fleet::runs() const
 {
     return m_implementation->ask([this] { return m_implementation->runs; });
--- a/tests/support/stand_in_fleet.hpp
+++ b/tests/support/stand_in_fleet.hpp
@@ -55,6 +55,8 @@
     void setFaults(std::size_t target, const target_faults& faults);
 
     [[nodiscard]] std::vector<fleet_run> runs() const;
+    /// @brief Ids of the requests that came to targets, once for each arrival, also of those that were refused.
+    [[nodiscard]] std::vector<std::string> arrivals() const;
     /// @brief Layers held by living engines of a domain, without gap from 0 to the end.
     [[nodiscard]] bool hasChain(const std::string& domain) const;
     /// @brief Targets that a controller has acknowledged as draining.
