Budget of repeats: one whole over restarts, elections and gateways that leave

A process that was started anew began with a whole part whatever the one before had spent; a leader counted the sessions it had, so the first gateway that found it was told that it was alone; one that left freed its part at once. In code: parts summed up to more than the whole.

Change: the leader keeps a census (registry/gateway_census): gateways heard within the window, no number before it has led for 2 s, and what each process said it had spent, which the next process under that id is told. A gateway holds the largest number told within a window, and uses no slack in its first window unless it was told what was spent. Exchanges ask for the number now, not at their start. The tests' calls take the number by toldGateways() instead of an argument; what they check is the same.

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -119,7 +119,7 @@
 class exchange {
 public:
     exchange(exchange_request request, exchange_port& port, target_pool& pool, repeat_budget& budget,
-        std::size_t gateways, const exchange_options& options = {});
+        const exchange_options& options = {});
 
     void start(steady_time now);
     /// @brief The connection stands and the request's bytes are on their way.
@@ -194,7 +194,6 @@
     exchange_port& m_port;
     target_pool& m_pool;
     repeat_budget& m_budget;
-    std::size_t m_gateways;
     exchange_options m_options;
     selection m_where;
     choice_bounds m_bounds;
--- a/include/buckthornrail/gateway/repeat_budget.hpp
+++ b/include/buckthornrail/gateway/repeat_budget.hpp
@@ -1,12 +1,18 @@
 /// @file
 /// @brief How many requests a gateway may send a second time, out of a budget that all gateways share.
+///
+/// The operators bound the repeats of a window: a ratio of the requests, and a slack besides. Each gateway may use the
+/// ratio of its own requests and one part of the slack. The parts sum up to no more than the slack as long as nobody's
+/// number of gateways is too small, and nobody spends again what its process spent before it was started anew.
 #pragma once
 
 #include "buckthornrail/core/clock.hpp"
+#include "buckthornrail/registry/gateway_census.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 
 namespace buckthornrail::gateway {
@@ -20,6 +26,8 @@
     /// What was refused, and so begun nowhere, may use this part of that: its caller can come again at no cost to the
     /// budget, while a stream that has begun is lost.
     double partForRefused = 0.5;
+    /// The slack isn't used before: what this process spent before it was started anew may still count.
+    steady_time slackFrom {};
 };
 
 /// @brief Counts requests and repeats of one service over a sliding window. Callers pass the time in.
@@ -30,21 +38,54 @@
     {
     }
 
+    /// @brief So many gateways share the slack. The largest number told within a window counts: those that have left
+    /// since may have spent their parts. Before the first word there is no slack.
+    void toldGateways(std::size_t gateways, steady_time now);
+    /// @brief An earlier process of this gateway spent so much within the last window, and no other.
+    void resume(std::uint32_t spent, steady_time now);
     void noteRequest(steady_time now);
-    /// @brief Takes one repeat out of the budget. @param gateways that share it
-    /// @param wasRefused the request has begun nowhere
+    /// @brief Takes one repeat out of the budget. @param wasRefused the request has begun nowhere
     /// @return false when it is spent
-    bool take(std::size_t gateways, bool wasRefused, steady_time now);
-
+    bool take(bool wasRefused, steady_time now);
+    /// @brief Whether all that this gateway spent within the window is counted here.
+    [[nodiscard]] bool isComplete(steady_time now) const { return now >= m_options.slackFrom; }
+    /// @brief Repeats within the window that ends now.
+    [[nodiscard]] std::uint32_t spent(steady_time now);
     /// @brief What a decision was made from, for logs: requests and repeats in the window, gateways that share it.
-    [[nodiscard]] std::string describe(std::size_t gateways) const;
+    [[nodiscard]] std::string describe(steady_time now);
 
 private:
     void drop(steady_time now);
+    [[nodiscard]] std::size_t gateways() const;
 
     repeat_budget_options m_options;
     std::deque<steady_time> m_requestsEnd; ///< when each request leaves the window
     std::deque<steady_time> m_repeatsEnd;
+    std::size_t m_gateways = 0; ///< as told last; 0: never
+    std::map<std::size_t, steady_time> m_gatewaysUntil; ///< numbers told before: until when their parts may count
+};
+
+/// @brief The budgets of one gateway, one for each service that it has sent to.
+class repeat_budgets {
+public:
+    explicit repeat_budgets(const repeat_budget_options& options)
+        : m_unused(options)
+    {
+    }
+
+    [[nodiscard]] repeat_budget& of(const std::string& service);
+    /// @brief See repeat_budget::toldGateways.
+    void toldGateways(std::size_t gateways, steady_time now);
+    /// @brief See repeat_budget::resume. Services that aren't named had nothing spent.
+    void resume(const registry::repeat_counts& spent, steady_time now);
+    /// @brief See repeat_budget::isComplete.
+    [[nodiscard]] bool isComplete(steady_time now) const { return m_unused.isComplete(now); }
+    /// @brief Services with repeats within the window that ends now.
+    [[nodiscard]] registry::repeat_counts spent(steady_time now);
+
+private:
+    repeat_budget m_unused; ///< what a service's budget is before its first request
+    std::map<std::string, repeat_budget> m_byService;
 };
 
 } // namespace buckthornrail::gateway
--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -9,6 +9,7 @@
 #include "buckthornrail/dispatch/order_keeper.hpp"
 #include "buckthornrail/execution/stage_guard.hpp"
 #include "buckthornrail/membership/membership_table.hpp"
+#include "buckthornrail/registry/gateway_census.hpp"
 #include "buckthornrail/registry/load_board.hpp"
 
 #include <tl/expected.hpp>
@@ -152,6 +153,9 @@
     std::uint32_t openAttempts = 0; ///< under way at targets
     std::vector<std::string> darkTargets; ///< ids of targets that were dead or cut off for it since the last beat
     registry::load_row loads; ///< of its attempts, at the targets of that revision
+    std::uint64_t life = 0; ///< drawn by each process at its start
+    registry::repeat_counts repeats; ///< that it spent within the window
+    bool isRepeatsComplete = false; ///< also those of processes before this one; false: it wants to be told of them
 };
 
 /// A text as a patch (see compression/text_patch.hpp).
@@ -170,6 +174,8 @@
     std::vector<registry::target_delta> targets; ///< the same
     std::vector<std::string> controllers; ///< link addresses of all members
     std::uint32_t gateways = 1; ///< that have a session now
+    std::uint32_t budgetSharers = 0; ///< gateways that may have spent of the budget of repeats; 0: not known
+    std::vector<registry::repeat_counts> earlierRepeats; ///< at most one: of processes before this one; none: not known
     std::uint32_t othersOpenAttempts = 0; ///< under way from all other gateways, as they told last
     registry::load_row othersLoads; ///< the same by target, once the changes above are applied; empty: not told
 };
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -32,6 +32,7 @@
     options.ratio = settings.repeatRatio;
     options.slack = settings.repeatSlack;
     options.window = std::chrono::seconds(settings.repeatWindowSeconds);
+    options.slackFrom = steadyNow() + options.window;
     return options;
 }
 
@@ -43,7 +44,7 @@
     , m_settings(settings)
     , m_control(control)
     , m_context { loop, traffic, metrics, gateway::target_pool(poolOptions(settings), randomNumber()),
-        budgetOptions(settings), {}, nullptr, 1, std::mt19937_64(randomNumber()) }
+        gateway::repeat_budgets(budgetOptions(settings)), nullptr, 0, std::mt19937_64(randomNumber()) }
     , m_listener(loop, [this](net::channel_pointer channel) { onChannel(std::move(channel)); })
     , m_health(loop,
           [this](const net::whole_request& request, const net::responder& respond) { onHealthCall(request, respond); })
@@ -54,14 +55,12 @@
               [this] { return static_cast<std::uint32_t>(m_context.pool.openAttempts()); },
               [this] { return m_context.pool.loads(); },
               [this](const registry::load_row& others) { m_context.pool.setOthersLoads(others, steadyNow()); },
-              [this](const link::gateway_update& update) {
-                  const std::size_t told = std::max<std::size_t>(update.gateways, 1);
-                  if (const std::size_t before = std::exchange(m_context.gateways, told); before != told)
-                      telemetry::logEvent(event_code::GatewaysCounted,
-                          { { "gateways", std::to_string(told) }, { "before", std::to_string(before) } });
-                  m_context.pool.setOthers(m_context.gateways, update.othersOpenAttempts);
-              },
+              [this](const link::gateway_update& update) { onServed(update); },
               [this] { return m_context.pool.takeDark(); },
+              [this](link::gateway_beat& beat) {
+                  beat.repeats = m_context.budgets.spent(steadyNow());
+                  beat.isRepeatsComplete = m_context.budgets.isComplete(steadyNow());
+              },
           })
 {
     m_context.reachability = std::make_unique<net::reachability_checks>(
@@ -125,6 +124,21 @@
     caller->begin();
 }
 
+void gateway_role::onServed(const link::gateway_update& update)
+{
+    const auto now = steadyNow();
+    m_context.pool.setOthers(std::max<std::size_t>(update.gateways, 1), update.othersOpenAttempts);
+    if (!update.earlierRepeats.empty() && !m_context.budgets.isComplete(now))
+        m_context.budgets.resume(update.earlierRepeats.front(), now);
+    if (update.budgetSharers == 0)
+        return; // not known there yet: what was told before holds
+    m_context.budgets.toldGateways(update.budgetSharers, now);
+    const std::size_t before = std::exchange(m_context.budgetSharers, update.budgetSharers);
+    if (before != update.budgetSharers)
+        telemetry::logEvent(event_code::GatewaysCounted,
+            { { "gateways", std::to_string(update.budgetSharers) }, { "before", std::to_string(before) } });
+}
+
 void gateway_role::onDocument(const versioned_text& document)
 {
     auto read = m_control.readDocument(document.text);
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -33,6 +33,8 @@
 
 private:
     void onChannel(net::channel_pointer channel);
+    /// @brief Takes over what the leader says of the other gateways.
+    void onServed(const link::gateway_update& update);
     void onDocument(const versioned_text& document);
     void onTargets(const registry::target_view& targets);
     /// @brief Calls that are open now, kept alive while they are told something.
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -119,10 +119,9 @@
     request.deadline = m_arrived + std::min(route->longestWait, m_caller.patience.value_or(route->longestWait));
     request.lastEventId = m_caller.lastEventId;
     request.size = m_caller.size;
-    auto& budget
-        = m_context.budgets.try_emplace(request.service, gateway::repeat_budget(m_context.budgetOptions)).first->second;
-    m_exchange = std::make_unique<gateway::exchange>(
-        std::move(request), *this, m_context.pool, budget, m_context.gateways, exchangeOptions);
+    auto& budget = m_context.budgets.of(request.service);
+    m_exchange
+        = std::make_unique<gateway::exchange>(std::move(request), *this, m_context.pool, budget, exchangeOptions);
     m_exchange->start(steadyNow());
 }
 
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway_call.hpp
@@ -20,10 +20,9 @@
     const gateway::traffic_dialect& dialect;
     telemetry::metrics& metrics;
     gateway::target_pool pool;
-    gateway::repeat_budget_options budgetOptions;
-    std::map<std::string, gateway::repeat_budget> budgets; ///< by service
+    gateway::repeat_budgets budgets;
     std::shared_ptr<const gateway::route_index> document; ///< empty: none yet
-    std::size_t gateways = 1;
+    std::size_t budgetSharers = 0; ///< gateways that share the budgets, as told last; 0: never
     std::mt19937_64 random;
     std::vector<std::weak_ptr<class gateway_call>> waiting; ///< calls that came before the first document
     steady_time youngUntil {}; ///< until then calls wait for the first document
--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway_session.cpp
@@ -145,9 +145,10 @@
         return;
     for (auto& id : m_callbacks.takeDarkTargets())
         m_dark.push_back(std::move(id));
-    m_hub.send(m_channel,
-        link::encode(link::gateway_beat { m_settings.id, ++m_sequence, m_document.version, m_targets.revision(),
-            m_callbacks.openAttempts(), std::exchange(m_dark, {}), m_callbacks.loads() }));
+    link::gateway_beat beat { m_settings.id, ++m_sequence, m_document.version, m_targets.revision(),
+        m_callbacks.openAttempts(), std::exchange(m_dark, {}), m_callbacks.loads(), m_life, {}, false };
+    m_callbacks.tellRepeats(beat);
+    m_hub.send(m_channel, link::encode(link::message(std::move(beat))));
 }
 
 void gateway_session::onMessage(link::channel_number channel, const std::string& bytes)
--- a/src/app/gateway_session.hpp
+++ b/src/app/gateway_session.hpp
@@ -26,6 +26,7 @@
     std::function<void(const registry::load_row&)> othersLoads; ///< at the same targets
     std::function<void(const link::gateway_update&)> served; ///< by a leader, before the changes it brings
     std::function<std::vector<std::string>()> takeDarkTargets; ///< seen since the last call
+    std::function<void(link::gateway_beat&)> tellRepeats; ///< fills in what the budgets of repeats have spent
 };
 
 /// @brief Lives on the loop thread. What it holds only ever gets newer, and first comes from a confirmed leader.
@@ -61,6 +62,7 @@
     bool m_open = false;
     bool m_isServed = false; ///< this controller leads and has answered
     bool m_triesNext = false; ///< the channel is being closed for another controller's
+    std::uint64_t m_life = randomNumber(); ///< tells this process from the one before under the same id
     std::uint64_t m_sequence = 0;
     leave_cause m_leaveCause = leave_cause::None;
     steady_time m_answeredAt {};
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -96,6 +96,7 @@
     m_log->changed = [this] { onChanged(); };
     m_log->leadershipChanged = [this](bool leads) {
         m_watch.forget();
+        m_gateways.begin(steadyNow());
         if (leads)
             m_orders.begin(m_log->replica().term(), steadyNow());
         else
@@ -282,6 +283,7 @@
     one.openAttempts = beat.openAttempts;
     if (beat.targetRevision == m_state.targets().revision())
         m_loads.tell(channel, m_state.targets(), beat.loads);
+    m_gateways.heard({ beat.instance, beat.life, beat.repeats, beat.isRepeatsComplete }, steadyNow());
     one.waitingSequence = beat.sequence;
     one.deadline = steadyNow() + sessionLifetime;
     for (const auto& id : beat.darkTargets)
@@ -375,6 +377,9 @@
     for (const auto& member : m_log->replica().members())
         update.controllers.push_back(member.address);
     update.gateways = static_cast<std::uint32_t>(std::max<std::size_t>(m_sessions.size(), 1));
+    update.budgetSharers = static_cast<std::uint32_t>(m_gateways.count(steadyNow()));
+    if (auto earlier = m_gateways.earlierSpent(one.instance))
+        update.earlierRepeats.push_back(std::move(*earlier));
     for (const auto& [other, open] : m_sessions)
         update.othersOpenAttempts += other == channel ? 0 : open.openAttempts;
     update.othersLoads = m_loads.othersOf(channel, m_state.targets());
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -70,6 +70,7 @@
     std::uint64_t m_loggedRevision = 0; ///< changes of targets up to it are in the log
     std::map<link::channel_number, session> m_sessions;
     registry::load_board m_loads; ///< by channel number
+    registry::gateway_census m_gateways;
     std::set<std::string> m_submitted; ///< announcements on their way into the log
     steady_time m_formDeadline {};
     steady_time m_confirmDeadline {};
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -26,12 +26,11 @@
 } // namespace
 
 exchange::exchange(exchange_request request, exchange_port& port, target_pool& pool, repeat_budget& budget,
-    std::size_t gateways, const exchange_options& options)
+    const exchange_options& options)
     : m_request(std::move(request))
     , m_port(port)
     , m_pool(pool)
     , m_budget(budget)
-    , m_gateways(gateways)
     , m_options(options)
     , m_lastEventId(m_request.lastEventId)
 {
@@ -258,8 +257,8 @@
     }
     const bool mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
     const bool arrived = last.ran != ran_state::No || !last.targetEnded;
-    if (arrived && !m_budget.take(m_gateways, !mayHaveRun, now)) {
-        next.why = "the budget of repeats is spent: " + m_budget.describe(m_gateways);
+    if (arrived && !m_budget.take(!mayHaveRun, now)) {
+        next.why = "the budget of repeats is spent: " + m_budget.describe(now);
         next.where.reset();
     }
     return next;
--- a/src/buckthornrail/gateway/repeat_budget.cpp
+++ b/src/buckthornrail/gateway/repeat_budget.cpp
@@ -6,28 +6,53 @@
 
 namespace buckthornrail::gateway {
 
+void repeat_budget::toldGateways(std::size_t gateways, steady_time now)
+{
+    if (gateways == 0)
+        return;
+    drop(now);
+    if (m_gateways != 0 && m_gateways != gateways)
+        m_gatewaysUntil[m_gateways] = now + m_options.window; // it held until now
+    m_gateways = gateways;
+}
+
+void repeat_budget::resume(std::uint32_t spent, steady_time now)
+{
+    drop(now);
+    m_options.slackFrom = std::min(m_options.slackFrom, now);
+    m_repeatsEnd.insert(m_repeatsEnd.end(), spent, now + m_options.window);
+}
+
 void repeat_budget::noteRequest(steady_time now)
 {
     drop(now);
     m_requestsEnd.push_back(now + m_options.window);
 }
 
-bool repeat_budget::take(std::size_t gateways, bool wasRefused, steady_time now)
+bool repeat_budget::take(bool wasRefused, steady_time now)
 {
     drop(now);
-    const double shared = m_options.slack / static_cast<double>(std::max<std::size_t>(gateways, 1));
+    const bool hasSlack = gateways() != 0 && isComplete(now);
+    const double ownSlack = hasSlack ? m_options.slack / static_cast<double>(gateways()) : 0;
     const double part = m_options.part * (wasRefused ? m_options.partForRefused : 1);
-    const double allowed = part * (m_options.ratio * static_cast<double>(m_requestsEnd.size()) + shared);
+    const double allowed = part * (m_options.ratio * static_cast<double>(m_requestsEnd.size()) + ownSlack);
     if (static_cast<double>(m_repeatsEnd.size()) + 1 > allowed)
         return false;
     m_repeatsEnd.push_back(now + m_options.window);
     return true;
 }
 
-std::string repeat_budget::describe(std::size_t gateways) const
+std::uint32_t repeat_budget::spent(steady_time now)
 {
+    drop(now);
+    return static_cast<std::uint32_t>(m_repeatsEnd.size());
+}
+
+std::string repeat_budget::describe(steady_time now)
+{
+    drop(now);
     return std::to_string(m_repeatsEnd.size()) + " for " + std::to_string(m_requestsEnd.size()) + " requests, one of "
-        + std::to_string(gateways) + " gateways";
+        + std::to_string(gateways()) + " gateways" + (isComplete(now) ? "" : ", no slack yet");
 }
 
 void repeat_budget::drop(steady_time now)
@@ -36,6 +61,46 @@
         m_requestsEnd.pop_front();
     while (!m_repeatsEnd.empty() && m_repeatsEnd.front() <= now)
         m_repeatsEnd.pop_front();
+    std::erase_if(m_gatewaysUntil, [now](const auto& item) { return item.second <= now; });
+}
+
+std::size_t repeat_budget::gateways() const
+{
+    return m_gatewaysUntil.empty() ? m_gateways : std::max(m_gateways, m_gatewaysUntil.rbegin()->first);
+}
+
+repeat_budget& repeat_budgets::of(const std::string& service)
+{
+    return m_byService.try_emplace(service, m_unused).first->second;
+}
+
+void repeat_budgets::toldGateways(std::size_t gateways, steady_time now)
+{
+    m_unused.toldGateways(gateways, now);
+    for (auto& [service, budget] : m_byService)
+        budget.toldGateways(gateways, now);
+}
+
+void repeat_budgets::resume(const registry::repeat_counts& spent, steady_time now)
+{
+    for (const auto& row : spent)
+        (void)of(row.service);
+    m_unused.resume(0, now);
+    for (auto& [service, budget] : m_byService) {
+        const auto row = std::find_if(
+            spent.begin(), spent.end(), [&name = service](const auto& one) { return one.service == name; });
+        budget.resume(row == spent.end() ? 0 : row->repeats, now);
+    }
+}
+
+registry::repeat_counts repeat_budgets::spent(steady_time now)
+{
+    registry::repeat_counts rows;
+    for (auto& [service, budget] : m_byService) {
+        if (const auto repeats = budget.spent(now); repeats > 0)
+            rows.push_back({ service, repeats });
+    }
+    return rows;
 }
 
 } // namespace buckthornrail::gateway
--- a/src/buckthornrail/gateway/routing_test.cpp
+++ b/src/buckthornrail/gateway/routing_test.cpp
@@ -323,12 +323,77 @@
     for (int at = 0; at < 4; ++at)
         budget.noteRequest(now);
     int taken = 0;
-    while (budget.take(4, true, now))
+    budget.toldGateways(4, now);
+    while (budget.take(true, now))
         ++taken;
     CHECK(taken == 2); // half of 4 * 0.5 + 8 / 4
-    while (budget.take(4, false, now))
+    while (budget.take(false, now))
         ++taken;
     CHECK(taken == 4);
-    CHECK_FALSE(budget.take(4, false, now + milliseconds(9999)));
-    CHECK(budget.take(4, true, now + milliseconds(10000)));
+    CHECK_FALSE(budget.take(false, now + milliseconds(9999)));
+    CHECK(budget.take(true, now + milliseconds(10000)));
+}
+
+TEST_CASE("budget: a process that was started anew uses no slack before it knows what was spent", "[gateway]")
+{
+    const steady_time now = steady_time {} + std::chrono::hours(1);
+    repeat_budget_options options;
+    options.ratio = 0.5;
+    options.slack = 40;
+    options.part = 1;
+    options.partForRefused = 1;
+    options.slackFrom = now + options.window;
+    repeat_budgets budgets(options);
+    const auto takeAll = [&budgets](steady_time when) {
+        int taken = 0;
+        while (budgets.of("s").take(true, when))
+            ++taken;
+        return taken;
+    };
+    budgets.toldGateways(4, now);
+    for (int at = 0; at < 4; ++at)
+        budgets.of("s").noteRequest(now);
+    CHECK(takeAll(now) == 2); // the ratio of its own requests
+    CHECK_FALSE(budgets.isComplete(now));
+
+    SECTION("told by the leader")
+    {
+        budgets.resume({ { "s", 6 }, { "other", 10 } }, now);
+        CHECK(budgets.isComplete(now));
+        CHECK(takeAll(now) == 4); // 4 * 0.5 + 40 / 4 - 2 - 6
+        CHECK_FALSE(budgets.of("other").take(true, now));
+        CHECK(budgets.of("third").take(true, now));
+    }
+    SECTION("not told")
+    {
+        CHECK(takeAll(now + options.window - milliseconds(1)) == 0);
+        CHECK(budgets.isComplete(now + options.window));
+        CHECK(takeAll(now + options.window) == 10);
+    }
+}
+
+TEST_CASE("budget: before a number of gateways is known there is no slack, and the last one told holds", "[gateway]")
+{
+    const steady_time now = steady_time {} + std::chrono::hours(1);
+    repeat_budget_options options;
+    options.ratio = 0;
+    options.slack = 40;
+    options.part = 1;
+    repeat_budget budget(options);
+    CHECK_FALSE(budget.take(false, now));
+    budget.toldGateways(0, now);
+    CHECK_FALSE(budget.take(false, now));
+    budget.toldGateways(4, now);
+    const auto takeAll = [&budget](steady_time when) {
+        int taken = 0;
+        while (budget.take(false, when))
+            ++taken;
+        return taken;
+    };
+    CHECK(takeAll(now) == 10);
+    CHECK(takeAll(now + 2 * options.window) == 10); // controllers away for long
+    budget.toldGateways(2, now + 4 * options.window);
+    CHECK(takeAll(now + 4 * options.window) == 10); // four were told of within the window, as far as is known
+    budget.toldGateways(2, now + 6 * options.window);
+    CHECK(takeAll(now + 6 * options.window) == 20);
 }
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -51,6 +51,10 @@
 static void from_json(const nlohmann::json& /*in*/, election_request& /*value*/) { }
 } // namespace agreement
 
+namespace registry {
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(service_repeats, service, repeats)
+} // namespace registry
+
 namespace execution {
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(chain_stage, instance, linkAddress, incarnation, version, firstLayer, endLayer)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(chain_plan, generation, model, version, layerCount, stages)
@@ -90,12 +94,12 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(lease_report, instances)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_request, member, address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_hello, member, address, initialized)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
-    gateway_beat, instance, sequence, documentVersion, targetRevision, openAttempts, darkTargets, loads)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(gateway_beat, instance, sequence, documentVersion, targetRevision, openAttempts,
+    darkTargets, loads, life, repeats, isRepeatsComplete)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_heard, id, sequence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(text_update, from, to, patch)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
-    gateway_update, sequence, leads, leader, document, targets, controllers, gateways, othersOpenAttempts, othersLoads)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(gateway_update, sequence, leads, leader, document, targets, controllers, gateways,
+    budgetSharers, earlierRepeats, othersOpenAttempts, othersLoads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fence, request, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fenced, request, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_close, request)
--- a/tests/incident_repeats_test.cpp
+++ b/tests/incident_repeats_test.cpp
@@ -48,12 +48,14 @@
     repeat_budget budget(options);
     const steady_time now = steady_time {} + std::chrono::hours(1);
     int taken = 0;
-    while (budget.take(4, true, now))
+    budget.toldGateways(4, now);
+    while (budget.take(true, now))
         ++taken;
     CHECK(taken == 10);
     // Three others have just spent theirs: that a new leader has met one gateway so far changes nothing.
-    CHECK_FALSE(budget.take(1, true, now + milliseconds(1)));
-    CHECK_FALSE(budget.take(1, true, now + milliseconds(9999)));
+    budget.toldGateways(1, now + milliseconds(1));
+    CHECK_FALSE(budget.take(true, now + milliseconds(1)));
+    CHECK_FALSE(budget.take(true, now + milliseconds(9999)));
 }
 
 TEST_CASE("repeats: gateways that are killed and come back keep to one budget", "[incident]")
--- a/tests/support/exchange_bench.hpp
+++ b/tests/support/exchange_bench.hpp
@@ -129,7 +129,8 @@
         request.chosen = &m_index->document().routes.front();
         request.arrived = zero;
         request.deadline = zero + milliseconds(1000);
-        return { request, port, pool, budget, 1 };
+        budget.toldGateways(1, zero);
+        return { request, port, pool, budget };
     }
 
     const std::vector<std::string> firsts { "a0", "b0", "c0" }; ///< targets that may take a request
