--- a/src/app/registry_state_test.cpp
+++ b/src/app/registry_state_test.cpp
@@ -121,3 +121,29 @@
     CHECK(other.document().version == 7);
     CHECK(other.document().text == "seven");
 }
+
+TEST_CASE("registry state: damaged commands and snapshots are refused, and change nothing else", "[registry]")
+{
+    rc::prop("any byte, any end", [] {
+        registry::target_record record;
+        record.id = "i-1";
+        record.startedMs = 17;
+        record.address = "10.0.0.1:80";
+        const auto damage = [](std::string bytes) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+            if (*rc::gen::arbitrary<bool>())
+                bytes.resize(at);
+            return bytes;
+        };
+        registry_state state;
+        state.applyCommand(encodePublish("1", { 7, "seven" }));
+        (void)state.applyCommand(damage(encodeTargets("2", { record })));
+        RC_ASSERT(state.document().text == "seven");
+        (void)state.applyCommand(damage(encodePublish("3", { 8, std::string(300, 'x') })));
+        RC_ASSERT(state.document().version >= 7U);
+        registry_state other;
+        const auto restored = other.restoreState(damage(state.saveState()));
+        RC_ASSERT((restored || restored.error().code == result_code::StorageCorrupt));
+    });
+}
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -122,6 +122,54 @@
     }
 }
 
+/// The parser calls itself for each level: a message of a million open lists would end the process. Ours have ten.
+constexpr std::size_t deepestNesting = 64;
+
+/// Reads a message and builds nothing; stops where it is nested too deep.
+class nesting_guard : public nlohmann::json_sax<json> {
+public:
+    [[nodiscard]] bool isTooDeep() const { return m_isTooDeep; }
+
+    bool null() override { return true; }
+    bool boolean(bool /*value*/) override { return true; }
+    bool number_integer(number_integer_t /*value*/) override { return true; }
+    bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+    bool number_float(number_float_t /*value*/, const string_t& /*text*/) override { return true; }
+    bool string(string_t& /*value*/) override { return true; }
+    bool binary(binary_t& /*value*/) override { return true; }
+    bool key(string_t& /*value*/) override { return true; }
+    bool start_object(std::size_t /*elements*/) override { return enter(); }
+    bool end_object() override { return leave(); }
+    bool start_array(std::size_t /*elements*/) override { return enter(); }
+    bool end_array() override { return leave(); }
+    bool parse_error(std::size_t /*at*/, const std::string& /*token*/, const json::exception& /*fault*/) override
+    {
+        return false; // told by the parser that builds
+    }
+
+private:
+    bool enter()
+    {
+        m_isTooDeep = ++m_depth > deepestNesting;
+        return !m_isTooDeep;
+    }
+    bool leave()
+    {
+        --m_depth;
+        return true;
+    }
+
+    std::size_t m_depth = 0;
+    bool m_isTooDeep = false;
+};
+
+bool isNestedTooDeep(const std::string& bytes)
+{
+    nesting_guard guard;
+    (void)json::sax_parse(bytes, &guard, json::input_format_t::cbor);
+    return guard.isTooDeep();
+}
+
 template <typename Variant> json bodyToJson(const Variant& value)
 {
     return std::visit([](const auto& body) { return json(body); }, value);
@@ -163,6 +211,8 @@
     const auto malformed = [](const std::string& reason) {
         return tl::make_unexpected(failure { result_code::MalformedMessage, reason });
     };
+    if (isNestedTooDeep(bytes))
+        return malformed("it is nested too deep");
     try {
         const json envelope = json::from_cbor(bytes);
         if (envelope.at("v").get<std::uint32_t>() != protocolVersion)
--- a/src/buckthornrail/link/message_test.cpp
+++ b/src/buckthornrail/link/message_test.cpp
@@ -132,3 +132,16 @@
     });
     CHECK_FALSE(controller_state().restore("nonsense"));
 }
+
+TEST_CASE("codec: a message that is nested without end is refused", "[link]")
+{
+    constexpr std::size_t levels = 1'000'000;
+    constexpr char listOfOne = '\x81';
+    constexpr char mapOfOne = '\xa1';
+    for (const char open : { listOfOne, mapOfOne }) {
+        std::string bytes;
+        for (std::size_t at = 0; at < levels; ++at)
+            bytes += open == mapOfOne ? std::string("\xa1\x61k") : std::string(1, open);
+        CHECK(decode(bytes).error().code == result_code::MalformedMessage);
+    }
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,8 +2,10 @@
 /// @brief A randomized soak over real processes: faults from outside in series that overlap, promises checked
 /// meanwhile.
 ///
-/// soak --seed N [--seconds S]. Ends 0 when every promise held; else it prints what broke and leaves the logs.
+/// soak --seed N [--seconds S] [--gateways G] [--engines E]. Ends 0 when every promise held; else it prints what broke
+/// and leaves the logs.
 #include "support/gateway_world.hpp"
+#include "support/kept_caller.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -26,6 +28,8 @@
 constexpr milliseconds inForceTime { 2500 }; ///< after its acknowledgement no read shows an older document
 constexpr seconds mostGrace { 9 }; ///< from SIGTERM to the end of a process
 constexpr std::size_t callerThreads = 6;
+constexpr milliseconds callerPatience { 4000 };
+constexpr std::uint64_t slowLinkRate = 150'000; ///< bytes a second: a large document takes a second or two
 
 /// What is found to be wrong, told once each.
 class verdict {
@@ -82,6 +86,8 @@
     void run(std::size_t number, std::uint64_t seed)
     {
         std::mt19937_64 random(seed * 100 + number);
+        kept_caller kept(m_world);
+        const bool keepsConnections = number % 2 == 0;
         for (std::size_t at = 0; !m_stopping; ++at) {
             const std::string id = "c" + std::to_string(number) + "-" + std::to_string(at);
             const auto kind = random() % 3;
@@ -89,7 +95,8 @@
                 : kind == 1                    ? "/unsafe/" + id
                                                : "/safe/" + id;
             const auto& gateway = m_world.gateways()[random() % m_world.gateways().size()];
-            auto answer = m_world.call(gateway, "POST", path, id, milliseconds(4000));
+            auto answer = keepsConnections ? kept.call(gateway, "POST", path, id, callerPatience)
+                                           : m_world.call(gateway, "POST", path, id, callerPatience);
             if (answer.status == 0)
                 std::this_thread::sleep_for(milliseconds(20)); // nobody listens
             const std::scoped_lock lock(m_mutex);
@@ -113,10 +120,11 @@
 
 class soak_run {
 public:
-    soak_run(std::uint64_t seed, seconds length)
+    soak_run(std::uint64_t seed, seconds length, std::size_t gateways, std::size_t enginesPerDomain)
         : m_random(seed)
         , m_seed(seed)
         , m_length(length)
+        , m_world(gateways, enginesPerDomain)
     {
     }
 
@@ -126,6 +134,8 @@
             m_verdict.broken("the system did not start");
             return false;
         }
+        if (m_seed % 2 == 0)
+            m_world.fleet().keepIds();
         callers asking(m_world, m_seed);
         const auto end = clock_type::now() + m_length;
         while (clock_type::now() < end) {
@@ -147,9 +157,10 @@
 
     void disturb()
     {
-        static constexpr std::array<disturbance, 10> disturbances { &soak_run::killProcess, &soak_run::pauseProcess,
-            &soak_run::stopGently, &soak_run::killTarget, &soak_run::freezeTarget, &soak_run::spoilTarget,
-            &soak_run::harmLink, &soak_run::resetLinks, &soak_run::loseDisk, &soak_run::reload };
+        static constexpr std::array<disturbance, 13> disturbances { &soak_run::killProcess, &soak_run::pauseProcess,
+            &soak_run::stopGently, &soak_run::killTarget, &soak_run::restartTarget, &soak_run::freezeTarget,
+            &soak_run::spoilTarget, &soak_run::harmLink, &soak_run::slowLink, &soak_run::resetLinks,
+            &soak_run::loseDisk, &soak_run::reload, &soak_run::writeBrokenRecords };
         (this->*disturbances[m_random() % disturbances.size()])();
     }
 
@@ -244,6 +255,42 @@
         });
     }
 
+    /// Lives that follow each other at once; some seeds' targets keep their ids.
+    void restartTarget()
+    {
+        const std::size_t target = anyTarget();
+        if (m_claimed.contains("target" + std::to_string(target)))
+            return;
+        const bool moves = m_random() % 4 == 0;
+        for (auto lives = 1 + m_random() % 3; lives > 0; --lives) {
+            if (moves)
+                m_world.fleet().restartElsewhere(target);
+            else
+                m_world.fleet().restart(target);
+        }
+        std::cout << "! restarted target " << target << (moves ? " elsewhere" : "") << std::endl;
+    }
+
+    /// What another writer may send under a target's id, or a new one.
+    void writeBrokenRecords()
+    {
+        const std::string registry = m_world.registries()[m_random() % m_world.registries().size()];
+        const std::size_t target = anyTarget();
+        const std::string good = m_world.fleet().announcementOf(target);
+        const std::string id = m_random() % 2 == 0 ? m_world.fleet().idOf(target) : "i-broken";
+        for (int at = 0; at < 20; ++at) {
+            std::string body = good.substr(0, m_random() % good.size());
+            if (at % 2 == 0)
+                body = "{\"service\":7,\"state\":[],\"address\":null}";
+            const int status = m_world.sendRecord(registry, "PUT", id, body);
+            if (status == 200)
+                m_verdict.broken(registry + " took the record " + body);
+        }
+        if (!m_world.targetState(registry, "i-broken").empty())
+            m_verdict.broken(registry + " has a target out of a broken record");
+        std::cout << "! wrote broken records to " << registry << std::endl;
+    }
+
     void freezeTarget()
     {
         const std::size_t target = anyTarget();
@@ -283,6 +330,18 @@
         });
     }
 
+    void slowLink()
+    {
+        const std::string name = m_world.registries()[m_random() % m_world.registries().size()];
+        if (!claim("link" + name))
+            return;
+        m_world.linkRelay(name).setRate(slowLinkRate);
+        begin("slowed the links of " + name, anyTime(), [this, name] {
+            m_world.linkRelay(name).setRate(0);
+            m_claimed.erase("link" + name);
+        });
+    }
+
     void resetLinks()
     {
         const std::string name = m_world.registries()[m_random() % m_world.registries().size()];
@@ -327,7 +386,13 @@
         const std::string registry = m_world.registries()[m_random() % m_world.registries().size()];
         if (m_random() % 3 == 0) {
             const std::uint64_t version = ++m_version;
-            if (m_world.publish(version, registry, "v" + std::to_string(version)) == 200)
+            document_options options;
+            options.extraRoute = "v" + std::to_string(version);
+            if (m_random() % 4 == 0) {
+                options.fillers = 500;
+                options.fillerLength = 300; // 100 KB that no compression makes shorter
+            }
+            if (m_world.publish(version, registry, options) == 200)
                 m_acknowledged.emplace_back(clock_type::now(), version);
             return;
         }
@@ -413,7 +478,7 @@
     std::mt19937_64 m_random;
     std::uint64_t m_seed;
     seconds m_length;
-    gateway_world m_world { 3 };
+    gateway_world m_world;
     verdict m_verdict;
     std::vector<open_fault> m_open;
     std::set<std::string> m_claimed; ///< processes and targets that a fault is on
@@ -430,9 +495,12 @@
         TCLAP::CmdLine line("Disturbs real processes at random and checks the promises.", ' ', "1");
         TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Of the faults and the calls", true, 1, "number", line);
         TCLAP::ValueArg<unsigned> length("", "seconds", "Time with faults", false, 15, "number", line);
+        TCLAP::ValueArg<unsigned> gateways("", "gateways", "How many", false, 3, "number", line);
+        TCLAP::ValueArg<unsigned> engines("", "engines", "Layered targets in each domain", false, 4, "number", line);
         line.parse(argc, argv);
         std::cout << "soak: seed " << seed.getValue() << std::endl;
-        const bool held = soak_run(seed.getValue(), seconds(length.getValue())).run();
+        const bool held
+            = soak_run(seed.getValue(), seconds(length.getValue()), gateways.getValue(), engines.getValue()).run();
         std::cout << "soak: seed " << seed.getValue() << (held ? " held" : " BROKEN") << std::endl;
         return held ? 0 : 1;
     } catch (const std::exception& fault) {
--- a/tests/support/gateway_world.cpp
+++ b/tests/support/gateway_world.cpp
@@ -245,9 +245,9 @@
 caller_answer gateway_world::call(const std::string& gateway, const std::string& method, const std::string& path,
     const std::string& requestId, std::chrono::milliseconds patience, const std::string& key)
 {
-    std::vector<http::header_field> headers { { "Host", "h.example" }, { "X-Buckthornrail-Attempt-Id", requestId },
-        { "X-Buckthornrail-Deadline-Ms", std::to_string(patience.count()) }, { "Authorization", "Bearer " + key },
-        { "X-Buckthornrail-Token-Count", "10,10" } };
+    std::vector<http::header_field> headers;
+    for (auto& [name, value] : callerFields(requestId, patience, key))
+        headers.push_back({ name, value });
     const auto response = ask(m_addresses.at(gateway), method, path, "", std::move(headers), patience);
     caller_answer answer;
     answer.status = response.status;
@@ -262,6 +262,14 @@
     return answer;
 }
 
+std::vector<std::pair<std::string, std::string>> gateway_world::callerFields(
+    const std::string& requestId, std::chrono::milliseconds patience, const std::string& key)
+{
+    return { { "Host", "h.example" }, { "X-Buckthornrail-Attempt-Id", requestId },
+        { "X-Buckthornrail-Deadline-Ms", std::to_string(patience.count()) }, { "Authorization", "Bearer " + key },
+        { "X-Buckthornrail-Token-Count", "10,10" } };
+}
+
 int gateway_world::readyStatus(const std::string& gateway)
 {
     return ask(m_health.at(gateway), "GET", "/readyz", "", {}, controlPatience).status;
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -64,6 +64,10 @@
     caller_answer call(const std::string& gateway, const std::string& method, const std::string& path,
         const std::string& requestId, std::chrono::milliseconds patience = std::chrono::milliseconds(5000),
         const std::string& key = "key-1");
+    /// @brief Names and values of the fields that a caller sends.
+    static std::vector<std::pair<std::string, std::string>> callerFields(
+        const std::string& requestId, std::chrono::milliseconds patience, const std::string& key = "key-1");
+    [[nodiscard]] const std::string& addressOf(const std::string& process) const { return m_addresses.at(process); }
     int readyStatus(const std::string& gateway);
     /// @brief State of a target as a registry shows it; empty when it is unknown there.
     std::string targetState(const std::string& registry, const std::string& targetId);
