--- a/include/buckthornrail/gateway/dialect.hpp
+++ b/include/buckthornrail/gateway/dialect.hpp
@@ -66,6 +66,7 @@
 struct unreadable_call {
     int status = 0;
     std::string reason; ///< the field first, where one is unfit
+    bool isRecord = false; ///< it speaks of a target
 };
 using control_call = std::variant<publish_call, read_call, announce_call, unreadable_call>;
 
--- a/include/buckthornrail/link/link_hub.hpp
+++ b/include/buckthornrail/link/link_hub.hpp
@@ -88,6 +88,8 @@
     [[nodiscard]] std::uint64_t bytesReceived() const;
     /// @brief Bytes given to send() that the connections haven't taken yet, over all links.
     [[nodiscard]] std::size_t bytesWaiting() const;
+    /// @brief The same of one link.
+    [[nodiscard]] std::size_t bytesWaiting(channel_number channel) const;
 
 private:
     struct implementation;
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -138,7 +138,11 @@
         onAnnounce(announce->record, respond);
     } else {
         const auto& unreadable = std::get<gateway::unreadable_call>(call);
-        noteRefused(request.head.method + " " + request.head.target, unreadable.reason);
+        const std::string what = request.head.method + " " + request.head.target;
+        if (unreadable.isRecord)
+            noteRefused(what, unreadable.reason);
+        else
+            logCall(what, unreadable.status, unreadable.reason);
         respond(errorResponse(unreadable.status, unreadable.reason));
     }
 }
--- a/src/app/registry_sessions.cpp
+++ b/src/app/registry_sessions.cpp
@@ -126,7 +126,7 @@
         telemetry::logEvent(event_code::DocumentSent,
             { { "gateway", one.instance }, { "from", std::to_string(update.document.front().from) },
                 { "to", std::to_string(update.document.front().to) }, { "bytes", std::to_string(bytes.size()) },
-                { "waiting", std::to_string(m_hub->bytesWaiting()) } });
+                { "waiting", std::to_string(m_hub->bytesWaiting(channel)) } });
     one.documentVersion = std::max(one.documentVersion, m_state.document().version);
     one.targetRevision = m_state.targets().revision();
     m_hub->send(channel, bytes);
--- a/src/buckthornrail/link/link_hub.cpp
+++ b/src/buckthornrail/link/link_hub.cpp
@@ -426,6 +426,12 @@
 
 std::uint64_t link_hub::bytesReceived() const { return m_implementation->bytesReceived; }
 
+std::size_t link_hub::bytesWaiting(channel_number channel) const
+{
+    const auto found = m_implementation->links.find(channel);
+    return found == m_implementation->links.end() ? 0 : m_implementation->waitingBytesOf(found->second);
+}
+
 std::size_t link_hub::bytesWaiting() const
 {
     std::size_t sum = 0;
