--- a/tests/support/request_world.cpp
+++ b/tests/support/request_world.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr milliseconds step { 10 };
-constexpr milliseconds tokenTime { 30 };
 constexpr std::uint64_t channelsPerEntry = 1'000'000;
 
 template <typename... Visitors> struct overloaded : Visitors... {
@@ -410,106 +409,6 @@
         message);
 }
 
-void request_world::atSidecar(std::size_t sidecar, const event& action)
-{
-    auto& one = m_sidecars[sidecar];
-    if (one.frozen) {
-        one.heldBack.push_back(action);
-        return;
-    }
-    action();
-    drain(sidecar);
-}
-
-void request_world::drain(std::size_t sidecar)
-{
-    auto& one = m_sidecars[sidecar];
-    while (const auto effect = one.core->nextEffect()) {
-        if (const auto* work = std::get_if<start_work>(&*effect))
-            startJob(sidecar, *work);
-        else if (const auto* cancel = std::get_if<cancel_work>(&*effect))
-            one.jobs[cancel->attempt].cancelled = true;
-        else if (const auto* sent = std::get_if<send_to_channel>(&*effect))
-            sendToEntry(sidecar, sent->channel, sent->message);
-    }
-}
-
-void request_world::startJob(std::size_t sidecar, const start_work& work)
-{
-    auto& one = m_sidecars[sidecar];
-    if (one.mode == target_mode::Refuses) {
-        after(milliseconds(5), [this, sidecar, life = one.incarnation, attempt = work.attempt] {
-            if (m_sidecars[sidecar].incarnation != life)
-                return;
-            atSidecar(sidecar, [this, sidecar, attempt] {
-                m_sidecars[sidecar].core->ended(attempt, { result_code::TargetNotReady, "", "", true }, m_now);
-            });
-        });
-        return;
-    }
-    execution_record execution;
-    execution.target = std::to_string(sidecar);
-    execution.request = work.attempt.request;
-    execution.attempt = work.attempt.number;
-    execution.key = m_keys[work.attempt.request];
-    m_executions.push_back(execution);
-    one.jobs[work.attempt] = { work.work, 0, work.work.prompt, false };
-    after(tokenTime,
-        [this, sidecar, life = one.incarnation, attempt = work.attempt] { advance(sidecar, life, attempt); });
-}
-
-void request_world::advance(std::size_t sidecar, incarnation_number life, const attempt_id& attempt)
-{
-    auto& one = m_sidecars[sidecar];
-    if (one.incarnation != life)
-        return;
-    auto& job = one.jobs.at(attempt);
-    const auto end = [&](const work_outcome& outcome) {
-        atSidecar(
-            sidecar, [this, sidecar, attempt, outcome] { m_sidecars[sidecar].core->ended(attempt, outcome, m_now); });
-    };
-    if (job.cancelled) {
-        end({ result_code::Cancelled, "", "", false });
-        return;
-    }
-    if (one.mode == target_mode::Stalls && job.given > 0) {
-        after(tokenTime, [this, sidecar, life, attempt] { advance(sidecar, life, attempt); });
-        return;
-    }
-    if (one.mode == target_mode::Dies && job.given > 0) {
-        end({ result_code::TargetFailed, "", "", false });
-        return;
-    }
-    if (job.given >= job.work.maxTokens) {
-        end({ result_code::Ok, "", "length", false });
-        return;
-    }
-    answer_frame frame;
-    frame.attempt = attempt;
-    frame.bytes = nextToken(job.text);
-    job.text += frame.bytes;
-    ++job.given;
-    atSidecar(sidecar, [this, sidecar, frame] { m_sidecars[sidecar].core->frame(frame); });
-    after(tokenTime, [this, sidecar, life, attempt] { advance(sidecar, life, attempt); });
-}
-
-void request_world::renew(std::size_t sidecar)
-{
-    auto& one = m_sidecars[sidecar];
-    one.incarnation = m_lastIncarnation += 2; // one below it names an earlier life
-    gate_options options;
-    options.incarnation = one.incarnation;
-    options.slots = 2;
-    options.queueLimit = 3;
-    one.core = std::make_unique<sidecar_core>(std::to_string(sidecar), options, 1U << 20U, m_now);
-    one.core->gate().renewConfiguration(m_configuration, m_now + std::chrono::seconds(3));
-    one.core->gate().setReady(true);
-    one.core->gate().drain(one.draining);
-    one.jobs.clear();
-    one.frozen = false;
-    one.heldBack.clear();
-}
-
 channel_number request_world::channelOf(std::size_t entry, std::size_t sidecar)
 {
     return (entry + 1) * channelsPerEntry + linkOf(entry, sidecar).epoch;
--- a/tools/stand_in_target.cpp
+++ b/tools/stand_in_target.cpp
@@ -2,25 +2,24 @@
 /// @brief Plays a target of any kind, with speed, slots, a prefix cache and faults to order.
 ///
 /// It logs every execution as a line of JSON; that log is the judge in all tests of "exactly once".
+#include "stand_in_execution_log.hpp"
 #include "stand_in_model.hpp"
+#include "stand_in_prefix_cache.hpp"
+#include "stand_in_slots.hpp"
 
 #include "buckthornrail/core/clock.hpp"
 #include "buckthornrail/http/http_server.hpp"
 
 #include <algorithm>
 #include <atomic>
-#include <condition_variable>
 #include <csignal>
-#include <fcntl.h>
 #include <iostream>
-#include <list>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <tclap/CmdLine.h>
 #include <thread>
-#include <unistd.h>
 
 namespace {
 
@@ -29,6 +28,9 @@
 using buckthornrail::http::http_exchange;
 using buckthornrail::http::http_request;
 using nlohmann::json;
+using stand_in::batch_slots;
+using stand_in::execution_log;
+using stand_in::prefix_cache;
 
 struct stand_in_options {
     std::string address;
@@ -51,130 +53,6 @@
     std::uint32_t dieAfter = 0;
 };
 
-/// Appends lines to a file; one write a line, so that several processes may share it.
-class execution_log {
-public:
-    explicit execution_log(const std::string& file)
-        : m_fd(file.empty() ? -1 : ::open(file.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644))
-    {
-    }
-    execution_log(const execution_log&) = delete;
-    execution_log& operator=(const execution_log&) = delete;
-    ~execution_log()
-    {
-        if (m_fd >= 0)
-            ::close(m_fd);
-    }
-    void add(const json& row) const
-    {
-        const std::string line = row.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
-        if (m_fd >= 0 && ::write(m_fd, line.data(), line.size()) < 0)
-            std::cerr << "the execution log can't be written\n";
-    }
-
-private:
-    int m_fd;
-};
-
-/// Places for requests that run at once; the rest wait.
-class batch_slots {
-public:
-    explicit batch_slots(std::uint32_t count)
-        : m_free(count)
-    {
-    }
-    void take()
-    {
-        std::unique_lock lock(m_mutex);
-        ++m_waiting;
-        m_changed.wait(lock, [this] { return m_free > 0; });
-        --m_waiting;
-        --m_free;
-        ++m_running;
-    }
-    void give()
-    {
-        const std::scoped_lock lock(m_mutex);
-        ++m_free;
-        --m_running;
-        m_changed.notify_one();
-    }
-    std::pair<std::uint32_t, std::uint32_t> counts()
-    {
-        const std::scoped_lock lock(m_mutex);
-        return { m_running, m_waiting };
-    }
-
-private:
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::uint32_t m_free;
-    std::uint32_t m_running = 0;
-    std::uint32_t m_waiting = 0;
-};
-
-/// Prompt prefixes that need no prefill, the least recently used one goes first.
-class prefix_cache {
-public:
-    explicit prefix_cache(std::uint32_t entries)
-        : m_entries(entries)
-    {
-    }
-    /// @return true when the prompt's beginning was known; it is known afterwards.
-    bool touch(const std::string& prompt)
-    {
-        const std::scoped_lock lock(m_mutex);
-        const std::uint64_t key = stand_in::embed(prompt.substr(0, prefixBytes));
-        const auto found = std::find(m_recent.begin(), m_recent.end(), key);
-        const bool known = found != m_recent.end();
-        if (known)
-            m_recent.erase(found);
-        m_recent.push_front(key);
-        if (!known)
-            note("stored", key);
-        if (m_recent.size() > m_entries) {
-            note("evicted", m_recent.back());
-            m_recent.pop_back();
-        }
-        return known;
-    }
-
-    /// Events with a sequence number, as engines publish them: late, and with gaps.
-    json events(steady_time now, milliseconds lag, std::uint32_t gap)
-    {
-        const std::scoped_lock lock(m_mutex);
-        json list = json::array();
-        for (const auto& one : m_events) {
-            if (one.at + lag <= now && (gap == 0 || one.sequence % gap != 0))
-                list.push_back({ { "sequence", one.sequence }, { "event", one.name }, { "prefix", one.key } });
-        }
-        return list;
-    }
-
-private:
-    struct cache_event {
-        std::uint64_t sequence = 0;
-        const char* name = "";
-        std::uint64_t key = 0;
-        steady_time at {};
-    };
-
-    void note(const char* name, std::uint64_t key)
-    {
-        m_events.push_back({ ++m_sequence, name, key, std::chrono::steady_clock::now() });
-        if (m_events.size() > maxEvents)
-            m_events.pop_front();
-    }
-
-    static constexpr std::size_t maxEvents = 256;
-    static constexpr std::size_t prefixBytes = 256;
-    std::list<cache_event> m_events;
-    std::uint64_t m_sequence = 0;
-    std::mutex m_mutex;
-    std::uint32_t m_entries;
-    std::list<std::uint64_t> m_recent;
-};
-
 class stand_in_target {
 public:
     explicit stand_in_target(stand_in_options options)
