--- a/src/app/session_table.cpp
+++ b/src/app/session_table.cpp
@@ -123,15 +123,41 @@
 {
     if (!session.wantsState)
         return;
-    if (const auto update = state.configuration().updateFor(session.configuration)) {
-        for (const auto& page : makePages(*update))
-            m_send(channel, link::encode(page));
-        session.configuration = update->to;
-    }
-    if (session.revision != state.membership().revision()) {
-        m_send(channel, link::encode(state.membership().changesSince(session.revision)));
-        session.revision = state.membership().revision();
-    }
+    for (const auto& bytes : configurationFor(session.configuration, state))
+        m_send(channel, bytes);
+    session.configuration = state.configuration().version();
+    for (const auto& bytes : membershipFor(session.revision, state))
+        m_send(channel, bytes);
+    session.revision = state.membership().revision();
+}
+
+const std::vector<std::string>& session_table::configurationFor(
+    configuration_version held, const controller_state& state)
+{
+    startAnew(m_configuration, state.configuration().version());
+    const auto [known, isNew] = m_configuration.byHeld.try_emplace(held);
+    const auto update = isNew ? state.configuration().updateFor(held) : std::nullopt;
+    if (!update)
+        return known->second;
+    for (const auto& page : makePages(*update))
+        known->second.push_back(link::encode(page));
+    return known->second;
+}
+
+const std::vector<std::string>& session_table::membershipFor(std::uint64_t held, const controller_state& state)
+{
+    startAnew(m_membership, state.membership().revision());
+    const auto [known, isNew] = m_membership.byHeld.try_emplace(held);
+    if (isNew && held != state.membership().revision())
+        known->second.push_back(link::encode(state.membership().changesSince(held)));
+    return known->second;
+}
+
+void session_table::startAnew(encoded_updates& updates, std::uint64_t to)
+{
+    if (updates.to != to)
+        updates.byHeld.clear();
+    updates.to = to;
 }
 
 } // namespace buckthornrail::app
--- a/src/app/session_table.hpp
+++ b/src/app/session_table.hpp
@@ -60,7 +60,18 @@
         steady_time leaseDeadline {};
     };
 
+    /// Encoded messages that bring a receiver up to date, by what it holds. Made once for all receivers: for each anew,
+    /// the whole table of 2,600 instances took a controller four seconds of a core for 390 entries.
+    struct encoded_updates {
+        std::uint64_t to = 0; ///< version or revision that they lead to
+        std::map<std::uint64_t, std::vector<std::string>> byHeld;
+    };
+
     void push(link::channel_number channel, session_entry& session, const controller_state& state);
+    /// @brief Forgets updates that lead to another version than this one.
+    static void startAnew(encoded_updates& updates, std::uint64_t to);
+    const std::vector<std::string>& configurationFor(configuration_version held, const controller_state& state);
+    const std::vector<std::string>& membershipFor(std::uint64_t held, const controller_state& state);
 
     channel_sender m_send;
     milliseconds m_lease;
@@ -68,6 +79,8 @@
     std::map<link::channel_number, std::uint64_t> m_waiting; ///< newest heartbeat of each channel
     std::map<std::uint64_t, std::map<link::channel_number, std::uint64_t>> m_confirming; ///< by read id
     std::set<instance_id> m_heard;
+    encoded_updates m_configuration;
+    encoded_updates m_membership;
 };
 
 /// @brief Splits a configuration update into pages.
