Controllers tell where they are only when that has changed; reports to the leader in arrays

Cause: an update for a gateway carried all members' addresses each time (500 bytes of some 900, 3.3 times a second for each gateway), and half of a report's bytes were names of fields. Change: places of members are told once a session and at each change; lives and heartbeats in reports are arrays. Tests: link: codec (rows come back, and are refused where they are no arrays of their kind).

--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -115,6 +115,7 @@
     std::string address; ///< link address
     std::string controlAddress; ///< for HTTP calls
     std::string failureDomain;
+    bool operator==(const controller_place&) const = default;
 };
 
 /// Entry to sidecars of an old chain: refuse all generations below this one.
@@ -180,7 +181,7 @@
     bool waitsForQuorum = false; ///< the controller knows a leader, and what it holds is still to be confirmed
     std::vector<text_update> document; ///< at most one: nothing to change
     std::vector<text_update> targets; ///< the same; between revisions of the table
-    std::vector<controller_place> controllers; ///< all members
+    std::vector<controller_place> controllers; ///< all members; empty: as told before in this session
     std::uint32_t gateways = 1; ///< that have a session now
     std::uint32_t budgetSharers = 0; ///< gateways that may have spent of the budget of repeats; 0: not known
     std::vector<registry::repeat_counts> earlierRepeats; ///< at most one: of processes before this one; none: not known
--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway_session.cpp
@@ -220,7 +220,8 @@
     m_answeredAt = steadyNow();
     m_receivedBefore = m_hub.bytesReceived();
     m_silenceDeadline = m_answeredAt + silenceLimit;
-    m_controllers = update.controllers;
+    if (!update.controllers.empty())
+        m_controllers = update.controllers;
     m_callbacks.served(update);
     for (const auto& change : update.document) {
         const std::uint64_t before = m_document.version;
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -231,6 +231,7 @@
         }
         return isOver;
     });
+    followPlaces();
     pushAll();
     confirmSessions();
     noteWait();
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -31,6 +31,7 @@
         std::uint64_t documentVersion = 0;
         std::uint64_t targetRevision = 0;
         std::uint64_t waitingSequence = 0; ///< beat that wants an answer; 0: none
+        std::uint64_t placesTold = 0; ///< revision of m_places that it was told
         bool isConfirmed = false; ///< a quorum has confirmed this controller since the session began
         steady_time deadline {};
     };
@@ -69,6 +70,7 @@
     void noteWait();
     /// @brief Tells gateways what has changed; changes of the table that come in quick succession, together.
     void pushAll();
+    void followPlaces();
     /// @brief Tells the leader what has come here, unless this one leads.
     void reportToLeader();
     void sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence);
@@ -95,6 +97,8 @@
     std::uint64_t m_readVersion = 0; ///< of that document
     std::uint64_t m_loggedRevision = 0; ///< changes of targets up to it are in the log
     std::map<link::channel_number, session> m_sessions;
+    std::vector<link::controller_place> m_places; ///< of all members, to be told
+    std::uint64_t m_placesRevision = 0; ///< how often they have changed
     registry::session_board m_board; ///< by channel number
     link::member_report m_unreported; ///< targets, for the leader
     steady_time m_reportAt {};
--- a/src/app/registry_sessions.cpp
+++ b/src/app/registry_sessions.cpp
@@ -145,6 +145,15 @@
         m_hub->send(channel, bytes);
 }
 
+void registry_role::followPlaces()
+{
+    auto places = m_log->places();
+    if (places == m_places)
+        return;
+    m_places = std::move(places);
+    ++m_placesRevision;
+}
+
 void registry_role::pushAll()
 {
     const steady_time now = steadyNow();
@@ -169,7 +178,8 @@
     update.isServed = true;
     update.document = m_state.documentUpdate(one.documentVersion);
     update.targets = m_state.targetsUpdate(one.targetRevision);
-    update.controllers = m_log->places();
+    if (std::exchange(one.placesTold, m_placesRevision) != m_placesRevision)
+        update.controllers = m_places;
     update.gateways = std::max(fleet.gateways, 1U);
     update.budgetSharers = fleet.budgetSharers;
     if (fleet.earlier)
--- a/src/app/registry_targets.cpp
+++ b/src/app/registry_targets.cpp
@@ -11,7 +11,7 @@
 std::string registry_role::nextHeartbeatAddress(const registry::target_record& record) const
 {
     std::vector<std::string> near;
-    for (const auto& place : m_log->places()) {
+    for (const auto& place : m_places) {
         if (!place.failureDomain.empty() && place.failureDomain == record.failureDomain)
             near.push_back(place.controlAddress);
     }
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -53,7 +53,18 @@
 
 namespace registry {
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(service_repeats, service, repeats)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(gateway_life, id, life, spent, isComplete)
+
+// As arrays: there are hundreds of them in a second's reports, and the names would be most of their bytes.
+static void to_json(nlohmann::json& out, const gateway_life& value)
+{
+    out = nlohmann::json::array({ value.id, value.life, value.spent, value.isComplete });
+}
+static void from_json(const nlohmann::json& in, gateway_life& value)
+{
+    value = { in.at(0).get<std::string>(), in.at(1).get<std::uint64_t>(), in.at(2).get<repeat_counts>(),
+        in.at(3).get<bool>() };
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(session_sums, gateways, openAttempts, targetRevision, loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_report, sequence, sums, lives)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(earlier_repeats, gateway, spent)
@@ -102,7 +113,17 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_place, address, controlAddress, failureDomain)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(gateway_beat, instance, sequence, documentVersion, targetRevision, openAttempts,
     darkTargets, loads, life, repeats, isRepeatsComplete)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_heard, id, startedMs, sequence)
+
+// As an array, like registry::gateway_life.
+static void to_json(nlohmann::json& out, const target_heard& value)
+{
+    out = nlohmann::json::array({ value.id, value.startedMs, value.sequence });
+}
+static void from_json(const nlohmann::json& in, target_heard& value)
+{
+    value = { in.at(0).get<std::string>(), in.at(1).get<std::uint64_t>(), in.at(2).get<std::uint64_t>() };
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_report, sessions, heard, darkTargets)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(text_update, from, to, patch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(gateway_update, sequence, isServed, waitsForQuorum, document, targets, controllers,
--- a/src/buckthornrail/link/message_test.cpp
+++ b/src/buckthornrail/link/message_test.cpp
@@ -38,6 +38,18 @@
     agreement::peer_message peer;
     peer.body = agreement::append_request { 1, 2, 3, 4, { { 5, 6, agreement::entry_kind::Members, "\xff\x01x", {} } } };
     CHECK(encode(*decode(encode(peer))) == encode(peer));
+    member_report report;
+    report.sessions.lives = { { "gateway", 7, { { "service", 3 } }, true } };
+    report.heard = { { "target", 1700000000000, 12 } };
+    const auto back = decode(encode(report));
+    REQUIRE(back);
+    const auto& read = std::get<member_report>(*back);
+    CHECK(read.sessions.lives.at(0).life == 7);
+    CHECK(read.sessions.lives.at(0).spent.at(0).repeats == 3);
+    CHECK(read.sessions.lives.at(0).isComplete);
+    CHECK(read.heard.at(0).id == "target");
+    CHECK(read.heard.at(0).startedMs == 1700000000000);
+    CHECK(read.heard.at(0).sequence == 12);
 }
 
 TEST_CASE("codec: damaged bytes give an error or a message, never anything else", "[link][property]")
@@ -56,6 +68,30 @@
     });
 }
 
+TEST_CASE("codec: a row of a report that is no array of its kind is refused", "[link]")
+{
+    using nlohmann::json;
+    member_report report;
+    report.sessions.lives = { { "gateway", 7, {}, true } };
+    report.heard = { { "target", 1, 2 } };
+    const json good = json::from_cbor(encode(report));
+    const auto isRefused = [](const json& value) {
+        std::string bytes;
+        json::to_cbor(value, bytes);
+        const auto back = decode(bytes);
+        return !back && back.error().code == result_code::MalformedMessage;
+    };
+    REQUIRE_FALSE(isRefused(good));
+    for (const json& row : { json::array(), json::array({ "target", 1 }), json::array({ 1, 1, 2 }), json("target") }) {
+        json bad = good;
+        bad["b"]["heard"][0] = row;
+        CHECK(isRefused(bad));
+        bad = good;
+        bad["b"]["sessions"]["lives"][0] = row;
+        CHECK(isRefused(bad));
+    }
+}
+
 TEST_CASE("codec: another protocol version and unknown enumerators are refused", "[link]")
 {
     using nlohmann::json;
