--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measures over real processes on loopback, bounded in time. measure.sh [policy|ours|recovery|capacity|core] ...
+# Measures over real processes on loopback, bounded in time. measure.sh [policy|ours|recovery|core] ...
 set -eu
 cd "$(dirname "$0")/.."
 scripts/install.sh
@@ -9,7 +9,6 @@
 [ "$#" = 0 ] || shift
 case "$what" in
   policy | ours | recovery) "$build/tests/measure" "$what" "$@" ;;
-  capacity) "$build/tests/measure_capacity" "$@" ;;
   core) "$build/tools/bench_core" "$@" ;;
-  *) echo "measure.sh [policy|ours [CASE]|recovery [RUNS]|capacity [largest]|core]" >&2; exit 2 ;;
+  *) echo "measure.sh [policy|ours [CASE]|recovery [RUNS]|core]" >&2; exit 2 ;;
 esac
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -216,6 +216,7 @@
         onReport(channel, *report);
     } else if (const auto* answer = std::get_if<registry::fleet_report>(&*message)) {
         m_board.told(*answer, m_state.targets());
+        m_answeredAt = steadyNow();
     }
 }
 
@@ -243,6 +244,7 @@
     }
     m_metrics.gauge("is_leader", m_log->isLeader() ? 1 : 0);
     m_metrics.gauge("commit_index", static_cast<double>(m_log->replica().commitIndex()));
+    m_metrics.gauge("sums_of_others_age_ms", static_cast<double>(ageOfSums().value_or(milliseconds(0)).count()));
     m_metrics.gauge("sessions", static_cast<double>(m_sessions.size()));
     m_metrics.gauge("link_bytes_sent", static_cast<double>(m_hub->bytesSent()));
     m_metrics.gauge("link_bytes_received", static_cast<double>(m_hub->bytesReceived()));
@@ -276,11 +278,20 @@
         m_services = std::move(read->services);
 }
 
+std::optional<milliseconds> registry_role::ageOfSums() const
+{
+    if (m_log->isLeader() || m_answeredAt == steady_time {})
+        return std::nullopt;
+    return between(m_answeredAt, steadyNow());
+}
+
 net::whole_response registry_role::statusPage() const
 {
     std::string text = "leader " + m_log->leaderAddress() + "\nterm " + std::to_string(m_log->replica().term())
         + "\ndocument " + std::to_string(m_state.document().version) + "\ngateways " + std::to_string(m_sessions.size())
         + "\n";
+    if (const auto age = ageOfSums())
+        text += "sums_of_others_ms " + std::to_string(age->count()) + "\n";
     for (const auto& [channel, one] : m_sessions)
         text += "gateway " + one.instance + " document " + std::to_string(one.documentVersion) + " targets "
             + std::to_string(one.targetRevision) + (one.isConfirmed ? " confirmed\n" : " waiting\n");
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -71,6 +71,8 @@
     /// @brief Tells gateways what has changed; changes of the table that come in quick succession, together.
     void pushAll();
     void followPlaces();
+    /// @return how old what is told of other registries' sessions is; nothing: it is this one's to know, or never told
+    [[nodiscard]] std::optional<milliseconds> ageOfSums() const;
     /// @brief Tells the leader what has come here, unless this one leads.
     void reportToLeader();
     void sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence);
@@ -102,6 +104,7 @@
     registry::session_board m_board; ///< by channel number
     link::member_report m_unreported; ///< targets, for the leader
     steady_time m_reportAt {};
+    steady_time m_answeredAt {}; ///< when the leader last told of all others' sums
     steady_time m_tablePushAt {};
     std::set<registry::target_incarnation> m_submitted; ///< announcements on their way into the log
     steady_time m_refusedLogAt {}; ///< no line for a refused record before
