--- a/src/app/registry_sessions.cpp
+++ b/src/app/registry_sessions.cpp
@@ -20,6 +20,8 @@
 /// Reports to the leader. What gateways tell of their loads ages by half of it on the way to gateways with sessions
 /// elsewhere, beside the 300 ms between their beats.
 constexpr milliseconds reportPeriod { 100 };
+/// Suspicions kept while no leader can be told: as many as targets of a lost failure domain. Leases find the others.
+constexpr std::size_t mostUnreported = 1000;
 /// Changes of the table of targets are gathered for so long: 3,000 targets that announce themselves within a second
 /// would be as many updates for each gateway. A change that comes alone is told at once.
 constexpr milliseconds tablePushPeriod { 50 };
@@ -44,7 +46,7 @@
     for (const auto& target : beat.darkTargets) {
         if (m_log->isLeader())
             m_watch.suspect(target);
-        else
+        else if (m_unreported.darkTargets.size() < mostUnreported)
             m_unreported.darkTargets.push_back(target);
     }
     if (!m_unreported.darkTargets.empty())
