--- a/src/app/log_account_test.cpp
+++ b/src/app/log_account_test.cpp
@@ -39,6 +39,7 @@
 {
     const auto account = accountFrom("r-1");
     std::vector<std::string> codes;
+    codes.reserve(account.size());
     for (const auto& line : account)
         codes.push_back(line.text.substr(0, 4) + (line.isOwn ? "!" : ""));
     CHECK(codes == std::vector<std::string> { "E200!", "E211", "E203!", "E502", "E601", "E204!" });
