--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -50,8 +50,8 @@
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, 2, 1);
-    // A stand-in's listener that a child inherits goes on listening once the stand-in has closed it: whoever connects is
-    // taken and never answered.
+    // A stand-in's listener that a child inherits goes on listening once the stand-in has closed it: whoever connects
+    // is taken and never answered.
     constexpr int firstInherited = 3;
     posix_spawn_file_actions_addclosefrom_np(&files, firstInherited);
     pid_t pid = 0;
