--- a/scripts/landing_runs.sh
+++ b/scripts/landing_runs.sh
@@ -19,7 +19,7 @@
   awk -v site="$1" '
     / with a rule broken$/ { broken = $0; sub(/.*, /, "", broken); sub(/ with.*/, "", broken) }
     /BROKEN:/ { rules = rules " " substr($0, index($0, "BROKEN:") + 8) }
-    /^score on the standard days/ { score = $NF }
+    /^score on the standard days/ { score = $0; sub(/.*\): /, "", score); sub(/[^0-9.].*/, "", score) }
     /^GATE/ { gate = $2 }
     # A row of a day: name, own/servers, score, worth, ... Its name may hold spaces.
     match($0, / [0-9]+\/[0-9]+ +-?[0-9.]+ +-?[0-9.]+ /) {
