--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -6,6 +6,7 @@
 
 #include "buckthornrail/core/event_code.hpp"
 #include "buckthornrail/core/log_field.hpp"
+#include "buckthornrail/core/request_fingerprint.hpp"
 #include "buckthornrail/gateway/repeat_budget.hpp"
 #include "buckthornrail/gateway/target_pool.hpp"
 
@@ -78,6 +79,8 @@
     virtual void answer(result_code code, ran_state ran, const std::string& reason) = 0;
     /// @brief Calls onTimer() at a time, instead of the one asked for before.
     virtual void wakeAt(steady_time when) = 0;
+    /// @brief Of the caller's request; worked out when it is first asked for.
+    [[nodiscard]] virtual request_fingerprint fingerprint() = 0;
     virtual void note(event_code event, std::initializer_list<log_field> fields) = 0;
 };
 
@@ -169,7 +172,7 @@
     void goOn(const attempt_end& last, steady_time now);
     /// @brief Goes on elsewhere if it can; else the open attempt stays. @return true when it moved
     bool move(const attempt_end& last, choice_bounds bounds, steady_time now);
-    void noteLoss(const attempt_end& last);
+    void noteLoss(const attempt_end& last, steady_time now);
     [[nodiscard]] std::string whyNoRepeat(const attempt_end& last, steady_time now);
     void open(const selection& where, steady_time now);
     void closeAttempt();
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,7 +3,7 @@
 set -eu
 packages="g++ cmake ninja-build pkg-config clang-format clang-tidy curl
   libcivetweb-dev libcpp-httplib-dev libwebsocketpp-dev libasio-dev libboost-dev nlohmann-json3-dev
-  prometheus-cpp-dev libtclap-dev libexpected-dev libinih-dev libxxhash-dev libzstd-dev
+  prometheus-cpp-dev libtclap-dev libexpected-dev libinih-dev libxxhash-dev libzstd-dev nettle-dev
   catch2 libtrompeloeil-cpp-dev librapidcheck-dev libbenchmark-dev"
 missing=""
 for package in $packages; do
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -2,6 +2,8 @@
 /// @brief Carrying out what an exchange asks for.
 #include "app/gateway_call.hpp"
 
+#include "buckthornrail/gateway/fingerprint_request.hpp"
+
 #include <algorithm>
 
 namespace buckthornrail::app {
@@ -442,6 +444,14 @@
     });
 }
 
+request_fingerprint gateway_call::fingerprint()
+{
+    if (!m_fingerprint)
+        m_fingerprint = gateway::fingerprintOf({ m_head.method,
+            http1::valueOf(m_head.fields, "Host").value_or(std::string_view()), m_head.target, m_workspace, m_body });
+    return *m_fingerprint;
+}
+
 void gateway_call::note(event_code event, std::initializer_list<log_field> fields)
 {
     telemetry::logEvent(event, fields);
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway_call.hpp
@@ -73,6 +73,7 @@
     void breakOff() override;
     void answer(result_code code, ran_state ran, const std::string& reason) override;
     void wakeAt(steady_time when) override;
+    [[nodiscard]] request_fingerprint fingerprint() override;
     void note(event_code event, std::initializer_list<log_field> fields) override;
 
     /// @brief The first document has come.
@@ -102,6 +103,7 @@
     std::string m_body;
     gateway::caller_head m_caller;
     std::string m_workspace;
+    std::optional<request_fingerprint> m_fingerprint; ///< empty: nobody has asked
     std::unique_ptr<gateway::exchange> m_exchange;
     steady_time m_arrived {};
 
--- /dev/null
+++ b/src/buckthornrail/core/request_fingerprint.cpp
@@ -0,0 +1,44 @@
+/// @file
+/// @brief Fingerprints as text.
+#include "buckthornrail/core/request_fingerprint.hpp"
+
+#include <charconv>
+
+namespace buckthornrail {
+namespace {
+
+constexpr int hexadecimal = 16;
+constexpr std::size_t digitsPerByte = 2;
+constexpr unsigned bitsPerDigit = 4;
+constexpr unsigned lowDigit = 0xF;
+constexpr std::string_view digitNames = "0123456789abcdef";
+
+} // namespace
+
+std::string text(const request_fingerprint& one)
+{
+    std::string digits;
+    digits.reserve(request_fingerprint::size * digitsPerByte);
+    for (const unsigned byte : one.bytes) {
+        digits += digitNames[byte >> bitsPerDigit];
+        digits += digitNames[byte & lowDigit];
+    }
+    return digits;
+}
+
+std::optional<request_fingerprint> readFingerprint(std::string_view digits)
+{
+    if (digits.size() != request_fingerprint::size * digitsPerByte)
+        return std::nullopt;
+    request_fingerprint read;
+    for (auto& byte : read.bytes) {
+        const char* const begin = digits.data();
+        const auto [end, fault] = std::from_chars(begin, begin + digitsPerByte, byte, hexadecimal);
+        if (fault != std::errc() || end != begin + digitsPerByte)
+            return std::nullopt;
+        digits.remove_prefix(digitsPerByte);
+    }
+    return read;
+}
+
+} // namespace buckthornrail
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -268,7 +268,7 @@
 
 void exchange::tryNext(const attempt_end& last, steady_time now)
 {
-    noteLoss(last);
+    noteLoss(last, now);
     goOn(last, now);
 }
 
@@ -301,7 +301,7 @@
     const auto next = findNext(last, std::move(bounds), now);
     if (!next.where)
         return false; // the open attempt may still go on by itself: that it is slow is no reason to end it
-    noteLoss(last);
+    noteLoss(last, now);
     closeAttempt();
     m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
     m_ranAt = next.ranAt;
@@ -310,11 +310,13 @@
     return true;
 }
 
-void exchange::noteLoss(const attempt_end& last)
+void exchange::noteLoss(const attempt_end& last, steady_time now)
 {
     m_port.note(event_code::AttemptLost,
         { { "request", m_request.id }, { "attempt", std::to_string(m_tries) }, { "reason", last.reason },
-            { "ran", std::string(nameOf(last.ran)) }, { "events", std::to_string(m_events) } });
+            { "ran", std::string(nameOf(last.ran)) }, { "events", std::to_string(m_events) },
+            { "first_event", m_promptRead ? "seen" : "none" }, { "open_ms", inMs(between(m_attemptStart, now)) },
+            { "fingerprint", text(m_port.fingerprint()) } });
 }
 
 std::string exchange::whyNoRepeat(const attempt_end& last, steady_time now)
--- /dev/null
+++ b/src/buckthornrail/gateway/fingerprint_request_test.cpp
@@ -0,0 +1,35 @@
+/// @file
+/// @brief Which requests are the same.
+#include "buckthornrail/gateway/fingerprint_request.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace buckthornrail;
+using namespace buckthornrail::gateway;
+
+TEST_CASE("request fingerprint: each part of a request counts, and where it ends", "[fingerprint]")
+{
+    const request_identity one { "POST", "h", "/p?q", "w", "body" };
+    CHECK(fingerprintOf(one) == fingerprintOf({ "POST", "h", "/p?q", "w", "body" }));
+    CHECK(fingerprintOf(one) != fingerprintOf({ "PUT", "h", "/p?q", "w", "body" }));
+    CHECK(fingerprintOf(one) != fingerprintOf({ "POST", "i", "/p?q", "w", "body" }));
+    CHECK(fingerprintOf(one) != fingerprintOf({ "POST", "h", "/p", "w", "body" }));
+    CHECK(fingerprintOf(one) != fingerprintOf({ "POST", "h", "/p?q", "", "body" }));
+    CHECK(fingerprintOf(one) != fingerprintOf({ "POST", "h", "/p?q", "w", "bodies" }));
+    CHECK(fingerprintOf({ "a", "b", "c", "d", "e" }) != fingerprintOf({ "a", "bc", "", "d", "e" }));
+}
+
+TEST_CASE("request fingerprint: its text reads back, and no other does", "[fingerprint]")
+{
+    rc::prop("any fingerprint", [](const std::string& body) {
+        const auto one = fingerprintOf({ "POST", "h", "/", "", body });
+        RC_ASSERT(readFingerprint(text(one)) == one);
+    });
+    const std::string digits = text(fingerprintOf({ "POST", "h", "/", "", "" }));
+    CHECK(digits.size() == 32);
+    CHECK_FALSE(readFingerprint(digits.substr(1)).has_value());
+    CHECK_FALSE(readFingerprint(digits + "0").has_value());
+    CHECK_FALSE(readFingerprint("+" + digits.substr(1)).has_value());
+    CHECK_FALSE(readFingerprint("g" + digits.substr(1)).has_value());
+}
--- a/tests/support/exchange_bench.hpp
+++ b/tests/support/exchange_bench.hpp
@@ -40,6 +40,7 @@
         end("answered");
     }
     void wakeAt(steady_time when) override { wake = when; }
+    request_fingerprint fingerprint() override { return {}; }
     void note(event_code /*event*/, std::initializer_list<log_field> /*fields*/) override { }
 
     bool isOpen = false;
