--- a/tests/support/stand_in_fleet.cpp
+++ b/tests/support/stand_in_fleet.cpp
@@ -41,6 +41,23 @@
         each->reset();
 }
 
+void stand_in_fleet::implementation::crash(target& one, const std::string& requestId, const std::string& path)
+{
+    if (!one.isUp)
+        return;
+    crashes.push_back({ requestId, path, one.id });
+    // After the session that asks for it has returned: it ends with the target.
+    loop.post([this, &one, life = one.life] {
+        if (isEnding || one.life != life)
+            return;
+        stop(one);
+        loop.runAt(now() + restartAfter, [this, &one, life] {
+            if (!isEnding && one.life == life && !one.isUp)
+                start(one);
+        });
+    });
+}
+
 void stand_in_fleet::implementation::scheduleBeat(std::size_t number, std::size_t life)
 {
     loop.runAt(now() + heartbeatPeriod, [this, number, life] {
@@ -192,6 +209,11 @@
     return m_implementation->ask([this] { return m_implementation->runs; });
 }
 
+std::vector<fleet_crash> stand_in_fleet::crashes() const
+{
+    return m_implementation->ask([this] { return m_implementation->crashes; });
+}
+
 bool stand_in_fleet::hasChain(const std::string& domain) const
 {
     return m_implementation->ask([&] {
--- a/tests/support/stand_in_fleet.hpp
+++ b/tests/support/stand_in_fleet.hpp
@@ -30,6 +30,13 @@
     bool wasWhole = false; ///< its answer went out to the end
 };
 
+/// A target's end under a request whose path holds "/crash".
+struct fleet_crash {
+    std::string requestId;
+    std::string path;
+    std::string target;
+};
+
 /// @brief Runs all targets on a thread of its own. Functions may be called from any thread.
 class stand_in_fleet {
 public:
@@ -61,6 +68,9 @@
     void setFaults(std::size_t target, const target_faults& faults);
 
     [[nodiscard]] std::vector<fleet_run> runs() const;
+    /// @brief Targets that a request has ended so far, in order. A request whose path holds "/crash" ends its target
+    /// soon after it has begun there; the target starts again, empty, after a while.
+    [[nodiscard]] std::vector<fleet_crash> crashes() const;
     /// @brief Ids of the requests that came to targets, once for each arrival, also of those that were refused.
     [[nodiscard]] std::vector<std::string> arrivals() const;
     /// @brief Layers held by living engines of a domain, without gap from 0 to the end.
--- a/tests/support/stand_in_session.hpp
+++ b/tests/support/stand_in_session.hpp
@@ -26,6 +26,9 @@
     700
 }; ///< a stream whose member is gone stands still so long, then breaks off
 inline constexpr milliseconds loadTime { 30 };
+inline constexpr milliseconds crashAfter { 10 }; ///< a request that ends its target has begun
+inline constexpr milliseconds restartAfter { 600 }; ///< a target that crashed is gone
+inline constexpr std::string_view crashMark = "/crash";
 
 inline steady_time now() { return std::chrono::steady_clock::now(); }
 
@@ -109,6 +112,8 @@
 
     void start(target& one);
     void stop(target& one);
+    /// Ends a target under a request; it starts again after a while.
+    void crash(target& one, const std::string& requestId, const std::string& path);
     void scheduleBeat(std::size_t number, std::size_t life);
     void beat(target& one);
     static json announcement(const target& one);
@@ -128,6 +133,7 @@
     std::vector<std::unique_ptr<target>> targets;
     std::vector<fleet_run> runs;
     std::vector<std::string> arrivals;
+    std::vector<fleet_crash> crashes;
     std::mt19937_64 random { 7 };
     std::size_t lives = 0;
     bool keepsIds = false;
@@ -272,7 +278,9 @@
         m_isGarbled = m_fleet.drawn(m_target.faults.garbleShare);
         const bool fails = m_fleet.drawn(m_target.faults.failShare);
         m_isCut = m_fleet.drawn(m_target.faults.cutShare);
-        if (fails) {
+        if (m_path.find(crashMark) != std::string::npos) {
+            wait(crashAfter, [this] { m_fleet.crash(m_target, m_requestId, m_path); });
+        } else if (fails) {
             wait(plainWork, [this] { answer(500, "failed", marked()); });
         } else if (!isStream) {
             wait(plainWork, [this] { answerPlain(); });
