--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -7,6 +7,7 @@
 #include "buckthornrail/core/event_code.hpp"
 #include "buckthornrail/core/log_field.hpp"
 #include "buckthornrail/core/request_fingerprint.hpp"
+#include "buckthornrail/gateway/quarantine_gate.hpp"
 #include "buckthornrail/gateway/repeat_budget.hpp"
 #include "buckthornrail/gateway/target_pool.hpp"
 
@@ -57,6 +58,11 @@
     exchange_port& operator=(const exchange_port&) = delete;
     virtual ~exchange_port() = default;
 
+    /// @brief Whether an attempt at a selection may begin, as far as targets have ended under the request. Anything but
+    /// Go and Refuse is asked again; onQuarantineChanged() tells when.
+    virtual dispatch_verdict mayBegin(const selection& where) = 0;
+    /// @brief Whether the open attempt, which hasn't begun to answer, must end for the same reason.
+    [[nodiscard]] virtual bool mustLeave() = 0;
     /// @brief Sends the request to a selection. @param lastEventId a stream goes on after it
     virtual void openAttempt(std::uint32_t number, const selection& where, std::optional<std::uint64_t> lastEventId)
         = 0;
@@ -112,6 +118,10 @@
     /// Attempts in all, also where targets ended or refused, which the route's number doesn't count.
     std::uint32_t mostTries = 6;
     std::uint32_t mostTriesOnceBegun = 20;
+    /// A request under which targets have ended waits so long for its turn, unless it has begun; it looks again after
+    /// each period.
+    milliseconds heldPatience { 400 };
+    milliseconds heldPeriod { 20 };
     /// A stream that has begun and finds no place, or no repeat in the budget, looks again after so long,
     milliseconds pauseBetweenTries { 150 };
     /// until its caller leaves, which callers do after 2 s without an event, or so long after the last one.
@@ -141,6 +151,8 @@
     /// @brief The table of targets has changed. A stream leaves a member that was ordered to hold other layers: what
     /// passed through it is cut. So does any request a target that has started anew: what ran there has ended.
     void onTargetsChanged(steady_time now);
+    /// @brief What is held against requests has changed, or a target that may have ended was found alive.
+    void onQuarantineChanged(steady_time now);
     void onTimer(steady_time now);
     void onCallerGone(steady_time now);
 
@@ -174,6 +186,12 @@
     bool move(const attempt_end& last, choice_bounds bounds, steady_time now);
     void noteLoss(const attempt_end& last, steady_time now);
     [[nodiscard]] std::string whyNoRepeat(const attempt_end& last, steady_time now);
+    /// @brief Opens an attempt as soon as the request may run there.
+    void begin(next_attempt next, steady_time now);
+    /// @brief Asks once more whether the attempt that waits may begin.
+    void askToBegin(steady_time now);
+    /// @return what mayBegin() says of the attempt that waits, at another target where that one is taken
+    dispatch_verdict askPort(steady_time now);
     void open(const selection& where, steady_time now);
     void closeAttempt();
     void giveUp(const std::string& reason, steady_time now);
@@ -216,6 +234,8 @@
     std::uint32_t m_tries = 0;
     std::optional<attempt_end> m_paused; ///< how the last attempt ended, while a begun stream waits for a place
     steady_time m_goOnAt {};
+    std::optional<next_attempt> m_next; ///< found, and paid for from the budget; not allowed to begin yet
+    steady_time m_heldUntil {}; ///< it is given up then
     std::uint32_t m_openAsks = 0;
     std::uint32_t m_vainAsks = 0; ///< answered, but nobody was named
     std::size_t m_pacedEvents = 0; ///< since the pace was told last
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -118,6 +118,8 @@
     [[nodiscard]] bool hasEnded(const registry::target_incarnation& id) const;
     /// @brief Whether a target has said its last word, or isn't known any more.
     [[nodiscard]] bool isGone(const registry::target_incarnation& id) const;
+    /// @brief Whether a target has said that it leaves, or its last word.
+    [[nodiscard]] bool isLeaving(const registry::target_incarnation& id) const;
     /// @brief Whether a later life of the same target is known: what ran there has ended.
     [[nodiscard]] bool wasReplaced(const registry::target_incarnation& id) const;
     /// @brief Whether a target has given layers up that it held: it holds others now, and has not ended.
--- a/include/buckthornrail/link/state_json.hpp
+++ b/include/buckthornrail/link/state_json.hpp
@@ -8,6 +8,7 @@
 #include "buckthornrail/dispatch/order_keeper.hpp"
 #include "buckthornrail/link/checked_enum.hpp"
 #include "buckthornrail/membership/membership_table.hpp"
+#include "buckthornrail/registry/quarantine.hpp"
 #include "buckthornrail/registry/target_record.hpp"
 
 namespace nlohmann {
@@ -46,6 +47,16 @@
     : buckthornrail::link::checked_enum<buckthornrail::registry::target_state,
           buckthornrail::registry::target_state::Lost> {
 };
+template <>
+struct adl_serializer<buckthornrail::registry::quarantine_stage>
+    : buckthornrail::link::checked_enum<buckthornrail::registry::quarantine_stage,
+          buckthornrail::registry::quarantine_stage::Proven> {
+};
+template <>
+struct adl_serializer<buckthornrail::registry::trial_refusal>
+    : buckthornrail::link::checked_enum<buckthornrail::registry::trial_refusal,
+          buckthornrail::registry::trial_refusal::Unknown> {
+};
 
 } // namespace nlohmann
 
@@ -53,6 +64,18 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_id, request, number)
 
+inline void to_json(nlohmann::json& out, const request_fingerprint& value)
+{
+    out = nlohmann::json::binary({ value.bytes.begin(), value.bytes.end() });
+}
+inline void from_json(const nlohmann::json& in, request_fingerprint& value)
+{
+    const auto& bytes = in.get_binary();
+    if (bytes.size() != value.bytes.size())
+        throw std::out_of_range("a fingerprint has another size");
+    std::copy(bytes.begin(), bytes.end(), value.bytes.begin());
+}
+
 namespace membership {
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
     target_description, kind, model, version, service, pool, accelerator, firstLayer, endLayer, slots)
@@ -89,6 +112,15 @@
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_incarnation, id, startedMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(crash_report, target, begun)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(trial_claim, fingerprint, trial, target)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(trial_end, fingerprint, trial)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_expiry, fingerprint, revision)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_change, crashes, claims, ends, cleared, expired)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
+    quarantine_entry, stage, ended, crashes, proofs, trial, trialTarget, revision, stageRevision)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_standing, fingerprint, stage)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_delta, to, full, standings)
 } // namespace registry
 
 namespace dispatch {
--- a/include/buckthornrail/net/reachability.hpp
+++ b/include/buckthornrail/net/reachability.hpp
@@ -35,7 +35,7 @@
 /// @ingroup net
 class reachability_checks {
 public:
-    /// Told of addresses that aren't Open; not from within check().
+    /// Told of addresses that aren't Open, and by checkAnew() of all; not from within a check.
     using verdict = std::function<void(const std::string& address, reachability found)>;
 
     reachability_checks(link::event_loop& loop, verdict tell, const reachability_options& options = {});
@@ -44,6 +44,8 @@
     ~reachability_checks();
 
     void check(const std::string& address);
+    /// @brief Tries an address though it was found open not long ago, and tells whatever comes of it, Open too.
+    void checkAnew(const std::string& address);
     /// @brief Another process has the address from now on: what was found, and what is being tried, is of the one
     /// before.
     void forget(const std::string& address) { m_trialsByAddress.erase(address); }
--- a/src/app/control_shell.cpp
+++ b/src/app/control_shell.cpp
@@ -9,6 +9,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -216,6 +217,28 @@
     return report(options, answer, "initialized; the other controllers join by themselves");
 }
 
+int quarantineList(const shell_options& options)
+{
+    const auto answer = callAny(options, "GET", "/quarantine");
+    std::string text = "fingerprint                       stage    ended  proofs  targets";
+    for (const auto& row : answer.body.is_object() ? answer.body.value("requests", json::array()) : json::array()) {
+        std::ostringstream line;
+        line << "\n"
+             << std::left << std::setw(34) << row.value("fingerprint", "") << std::setw(9) << row.value("stage", "")
+             << std::setw(7) << row.value("crashes", 0) << std::setw(8) << row.value("proofs", 0)
+             << row.value("ended", "");
+        text += line.str();
+    }
+    return report(options, answer, text);
+}
+
+int quarantineClear(const shell_options& options)
+{
+    const auto answer = callAny(options, "DELETE", "/quarantine/" + options.words[2]);
+    const auto cleared = answer.body.is_object() ? answer.body.value("cleared", 0) : 0;
+    return report(options, answer, "cleared: " + std::to_string(cleared));
+}
+
 /// @brief Explains a request from logs, whether or not their processes still run.
 int explainFromLogs(const shell_options& options)
 {
@@ -280,6 +303,8 @@
         { { "order", "INSTANCE", "MODEL", "VERSION" }, order },
         { { "cluster", "init" }, initialize },
         { { "explain", "REQUEST" }, explain },
+        { { "quarantine", "list" }, quarantineList },
+        { { "quarantine", "clear", "FINGERPRINT" }, quarantineClear },
     };
     return table;
 }
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -61,10 +61,18 @@
                   beat.repeats = m_context.budgets.spent(steadyNow());
                   beat.isRepeatsComplete = m_context.budgets.isComplete(steadyNow());
               },
+              [this](link::gateway_beat& beat, bool isFirst) { tellQuarantine(beat, isFirst); },
+              [this](const link::gateway_update& update) { onQuarantine(update); },
           })
 {
-    m_context.reachability = std::make_unique<net::reachability_checks>(
-        loop, [this](const std::string& address, net::reachability found) { onUnreachable(address, found); });
+    m_context.reachability
+        = std::make_unique<net::reachability_checks>(loop, [this](const std::string& address, net::reachability found) {
+              if (found == net::reachability::Open)
+                  onAlive(address);
+              else
+                  onUnreachable(address, found);
+          });
+    m_context.sendNews = [this] { m_session.beatSoon(); };
 }
 
 gateway_role::~gateway_role()
@@ -167,8 +175,10 @@
 
 void gateway_role::onTargets(const registry::target_view& targets)
 {
-    for (const auto& address : m_context.pool.update(targets.records()))
+    for (const auto& address : m_context.pool.update(targets.records())) {
         m_context.reachability->forget(address);
+        blameEnd(address, m_context.pool.idAt(address));
+    }
     for (const auto& call : openCalls())
         call->targetsChanged();
     for (const auto& call : std::exchange(m_context.waiting, {})) {
@@ -189,10 +199,12 @@
 void gateway_role::onUnreachable(const std::string& address, net::reachability found)
 {
     const auto target = m_context.pool.idAt(address);
-    if (found == net::reachability::Refused)
+    if (found == net::reachability::Refused) {
         m_context.pool.endedAt(address);
-    else
+        blameEnd(address, {});
+    } else {
         m_context.pool.silentAt(address);
+    }
     if (target.empty())
         return; // controllers have told of its end already
     telemetry::logEvent(event_code::TargetUnreachable,
@@ -203,9 +215,79 @@
         call->targetUnreachable(target);
 }
 
+void gateway_role::onAlive(const std::string& address)
+{
+    m_context.crashes.lives(address);
+    spreadQuarantine();
+}
+
+void gateway_role::blameEnd(const std::string& address, const registry::target_incarnation& survivor)
+{
+    const auto fingerprintOf = [this](gateway::call_number number) {
+        const auto found = std::find_if(m_context.openCalls.begin(), m_context.openCalls.end(),
+            [number](const auto* call) { return call->number() == number; });
+        return found == m_context.openCalls.end() ? request_fingerprint {} : (*found)->fingerprint();
+    };
+    bool isNews = false;
+    for (const auto& report : m_context.crashes.ended(address, survivor, fingerprintOf, steadyNow())) {
+        // One that leaves ends by itself, as does one that has said its last word.
+        if (survivor.empty() && m_context.pool.isLeaving(report.target))
+            continue;
+        isNews = true;
+        m_context.metrics.count("crashes_blamed");
+        constexpr std::size_t mostNamed = 8;
+        std::string named;
+        for (std::size_t at = 0; at < std::min(report.begun.size(), mostNamed); ++at)
+            named += (at == 0 ? "" : ",") + text(report.begun[at]);
+        telemetry::logEvent(event_code::CrashBlamed,
+            { { "target", text(report.target) }, { "address", address },
+                { "how", survivor.empty() ? "refused" : "replaced" }, { "begun", std::to_string(report.begun.size()) },
+                { "fingerprints", named } },
+            telemetry::severity::Warning);
+        m_context.quarantine.crashed(report, steadyNow());
+    }
+    if (!isNews)
+        return;
+    m_context.sendNews();
+    spreadQuarantine();
+}
+
+void gateway_role::tellQuarantine(link::gateway_beat& beat, bool isFirst)
+{
+    const auto now = steadyNow();
+    for (const auto call : m_context.quarantine.callsOnTrial()) {
+        if (!m_context.crashes.isFresh(call, now) && !m_context.crashes.awaitsVerdict(call, now))
+            m_context.quarantine.endTrial(call);
+    }
+    beat.quarantineRevision = m_context.quarantine.revision();
+    for (auto& news : m_context.quarantine.takeNews(isFirst, now))
+        beat.quarantine.push_back({ news.number, std::move(news.change) });
+}
+
+void gateway_role::onQuarantine(const link::gateway_update& update)
+{
+    for (const auto& delta : update.quarantine)
+        m_context.quarantine.told(delta);
+    for (const auto& receipt : update.quarantineReceipts) {
+        std::vector<gateway::refused_claim> refused;
+        for (const auto& one : receipt.refused)
+            refused.push_back({ one.trial, one.why });
+        m_context.quarantine.received(receipt.number, refused, steadyNow());
+    }
+    if (!update.quarantine.empty() || !update.quarantineReceipts.empty())
+        spreadQuarantine();
+}
+
+void gateway_role::spreadQuarantine()
+{
+    for (const auto& call : openCalls())
+        call->quarantineChanged();
+}
+
 void gateway_role::onHealthCall(const net::whole_request& request, const net::responder& respond)
 {
     if (request.head.target == "/metrics") {
+        m_context.metrics.gauge("quarantined_requests", static_cast<double>(m_context.quarantine.size()));
         m_context.metrics.gauge("members_dialled", static_cast<double>(m_context.reachability->trials()));
         respond(net::plainResponse(200, m_context.metrics.text(), "text/plain"));
         return;
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -40,6 +40,14 @@
     /// @brief Calls that are open now, kept alive while they are told something.
     [[nodiscard]] std::vector<std::shared_ptr<gateway_call>> openCalls() const;
     void onUnreachable(const std::string& address, net::reachability found);
+    /// @brief A target that may have ended with what was cut off there takes connections.
+    void onAlive(const std::string& address);
+    /// @brief Targets at an address have ended. @param survivor the one that has it now; empty: none
+    void blameEnd(const std::string& address, const registry::target_incarnation& survivor);
+    void tellQuarantine(link::gateway_beat& beat, bool isFirst);
+    void onQuarantine(const link::gateway_update& update);
+    /// @brief Tells open calls that what is held against requests has changed.
+    void spreadQuarantine();
     void onHealthCall(const net::whole_request& request, const net::responder& respond);
     void checkStopped();
     [[nodiscard]] bool isReady() const { return m_context.document != nullptr && !m_context.isStopping; }
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -28,6 +28,8 @@
 /// A call to a gateway that has just started waits so long for the first document: controllers that restart at the same
 /// moment elect a leader within a second, and callers wait two seconds for a first event.
 constexpr milliseconds documentPatience { 1400 };
+/// A suspect that runs somewhere is cleared, or proven, with its first events.
+constexpr milliseconds heldPause { 1000 };
 constexpr milliseconds elsewherePause { 10 }; ///< another gateway takes it at once
 /// A process that ends is up again so long after it is gone, with its first document.
 constexpr milliseconds restartTime { 700 };
@@ -42,6 +44,8 @@
         return noTargetPause;
     case result_code::ShuttingDown:
         return elsewherePause;
+    case result_code::RequestHeld:
+        return heldPause;
     default:
         return busyPause;
     }
@@ -51,6 +55,7 @@
 
 gateway_call::gateway_call(gateway_context& context, call_sink& sink, http1::request_head head, std::string body)
     : m_context(context)
+    , m_number(++context.lastCall)
     , m_sink(&sink)
     , m_head(std::move(head))
     , m_body(std::move(body))
@@ -63,6 +68,7 @@
 gateway_call::~gateway_call()
 {
     cancelAttempt();
+    m_context.quarantine.endTrial(m_number);
     m_context.openCalls.erase(this);
 }
 
@@ -152,6 +158,58 @@
         m_channel->setReading(true);
 }
 
+gateway::dispatch_verdict gateway_call::mayBegin(const gateway::selection& where)
+{
+    const auto now = steadyNow();
+    if (m_context.crashes.awaitsVerdict(m_number, now))
+        return gateway::dispatch_verdict::Wait;
+    if (m_context.quarantine.isQuiet())
+        return gateway::dispatch_verdict::Go;
+    const auto verdict = m_context.quarantine.mayBegin(m_number, fingerprint(), where.parts.front().target, now);
+    noteVerdict(verdict, where);
+    if (m_context.quarantine.hasNews())
+        m_context.sendNews();
+    return verdict;
+}
+
+void gateway_call::noteVerdict(gateway::dispatch_verdict verdict, const gateway::selection& where)
+{
+    if (std::exchange(m_verdict, verdict) == verdict)
+        return;
+    const auto stage = m_context.quarantine.stageOf(fingerprint());
+    telemetry::logEvent(event_code::TrialDecided,
+        { { "request", m_caller.requestId }, { "fingerprint", text(fingerprint()) }, { "workspace", m_workspace },
+            { "path", m_head.target }, { "target", text(where.parts.front().target) },
+            { "stage", std::string(nameIn(registry::quarantineStageNames, stage)) },
+            { "outcome", std::string(nameIn(gateway::dispatchVerdictNames, verdict)) },
+            { "revision", std::to_string(m_context.quarantine.revision()) } });
+}
+
+bool gateway_call::mustLeave()
+{
+    return !m_context.quarantine.isQuiet() && m_context.quarantine.mustLeave(m_number, fingerprint());
+}
+
+void gateway_call::quarantineChanged()
+{
+    if (m_exchange && m_sink != nullptr)
+        m_exchange->onQuarantineChanged(steadyNow());
+}
+
+void gateway_call::noteAnswered()
+{
+    if (m_context.quarantine.isQuiet())
+        return;
+    const auto stage = m_context.quarantine.stageOf(fingerprint());
+    m_context.quarantine.answered(fingerprint());
+    if (!m_context.quarantine.hasNews())
+        return;
+    telemetry::logEvent(event_code::RequestCleared,
+        { { "request", m_caller.requestId }, { "fingerprint", text(fingerprint()) },
+            { "stage", std::string(nameIn(registry::quarantineStageNames, stage)) } });
+    m_context.sendNews();
+}
+
 void gateway_call::openAttempt(
     std::uint32_t number, const gateway::selection& where, std::optional<std::uint64_t> lastEventId)
 {
@@ -194,6 +252,7 @@
         for (const auto& part : where.parts)
             m_context.reachability->watch(part.address);
     }
+    m_context.crashes.opened(m_number, where.parts, now);
     m_channel->write(http1::formatRequest(m_context.dialect.writeForwarded(m_head, added), m_body));
     m_connectTimer.set(now + connectPatience, [ifCurrent] {
         ifCurrent([](gateway_call& self) {
@@ -206,6 +265,7 @@
 void gateway_call::cancelAttempt()
 {
     m_connectTimer.cancel();
+    m_context.crashes.closed(m_number);
     if (m_report)
         std::exchange(m_report, nullptr)->cancel();
     if (m_channel)
@@ -284,6 +344,10 @@
     }
     const auto loss = m_connected ? gateway::attempt_loss::Broken : gateway::attempt_loss::NotReached;
     m_channel = nullptr;
+    if (loss == gateway::attempt_loss::Broken && m_context.crashes.isFresh(m_number, steadyNow())) {
+        (void)m_context.crashes.cutOff(m_number, fingerprint(), steadyNow());
+        m_context.reachability->checkAnew(m_where.parts.front().address);
+    }
     m_exchange->onLost(loss, steadyNow());
 }
 
@@ -322,6 +386,7 @@
     for (const auto& event : m_events.put(m_parser->takeBody())) {
         if (!m_channel || m_attempt != attempt)
             return;
+        m_context.crashes.firstEvent(m_number, steadyNow());
         m_exchange->onEvent(event.bytes, event.id, steadyNow());
     }
     if (m_channel && m_sink != nullptr && m_sink->pendingBytes() > mostPendingBytes)
@@ -344,6 +409,8 @@
     head.fields = answerFields(head);
     m_sink->write(http1::formatResponse(head, m_parser->takeBody(), m_sink->keepsAlive()));
     countAnswer(head.status < 300 ? "served" : "target_failure");
+    if (head.status < 300)
+        noteAnswered();
     finish(false);
 }
 
@@ -373,6 +440,7 @@
         return;
     m_sink->write(http1::lastChunk);
     countAnswer("served");
+    noteAnswered();
     finish(false);
 }
 
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway_call.hpp
@@ -31,6 +31,10 @@
     steady_time takesStreamsUntil {}; ///< while stopping: a stream that comes later may outlast the process
     std::set<class gateway_call*> openCalls;
     std::unique_ptr<net::reachability_checks> reachability;
+    gateway::crash_watch crashes = gateway::crash_watch();
+    gateway::quarantine_gate quarantine { random() };
+    std::function<void()> sendNews; ///< of the quarantine, soon
+    gateway::call_number lastCall = 0;
 };
 
 /// Where a call's answer goes.
@@ -61,6 +65,8 @@
     /// @brief Everything written so far has been taken by the caller's connection.
     void drained();
 
+    gateway::dispatch_verdict mayBegin(const gateway::selection& where) override;
+    [[nodiscard]] bool mustLeave() override;
     void openAttempt(
         std::uint32_t number, const gateway::selection& where, std::optional<std::uint64_t> lastEventId) override;
     void cancelAttempt() override;
@@ -81,6 +87,9 @@
     /// @brief A target takes no connection.
     void targetUnreachable(const registry::target_incarnation& target);
     void targetsChanged();
+    /// @brief What is held against requests has changed, or a target that may have ended was found alive.
+    void quarantineChanged();
+    [[nodiscard]] gateway::call_number number() const { return m_number; }
 
 private:
     void route();
@@ -89,6 +98,10 @@
     void refuse(result_code code, const std::string& reason);
     /// @brief When a refused caller should come back.
     [[nodiscard]] milliseconds comeBackAfter(result_code code) const;
+    /// @brief The target has given its whole answer: the request doesn't end those who run it.
+    void noteAnswered();
+    /// @brief Writes a line on a change of the verdict.
+    void noteVerdict(gateway::dispatch_verdict verdict, const gateway::selection& where);
     void onBytes(std::string_view bytes);
     void onEnded(net::channel_end how);
     void advance();
@@ -98,12 +111,14 @@
     [[nodiscard]] std::vector<http1::field> answerFields(const http1::response_head& head) const;
 
     gateway_context& m_context;
+    gateway::call_number m_number;
     call_sink* m_sink; ///< empty once the caller is gone or has its answer
     http1::request_head m_head;
     std::string m_body;
     gateway::caller_head m_caller;
     std::string m_workspace;
     std::optional<request_fingerprint> m_fingerprint; ///< empty: nobody has asked
+    gateway::dispatch_verdict m_verdict = gateway::dispatch_verdict::Go; ///< as logged last
     std::unique_ptr<gateway::exchange> m_exchange;
     steady_time m_arrived {};
 
--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway_session.cpp
@@ -22,6 +22,8 @@
 /// A nearer controller that was lost, or doesn't serve since it is slow, cut off or empty, is tried again after so
 /// long: each try costs a silence of 0.9 s at most, so a tenth of the time.
 constexpr milliseconds movePause { 10000 };
+/// Heartbeats that can't wait gather what comes within so long.
+constexpr milliseconds soonPeriod { 3 };
 
 constexpr std::array leaveCauseNames {
     enum_name<leave_cause> { leave_cause::None, "link_ended" },
@@ -57,6 +59,7 @@
           },
           hubOptions(settings))
     , m_leaderlessTimer(loop)
+    , m_soonTimer(loop)
     , m_beats(loop, milliseconds(settings.heartbeatMs), [this] { beat(); })
 {
     loop.post([this] { connect(); });
@@ -118,6 +121,7 @@
         return;
     m_channel = 0;
     m_open = false;
+    m_toldQuarantine = false;
     const bool wasServed = std::exchange(m_isServed, false);
     if (wasServed && m_leaveCause != leave_cause::Nearer)
         m_moveAt = steadyNow() + movePause; // the nearest may be the one that was lost, and still be told of
@@ -190,9 +194,20 @@
     link::gateway_beat beat { m_settings.id, ++m_sequence, m_document.version, m_targets.revision(),
         m_callbacks.openAttempts(), std::exchange(m_dark, {}), m_callbacks.loads(), m_life, {}, false };
     m_callbacks.tellRepeats(beat);
+    m_callbacks.tellQuarantine(beat, !std::exchange(m_toldQuarantine, true));
     m_hub.send(m_channel, link::encode(link::message(std::move(beat))));
 }
 
+void gateway_session::beatSoon()
+{
+    if (!m_open || std::exchange(m_isSoon, true))
+        return;
+    m_soonTimer.set(steadyNow() + soonPeriod, [this] {
+        m_isSoon = false;
+        beat();
+    });
+}
+
 void gateway_session::onMessage(link::channel_number channel, const std::string& bytes)
 {
     const auto message = decodeOrClose(m_hub, channel, bytes);
@@ -249,6 +264,7 @@
         m_callbacks.targetsChanged(m_targets);
     }
     m_callbacks.othersLoads(update.othersLoads);
+    m_callbacks.quarantineTold(update);
     moveNearer();
 }
 
--- a/src/app/gateway_session.hpp
+++ b/src/app/gateway_session.hpp
@@ -28,6 +28,9 @@
     std::function<void(const link::gateway_update&)> served; ///< before the changes that it brings
     std::function<std::vector<registry::target_incarnation>()> takeDarkTargets; ///< seen since the last call
     std::function<void(link::gateway_beat&)> tellRepeats; ///< fills in what the budgets of repeats have spent
+    /// Fills in what is to be said of the quarantine. @param isFirst of this session
+    std::function<void(link::gateway_beat&, bool isFirst)> tellQuarantine;
+    std::function<void(const link::gateway_update&)> quarantineTold;
 };
 
 /// @brief Lives on the loop thread. What it holds only ever gets newer, and first comes from a controller that a
@@ -38,6 +41,8 @@
 
     /// @brief Takes other seeds over.
     void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
+    /// @brief Sends the next heartbeat soon, for what can't wait.
+    void beatSoon();
 
 private:
     void connect();
@@ -78,8 +83,11 @@
     versioned_text m_document;
     registry::target_view m_targets;
     std::vector<registry::target_incarnation> m_dark; ///< not told yet
+    bool m_toldQuarantine = false; ///< in this session
     link::link_hub m_hub;
     net::loop_timer m_leaderlessTimer;
+    net::loop_timer m_soonTimer;
+    bool m_isSoon = false; ///< that timer is set
     periodic_task m_beats;
 };
 
--- a/src/app/gateway_session_test.cpp
+++ b/src/app/gateway_session_test.cpp
@@ -57,6 +57,8 @@
     callbacks.loads = [] { return registry::load_row(); };
     callbacks.othersLoads = [](const registry::load_row&) {};
     callbacks.tellRepeats = [](link::gateway_beat&) {};
+    callbacks.tellQuarantine = [](link::gateway_beat&, bool) {};
+    callbacks.quarantineTold = [](const link::gateway_update&) {};
     callbacks.takeDarkTargets = [] { return std::vector<registry::target_incarnation>(); };
     callbacks.served = [](const link::gateway_update&) {};
     return callbacks;
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds formPause { 300 };
 /// Changes of the table that are logged one by one, when they come at once: half a second's lines.
 constexpr std::uint64_t mostRecordsLogged = 200;
+constexpr std::string_view quarantinePath = "/quarantine";
 constexpr std::size_t leastVoters = 2; ///< what is acknowledged stands on two disks
 
 } // namespace
@@ -78,6 +79,7 @@
     m_log->leadershipChanged = [this](bool leads) {
         m_watch.forget();
         m_board.begin(leads, steadyNow());
+        m_quarantineClock.begin();
         if (leads)
             m_orders.begin(m_log->replica().term(), steadyNow());
         else
@@ -131,6 +133,10 @@
         respond(statusPage());
         return;
     }
+    if (request.head.target.starts_with(quarantinePath)) {
+        onQuarantineCall(request, respond);
+        return;
+    }
     auto call = m_dialect.readCall(request.head, request.body);
     if (auto* publish = std::get_if<gateway::publish_call>(&call)) {
         onPublish(std::move(*publish), respond);
@@ -241,6 +247,7 @@
     reportToLeader();
     if (m_log->isLeader()) {
         m_watch.step(now);
+        endQuarantineTerms();
         readDocument();
         m_orders.step(m_state.targets(), m_services, m_readVersion, now);
     }
@@ -257,6 +264,7 @@
 {
     // Gateways are told before the acknowledgement goes out: the next leader may not be there to tell them in time.
     pushAll();
+    logQuarantine();
     const std::uint64_t logged = std::exchange(m_loggedRevision, m_state.targets().revision());
     if (m_loggedRevision - logged > mostRecordsLogged) {
         // Read from disk, or taken over from a leader: the log would leave most lines out, and each costs its making.
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -31,11 +31,24 @@
         std::uint64_t documentVersion = 0;
         std::uint64_t targetRevision = 0;
         std::uint64_t waitingSequence = 0; ///< beat that wants an answer; 0: none
+        std::uint64_t quarantineRevision = 0; ///< of the standings that it was told
+        std::uint64_t quarantineBatch = 0; ///< number of its last batch that was taken
         std::uint64_t placesTold = 0; ///< revision of m_places that it was told
         bool isConfirmed = false; ///< a quorum has confirmed this controller since the session began
         steady_time deadline {};
     };
 
+    /// Batches of gateways that go into the log together.
+    struct quarantine_gathering {
+        struct batch {
+            link::channel_number channel = 0;
+            std::uint64_t number = 0;
+            std::vector<registry::trial_claim> claims;
+        };
+        registry::quarantine_change change;
+        std::vector<batch> batches;
+    };
+
     /// A round of the quorum that confirms what this controller holds, for all sessions whose beats came meanwhile.
     struct confirmation_round {
         std::uint64_t number = 0; ///< an answer to an earlier one is late
@@ -61,6 +74,18 @@
     void onBeat(link::channel_number channel, const link::gateway_beat& beat);
     void onReport(link::channel_number channel, const link::member_report& report);
 
+    /// @brief Takes what a gateway has to say of requests that end targets.
+    void takeQuarantine(link::channel_number channel, session& one, const link::gateway_beat& beat);
+    /// @brief Puts what has gathered into the log, unless something is under way there.
+    void submitQuarantine();
+    void onQuarantineSettled(const quarantine_gathering& gathered, bool committed);
+    /// @brief At the leader: ends terms.
+    void endQuarantineTerms();
+    void logQuarantine();
+    /// @brief Answers an operator who lists what is held against requests, or clears it.
+    void onQuarantineCall(const net::whole_request& request, const net::responder& respond);
+    [[nodiscard]] std::string quarantinePage() const;
+
     void tick();
     void confirmSessions();
     void onConfirmed(std::uint64_t round, bool isCurrent);
@@ -75,7 +100,9 @@
     [[nodiscard]] std::optional<milliseconds> ageOfSums() const;
     /// @brief Tells the leader what has come here, unless this one leads.
     void reportToLeader();
-    void sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence);
+    /// @param receipts of its batches that stand in the log now
+    void sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence,
+        std::vector<link::quarantine_receipt> receipts = {});
     void submitTargets(const std::vector<registry::target_record>& records, std::function<void(bool)> done);
     void onChanged();
     void formWhenFirst();
@@ -106,6 +133,11 @@
     steady_time m_reportAt {};
     steady_time m_answeredAt {}; ///< when the leader last told of all others' sums
     steady_time m_tablePushAt {};
+    quarantine_gathering m_quarantineNext;
+    bool m_isQuarantineOpen = false; ///< a change of it is on its way into the log
+    registry::quarantine_clock m_quarantineClock;
+    std::uint64_t m_quarantineLogged = 0; ///< revision of the stages that were logged
+    std::set<request_fingerprint> m_quarantineNamed; ///< that were logged as in the table
     std::set<registry::target_incarnation> m_submitted; ///< announcements on their way into the log
     steady_time m_refusedLogAt {}; ///< no line for a refused record before
     std::size_t m_refusedUnlogged = 0;
--- a/src/app/registry_sessions.cpp
+++ b/src/app/registry_sessions.cpp
@@ -31,8 +31,10 @@
 void registry_role::onBeat(link::channel_number channel, const link::gateway_beat& beat)
 {
     auto& one = m_sessions[channel];
-    if (one.instance.empty())
+    if (one.instance.empty()) {
         telemetry::logEvent(event_code::SessionOpened, { { "gateway", beat.instance } });
+        one.quarantineRevision = beat.quarantineRevision;
+    }
     one.instance = beat.instance;
     // What was sent over this channel arrives before anything sent later: a beat that crossed it on the way says less
     // than the gateway will hold.
@@ -43,6 +45,7 @@
         channel, { life, beat.openAttempts, beat.targetRevision, beat.loads }, m_state.targets(), steadyNow());
     one.waitingSequence = beat.sequence;
     one.deadline = steadyNow() + sessionLifetime;
+    takeQuarantine(channel, one, beat);
     for (const auto& target : beat.darkTargets) {
         if (m_log->isLeader())
             m_watch.suspect(target);
@@ -163,7 +166,9 @@
     bool isTableTold = false;
     for (auto& [channel, one] : m_sessions) {
         const bool lacksTable = tellsTable && one.targetRevision < m_state.targets().revision();
-        if (!one.isConfirmed || (!lacksTable && one.documentVersion >= m_state.document().version))
+        const bool lacksDocument = one.documentVersion < m_state.document().version;
+        const bool lacksQuarantine = one.quarantineRevision != m_state.quarantine().stageRevision();
+        if (!one.isConfirmed || (!lacksTable && !lacksDocument && !lacksQuarantine))
             continue;
         isTableTold = isTableTold || lacksTable;
         sendUpdate(channel, one, 0);
@@ -172,7 +177,8 @@
         m_tablePushAt = now + tablePushPeriod;
 }
 
-void registry_role::sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence)
+void registry_role::sendUpdate(
+    link::channel_number channel, session& one, std::uint64_t sequence, std::vector<link::quarantine_receipt> receipts)
 {
     const auto fleet = m_board.summaryFor(channel, m_state.targets(), steadyNow());
     link::gateway_update update;
@@ -188,6 +194,11 @@
         update.earlierRepeats.push_back(*fleet.earlier);
     update.othersOpenAttempts = fleet.othersOpenAttempts;
     update.othersLoads = fleet.othersLoads;
+    const auto& quarantine = m_state.quarantine();
+    const std::uint64_t held = std::exchange(one.quarantineRevision, quarantine.stageRevision());
+    if (held != quarantine.stageRevision())
+        update.quarantine.push_back(quarantine.changesSince(held));
+    update.quarantineReceipts = std::move(receipts);
     const std::string bytes = link::encode(link::message(update));
     if (!update.document.empty())
         telemetry::logEvent(event_code::DocumentSent,
--- a/src/app/registry_state.cpp
+++ b/src/app/registry_state.cpp
@@ -78,6 +78,8 @@
             for (const auto& record : command.at("targets").get<std::vector<registry::target_record>>())
                 m_targets.apply(record);
         }
+        if (command.contains("quarantine"))
+            m_quarantine.apply(command.at("quarantine").get<registry::quarantine_change>());
         return command.at("id").get<std::string>();
     } catch (const std::exception&) {
         return {}; // the caller logs that the command can't be read
@@ -101,8 +103,12 @@
     std::vector<registry::target_record> records;
     for (const auto& [id, record] : m_targets.records())
         records.push_back(record);
+    json quarantined = json::array();
+    for (const auto& [fingerprint, entry] : m_quarantine.entries())
+        quarantined.push_back({ fingerprint, entry });
     return toBytes({ { "version", m_document.version }, { "patch", compression::makePatch({}, m_document.text) },
-        { "targets", records }, { "revision", m_targets.revision() }, { "pruned", m_targets.prunedRevision() } });
+        { "targets", records }, { "revision", m_targets.revision() }, { "pruned", m_targets.prunedRevision() },
+        { "quarantine", quarantined }, { "quarantineRevision", m_quarantine.revision() } });
 }
 
 tl::expected<void, failure> registry_state::restoreState(const std::string& bytes)
@@ -112,6 +118,7 @@
     m_patches.clear();
     m_targets = {};
     m_targetUpdates.clear();
+    m_quarantine = registry::quarantine_table();
     if (bytes.empty())
         return {};
     try {
@@ -119,6 +126,10 @@
         m_document = readText(whole);
         m_targets.restore(whole.at("targets").get<std::vector<registry::target_record>>(),
             whole.at("revision").get<std::uint64_t>(), whole.at("pruned").get<std::uint64_t>());
+        std::map<request_fingerprint, registry::quarantine_entry> quarantined;
+        for (const auto& row : whole.value("quarantine", json::array()))
+            quarantined[row.at(0).get<request_fingerprint>()] = row.at(1).get<registry::quarantine_entry>();
+        m_quarantine.restore(std::move(quarantined), whole.value("quarantineRevision", std::uint64_t { 0 }));
     } catch (const std::exception& fault) {
         return tl::make_unexpected(failure { result_code::StorageCorrupt, fault.what() });
     }
@@ -169,4 +180,9 @@
     return toBytes({ { "id", id }, { "targets", records } });
 }
 
+std::string encodeQuarantine(const std::string& id, const registry::quarantine_change& change)
+{
+    return toBytes({ { "id", id }, { "quarantine", change } });
+}
+
 } // namespace buckthornrail::app
--- a/src/app/registry_state.hpp
+++ b/src/app/registry_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "app/replicated_log.hpp"
+#include "buckthornrail/registry/quarantine.hpp"
 #include "buckthornrail/registry/target_record.hpp"
 
 #include <deque>
@@ -33,6 +34,7 @@
 
     [[nodiscard]] const versioned_text& document() const { return m_document; }
     [[nodiscard]] const registry::target_table& targets() const { return m_targets; }
+    [[nodiscard]] const registry::quarantine_table& quarantine() const { return m_quarantine; }
     /// @brief What a receiver of that version lacks; nothing when it is current. Made once for all receivers.
     [[nodiscard]] std::vector<link::text_update> documentUpdate(std::uint64_t held);
     /// @brief The same of the table of targets, by revision. With 3,000 targets the whole table has 800 KB, and making
@@ -54,11 +56,14 @@
     registry::target_table m_targets;
     std::map<std::uint64_t, link::text_update> m_targetUpdates; ///< by the revision held; to m_targetUpdatesTo
     std::uint64_t m_targetUpdatesTo = 0;
+    registry::quarantine_table m_quarantine;
 };
 
 /// @brief A command that publishes a document, compressed: it goes to each member and onto its disk. @param id unique
 std::string encodePublish(const std::string& id, const versioned_text& document);
 /// @brief A command that takes announcements into the table.
 std::string encodeTargets(const std::string& id, const std::vector<registry::target_record>& records);
+/// @brief A command that changes what is held against requests.
+std::string encodeQuarantine(const std::string& id, const registry::quarantine_change& change);
 
 } // namespace buckthornrail::app
--- a/src/buckthornrail/core/result_code.cpp
+++ b/src/buckthornrail/core/result_code.cpp
@@ -39,6 +39,8 @@
     result_info { result_code::ShuttingDown, "shutting_down", 503, 1, "This instance is shutting down." },
     result_info { result_code::WorkspaceLimit, "workspace_limit", 429, 1, "The workspace is over its share." },
     result_info { result_code::RetryBudgetSpent, "retry_budget_spent", 503, 2, "The retry budget is spent." },
+    result_info { result_code::RequestHeld, "request_held", 503, 1,
+        "Targets ended under the same request: it is tried in one place at a time." },
     result_info { result_code::WrongIncarnation, "wrong_incarnation", 503, 1,
         "The offer was meant for an earlier incarnation of the sidecar." },
     result_info { result_code::StaleConfiguration, "stale_configuration", 503, 1,
@@ -62,6 +64,8 @@
         result_code::OutcomeUnknown, "outcome_unknown", 504, 0, "It can't be known whether the request was run." },
     result_info { result_code::Cancelled, "cancelled", 499, 0, "The caller went away." },
     result_info { result_code::TargetRejected, "target_rejected", 400, 0, "The target refused the request as wrong." },
+    result_info { result_code::RequestQuarantined, "request_quarantined", 400, 0,
+        "Targets end when they begin to run this request: it is run nowhere." },
     result_info { result_code::VersionConflict, "version_conflict", 409, 0,
         "The change is based on a version that is no longer current." },
     result_info {
--- /dev/null
+++ b/src/buckthornrail/gateway/crash_watch.cpp
@@ -0,0 +1,109 @@
+/// @file
+/// @brief Attempts that may be to blame for the end of a target.
+#include "buckthornrail/gateway/crash_watch.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::gateway {
+
+void crash_watch::opened(call_number call, const std::vector<selected_part>& parts, steady_time now)
+{
+    m_open[call] = { parts, now, {}, false };
+}
+
+void crash_watch::firstEvent(call_number call, steady_time now)
+{
+    const auto found = m_open.find(call);
+    if (found == m_open.end() || found->second.hasEvent)
+        return;
+    found->second.hasEvent = true;
+    found->second.blamedUntil = now + m_options.blamedFor;
+}
+
+bool crash_watch::isFresh(call_number call, steady_time now) const
+{
+    const auto found = m_open.find(call);
+    return found != m_open.end() && (!found->second.hasEvent || now < found->second.blamedUntil);
+}
+
+bool crash_watch::cutOff(call_number call, const request_fingerprint& fingerprint, steady_time now)
+{
+    const bool mayBeToBlame = isFresh(call, now);
+    auto over = m_open.extract(call);
+    if (!mayBeToBlame)
+        return false;
+    dropOld(now);
+    m_lost.push_back({ call, fingerprint, std::move(over.mapped().parts), now + m_options.verdictPatience,
+        now + m_options.keepLost });
+    return true;
+}
+
+bool crash_watch::awaitsVerdict(call_number call, steady_time now) const
+{
+    return std::any_of(
+        m_lost.begin(), m_lost.end(), [call, now](const auto& one) { return one.call == call && now < one.verdictBy; });
+}
+
+std::vector<registry::target_incarnation> crash_watch::endedOf(
+    const std::vector<selected_part>& parts, const std::string& address, const registry::target_incarnation& survivor)
+{
+    std::vector<registry::target_incarnation> targets;
+    for (const auto& part : parts) {
+        if (part.address == address && part.target != survivor)
+            targets.push_back(part.target);
+    }
+    return targets;
+}
+
+std::vector<registry::crash_report> crash_watch::ended(const std::string& address,
+    const registry::target_incarnation& survivor, const fingerprint_source& fingerprintOf, steady_time now)
+{
+    dropOld(now);
+    struct suspect {
+        request_fingerprint fingerprint;
+        steady_time openedAt {};
+    };
+    std::map<registry::target_incarnation, std::vector<suspect>> begun;
+    for (const auto& [call, one] : m_open) {
+        if (!isFresh(call, now))
+            continue;
+        for (const auto& target : endedOf(one.parts, address, survivor))
+            begun[target].push_back({ fingerprintOf(call), one.openedAt });
+    }
+    for (const auto& one : m_lost) {
+        for (const auto& target : endedOf(one.parts, address, survivor))
+            begun[target].push_back({ one.fingerprint, one.verdictBy });
+    }
+    std::erase_if(m_lost, [&](const auto& one) { return !endedOf(one.parts, address, survivor).empty(); });
+    std::vector<registry::crash_report> reports;
+    for (auto& [target, suspects] : begun) {
+        std::sort(
+            suspects.begin(), suspects.end(), [](const auto& a, const auto& b) { return a.openedAt > b.openedAt; });
+        registry::crash_report report { target, {} };
+        for (const auto& one : suspects) {
+            const bool isNamed
+                = std::find(report.begun.begin(), report.begun.end(), one.fingerprint) != report.begun.end();
+            if (!isNamed && report.begun.size() < m_options.mostBlamed)
+                report.begun.push_back(one.fingerprint);
+        }
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+void crash_watch::lives(const std::string& address)
+{
+    for (auto& one : m_lost) {
+        if (one.parts.front().address == address)
+            one.verdictBy = {};
+    }
+}
+
+void crash_watch::dropOld(steady_time now)
+{
+    std::erase_if(m_lost, [now](const auto& one) { return now >= one.keepUntil; });
+    while (m_lost.size() >= m_options.mostLost)
+        m_lost.pop_front();
+}
+
+} // namespace buckthornrail::gateway
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -49,7 +49,60 @@
         finish(result_code::Busy, ran_state::No, "no path with room: " + where->summary, now);
         return;
     }
-    open(*where, now);
+    begin({ *where, {}, {}, m_bounds }, now);
+}
+
+void exchange::begin(next_attempt next, steady_time now)
+{
+    m_next = std::move(next);
+    m_heldUntil = m_streamBegun ? m_lastEventAt + m_options.longestPause : now + m_options.heldPatience;
+    askToBegin(now);
+}
+
+dispatch_verdict exchange::askPort(steady_time now)
+{
+    const auto verdict = m_port.mayBegin(*m_next->where);
+    if (verdict != dispatch_verdict::Elsewhere)
+        return verdict;
+    auto bounds = m_next->bounds;
+    bounds.excluded.insert(m_next->where->parts.front().target);
+    const auto other = m_pool.select(m_request.service, bounds, now);
+    if (!other) {
+        m_next->bounds = m_bounds; // all are taken: whichever is free first will do
+        return dispatch_verdict::Wait;
+    }
+    m_next->where = other;
+    m_next->bounds = std::move(bounds);
+    return m_port.mayBegin(*other);
+}
+
+void exchange::askToBegin(steady_time now)
+{
+    const auto verdict = askPort(now);
+    if (verdict == dispatch_verdict::Go) {
+        const auto next = *std::exchange(m_next, std::nullopt);
+        m_ranAt = next.ranAt;
+        m_bounds = next.bounds;
+        open(*next.where, now);
+        return;
+    }
+    if (verdict == dispatch_verdict::Refuse) {
+        m_next.reset();
+        finish(result_code::RequestQuarantined, m_mayHaveRun ? ran_state::Unknown : ran_state::No,
+            "targets end under it", now);
+        return;
+    }
+    if (now >= m_heldUntil) {
+        m_next.reset();
+        const std::string reason = "targets ended under it: it runs in one place at a time";
+        if (m_mayHaveRun)
+            finish(result_code::TargetFailed, ran_state::Unknown, reason, now);
+        else
+            finish(result_code::RequestHeld, ran_state::No, reason, now);
+        return;
+    }
+    m_goOnAt = now + m_options.heldPeriod;
+    scheduleWake(now);
 }
 
 void exchange::onSent(steady_time now)
@@ -223,6 +276,7 @@
         return;
     if (m_attemptOpen)
         closeAttempt();
+    m_next.reset();
     m_over = true;
     m_port.note(event_code::RequestFinished,
         { { "request", m_request.id }, { "route", m_request.chosen->name }, { "outcome", "caller_left" },
@@ -277,9 +331,7 @@
     const auto next = findNext(last, m_bounds, now);
     m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
     if (next.where) {
-        m_ranAt = next.ranAt;
-        m_bounds = next.bounds;
-        open(*next.where, now);
+        begin(next, now);
         return;
     }
     const steady_time again = now + m_options.pauseBetweenTries;
@@ -304,9 +356,7 @@
     noteLoss(last, now);
     closeAttempt();
     m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
-    m_ranAt = next.ranAt;
-    m_bounds = next.bounds;
-    open(*next.where, now);
+    begin(next, now);
     return true;
 }
 
--- a/src/buckthornrail/gateway/exchange_watch.cpp
+++ b/src/buckthornrail/gateway/exchange_watch.cpp
@@ -70,6 +70,21 @@
     tryNext({ ran_state::Unknown, true, reason }, now);
 }
 
+void exchange::onQuarantineChanged(steady_time now)
+{
+    if (m_over)
+        return;
+    if (m_next) {
+        askToBegin(now);
+        return;
+    }
+    const bool mayLeave = m_attemptOpen && !m_promptRead && !m_answer && m_request.mayRepeat();
+    if (!mayLeave || !m_port.mustLeave())
+        return;
+    closeAttempt();
+    tryNext({ ran_state::Unknown, false, "left: targets ended under the same request" }, now);
+}
+
 bool exchange::firstHasEnded() const { return m_pool.hasEnded(m_where.parts.front().target); }
 
 bool exchange::isMember(const registry::target_incarnation& target) const
@@ -103,6 +118,10 @@
             mayHaveRun ? ran_state::Unknown : ran_state::No, "no time left", now);
         return;
     }
+    if (m_next && now >= m_goOnAt) {
+        askToBegin(now);
+        return;
+    }
     if (m_paused && now >= m_goOnAt) {
         const auto last = *std::exchange(m_paused, std::nullopt);
         goOn(last, now);
@@ -150,7 +169,7 @@
 void exchange::scheduleWake(steady_time now)
 {
     steady_time when = m_request.deadline;
-    if (m_paused)
+    if (m_paused || m_next)
         when = std::min(when, m_goOnAt);
     if (m_attemptOpen && m_sent && hasPath())
         when = std::min({ when, m_askAt, m_checkAt, m_moveAt > now ? m_moveAt : when });
--- /dev/null
+++ b/src/buckthornrail/gateway/quarantine_gate.cpp
@@ -0,0 +1,188 @@
+/// @file
+/// @brief Trials of suspects, and what is told of them.
+#include "buckthornrail/gateway/quarantine_gate.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornrail::gateway {
+
+using registry::quarantine_stage;
+using registry::trial_refusal;
+
+quarantine_stage quarantine_gate::stageOf(const request_fingerprint& fingerprint) const
+{
+    const auto told = m_view.stageOf(fingerprint);
+    const auto reported = m_reported.find(fingerprint);
+    if (reported == m_reported.end() || reported->second.unconfirmed == 0 || told == quarantine_stage::Proven)
+        return told;
+    // What this gateway has seen counts before the controllers have it.
+    return std::max(told, reported->second.expected);
+}
+
+dispatch_verdict quarantine_gate::mayBegin(call_number call, const request_fingerprint& fingerprint,
+    const registry::target_incarnation& target, steady_time now)
+{
+    const auto stage = stageOf(fingerprint);
+    if (stage == quarantine_stage::None)
+        return dispatch_verdict::Go;
+    if (stage == quarantine_stage::Proven)
+        return dispatch_verdict::Refuse;
+    const auto found = m_trials.find(call);
+    if (found == m_trials.end())
+        return claim(call, fingerprint, target, now);
+    auto& trial = found->second;
+    const bool isSameTarget = trial.claim.target == target || stage == quarantine_stage::Suspect;
+    if (trial.stage != stage || !isSameTarget) {
+        endTrial(call);
+        return claim(call, fingerprint, target, now);
+    }
+    return standingOf(call, trial, now);
+}
+
+dispatch_verdict quarantine_gate::standingOf(call_number call, own_trial& trial, steady_time now)
+{
+    if (trial.state == claim_state::Granted)
+        return now < trial.beginsAt ? dispatch_verdict::Wait : dispatch_verdict::Go;
+    if (trial.state == claim_state::Open) {
+        const bool goesUnasked = trial.stage == quarantine_stage::Suspect && now >= trial.decideBy;
+        return goesUnasked ? dispatch_verdict::Go : dispatch_verdict::Wait;
+    }
+    if (trial.why == trial_refusal::Unknown)
+        return dispatch_verdict::Go;
+    if (trial.why == trial_refusal::TargetTaken) {
+        m_trials.erase(call);
+        return dispatch_verdict::Elsewhere;
+    }
+    if (now < trial.decideBy)
+        return dispatch_verdict::Wait;
+    const auto again = trial;
+    m_trials.erase(call);
+    return claim(call, again.fingerprint, again.claim.target, now);
+}
+
+dispatch_verdict quarantine_gate::claim(call_number call, const request_fingerprint& fingerprint,
+    const registry::target_incarnation& target, steady_time now)
+{
+    const registry::trial_number number = std::max<std::uint64_t>(m_random(), 1);
+    const registry::trial_claim wish { fingerprint, number, target };
+    m_next.claims.push_back(wish);
+    m_trials[call] = { fingerprint, wish, stageOf(fingerprint), claim_state::Open, trial_refusal::None, {},
+        now + m_options.grantPatience };
+    return dispatch_verdict::Wait;
+}
+
+bool quarantine_gate::mustLeave(call_number call, const request_fingerprint& fingerprint) const
+{
+    const auto stage = stageOf(fingerprint);
+    if (stage == quarantine_stage::None)
+        return false;
+    const auto found = m_trials.find(call);
+    const bool isOnTrial
+        = found != m_trials.end() && found->second.state != claim_state::Refused && found->second.stage == stage;
+    return !isOnTrial;
+}
+
+void quarantine_gate::endTrial(call_number call)
+{
+    const auto over = m_trials.extract(call);
+    if (!over || over.mapped().state == claim_state::Refused)
+        return;
+    const auto trial = over.mapped().claim.trial;
+    const bool wasUnsent = std::erase_if(m_next.claims, [trial](const auto& one) { return one.trial == trial; }) > 0;
+    if (!wasUnsent)
+        m_next.ends.push_back({ over.mapped().fingerprint, trial });
+}
+
+std::vector<call_number> quarantine_gate::callsOnTrial() const
+{
+    std::vector<call_number> calls;
+    for (const auto& [call, trial] : m_trials) {
+        if (trial.state == claim_state::Granted)
+            calls.push_back(call);
+    }
+    return calls;
+}
+
+void quarantine_gate::crashed(const registry::crash_report& report, steady_time now)
+{
+    if (report.begun.empty())
+        return;
+    for (const auto& fingerprint : report.begun) {
+        const auto before = stageOf(fingerprint);
+        auto& one = m_reported[fingerprint];
+        ++one.unconfirmed;
+        // It proves nothing by itself: that is for the controllers to say.
+        one.expected = before == quarantine_stage::None ? quarantine_stage::Suspect : quarantine_stage::Held;
+        one.keepUntil = now + m_options.keepReported;
+        m_reportedOrder.emplace_back(one.keepUntil, fingerprint);
+    }
+    m_next.crashes.push_back(report);
+    dropReported(now);
+}
+
+void quarantine_gate::dropReported(steady_time now)
+{
+    while (!m_reportedOrder.empty()
+        && (now >= m_reportedOrder.front().first || m_reportedOrder.size() > m_options.mostReported)) {
+        const auto [due, fingerprint] = m_reportedOrder.front();
+        m_reportedOrder.pop_front();
+        const auto found = m_reported.find(fingerprint);
+        if (found != m_reported.end() && found->second.keepUntil <= due)
+            m_reported.erase(found);
+    }
+}
+
+void quarantine_gate::answered(const request_fingerprint& fingerprint)
+{
+    const bool isReported = m_reported.erase(fingerprint) > 0;
+    if (isReported || m_view.stageOf(fingerprint) != quarantine_stage::None)
+        m_next.cleared.push_back(fingerprint);
+}
+
+void quarantine_gate::received(std::uint64_t number, const std::vector<refused_claim>& refused, steady_time now)
+{
+    const auto found
+        = std::find_if(m_sent.begin(), m_sent.end(), [number](const auto& one) { return one.news.number == number; });
+    if (found == m_sent.end())
+        return;
+    for (const auto& report : found->news.change.crashes) {
+        for (const auto& fingerprint : report.begun) {
+            const auto reported = m_reported.find(fingerprint);
+            if (reported != m_reported.end() && reported->second.unconfirmed > 0)
+                --reported->second.unconfirmed; // the view holds it now
+        }
+    }
+    for (auto& [call, trial] : m_trials) {
+        const auto isOwn = [&trial](const auto& one) { return one.trial == trial.claim.trial; };
+        const auto& claims = found->news.change.claims;
+        if (trial.state != claim_state::Open || std::none_of(claims.begin(), claims.end(), isOwn))
+            continue;
+        const auto refusal = std::find_if(refused.begin(), refused.end(), isOwn);
+        trial.beginsAt = now + m_options.settleTime;
+        trial.state = refusal == refused.end() ? claim_state::Granted : claim_state::Refused;
+        if (refusal != refused.end())
+            trial.why = refusal->why;
+    }
+    m_sent.erase(found);
+}
+
+std::vector<quarantine_news> quarantine_gate::takeNews(bool all, steady_time now)
+{
+    dropReported(now);
+    if (hasNews()) {
+        m_sent.push_back({ { ++m_lastNumber, std::exchange(m_next, {}) }, {} });
+        if (m_sent.size() > m_options.mostNews)
+            m_sent.pop_front();
+    }
+    std::vector<quarantine_news> news;
+    for (auto& one : m_sent) {
+        if (!all && now < one.sendAgainAt)
+            continue;
+        one.sendAgainAt = now + m_options.resendAfter;
+        news.push_back(one.news);
+    }
+    return news;
+}
+
+} // namespace buckthornrail::gateway
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -356,6 +356,15 @@
     return found == m_targets.end() || found->second.record.state == registry::target_state::Gone;
 }
 
+bool target_pool::isLeaving(const registry::target_incarnation& id) const
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end())
+        return false;
+    const auto state = found->second.record.state;
+    return state == registry::target_state::Draining || state == registry::target_state::Gone;
+}
+
 bool target_pool::wasReplaced(const registry::target_incarnation& id) const
 {
     if (m_targets.contains(id))
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -111,8 +111,39 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_request, member, address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_hello, member, address, initialized, controlAddress, failureDomain)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_place, address, controlAddress, failureDomain)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(gateway_beat, instance, sequence, documentVersion, targetRevision, openAttempts,
-    darkTargets, loads, life, repeats, isRepeatsComplete)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_batch, number, change)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(refused_trial, trial, why)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_receipt, number, refused)
+/// A field that the program before doesn't send: an upgrade is rolled while both are at work.
+template <typename Field> void readIfThere(const nlohmann::json& in, const char* name, Field& field)
+{
+    if (const auto found = in.find(name); found != in.end())
+        found->get_to(field);
+}
+
+static void to_json(nlohmann::json& out, const gateway_beat& value)
+{
+    out = { { "instance", value.instance }, { "sequence", value.sequence },
+        { "documentVersion", value.documentVersion }, { "targetRevision", value.targetRevision },
+        { "openAttempts", value.openAttempts }, { "darkTargets", value.darkTargets }, { "loads", value.loads },
+        { "life", value.life }, { "repeats", value.repeats }, { "isRepeatsComplete", value.isRepeatsComplete },
+        { "quarantineRevision", value.quarantineRevision }, { "quarantine", value.quarantine } };
+}
+static void from_json(const nlohmann::json& in, gateway_beat& value)
+{
+    in.at("instance").get_to(value.instance);
+    in.at("sequence").get_to(value.sequence);
+    in.at("documentVersion").get_to(value.documentVersion);
+    in.at("targetRevision").get_to(value.targetRevision);
+    in.at("openAttempts").get_to(value.openAttempts);
+    in.at("darkTargets").get_to(value.darkTargets);
+    in.at("loads").get_to(value.loads);
+    in.at("life").get_to(value.life);
+    in.at("repeats").get_to(value.repeats);
+    in.at("isRepeatsComplete").get_to(value.isRepeatsComplete);
+    readIfThere(in, "quarantineRevision", value.quarantineRevision);
+    readIfThere(in, "quarantine", value.quarantine);
+}
 
 // As an array, like registry::gateway_life.
 static void to_json(nlohmann::json& out, const target_heard& value)
@@ -126,8 +157,31 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_report, sessions, heard, darkTargets)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(text_update, from, to, patch)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(gateway_update, sequence, isServed, waitsForQuorum, document, targets, controllers,
-    gateways, budgetSharers, earlierRepeats, othersOpenAttempts, othersLoads)
+static void to_json(nlohmann::json& out, const gateway_update& value)
+{
+    out = { { "sequence", value.sequence }, { "isServed", value.isServed }, { "waitsForQuorum", value.waitsForQuorum },
+        { "document", value.document }, { "targets", value.targets }, { "controllers", value.controllers },
+        { "gateways", value.gateways }, { "budgetSharers", value.budgetSharers },
+        { "earlierRepeats", value.earlierRepeats }, { "othersOpenAttempts", value.othersOpenAttempts },
+        { "othersLoads", value.othersLoads }, { "quarantine", value.quarantine },
+        { "quarantineReceipts", value.quarantineReceipts } };
+}
+static void from_json(const nlohmann::json& in, gateway_update& value)
+{
+    in.at("sequence").get_to(value.sequence);
+    in.at("isServed").get_to(value.isServed);
+    in.at("waitsForQuorum").get_to(value.waitsForQuorum);
+    in.at("document").get_to(value.document);
+    in.at("targets").get_to(value.targets);
+    in.at("controllers").get_to(value.controllers);
+    in.at("gateways").get_to(value.gateways);
+    in.at("budgetSharers").get_to(value.budgetSharers);
+    in.at("earlierRepeats").get_to(value.earlierRepeats);
+    in.at("othersOpenAttempts").get_to(value.othersOpenAttempts);
+    in.at("othersLoads").get_to(value.othersLoads);
+    readIfThere(in, "quarantine", value.quarantine);
+    readIfThere(in, "quarantineReceipts", value.quarantineReceipts);
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fence, request, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fenced, request, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_close, request)
--- a/src/buckthornrail/link/message_test.cpp
+++ b/src/buckthornrail/link/message_test.cpp
@@ -52,6 +52,45 @@
     CHECK(read.heard.at(0).sequence == 12);
 }
 
+TEST_CASE("codec: what a gateway says of requests that end targets comes back, and may be missing", "[link]")
+{
+    request_fingerprint one;
+    one.bytes.fill(0xA5);
+    gateway_beat beat;
+    beat.quarantineRevision = 4;
+    registry::quarantine_change change;
+    change.crashes.push_back({ { "t", 7 }, { one } });
+    change.claims.push_back({ one, 11, { "u", 8 } });
+    change.ends.push_back({ one, 11 });
+    change.cleared.push_back(one);
+    change.expired.push_back({ one, 3 });
+    beat.quarantine.push_back({ 5, change });
+    const auto bytes = encode(message(beat));
+    const auto back = decode(bytes);
+    REQUIRE(back);
+    CHECK(encode(*back) == bytes);
+    const auto& read = std::get<gateway_beat>(*back).quarantine.at(0).change;
+    CHECK(read.crashes.at(0).begun.at(0) == one);
+    CHECK(read.claims.at(0).target == registry::target_incarnation("u", 8));
+    gateway_update update;
+    update.quarantine.push_back({ 6, true, { { one, registry::quarantine_stage::Held } } });
+    update.quarantineReceipts.push_back({ 5, { { 11, registry::trial_refusal::Running } } });
+    CHECK(encode(*decode(encode(message(update)))) == encode(message(update)));
+    // The program before sends neither; any other field must be there.
+    const auto without = [](const message& whole, const std::vector<std::string>& names) {
+        auto envelope = nlohmann::json::from_cbor(encode(whole));
+        for (const auto& name : names)
+            envelope.at("b").erase(name);
+        std::string shorter;
+        nlohmann::json::to_cbor(envelope, shorter);
+        return decode(shorter);
+    };
+    CHECK(without(message(beat), { "quarantine", "quarantineRevision" }).has_value());
+    CHECK(without(message(update), { "quarantine", "quarantineReceipts" }).has_value());
+    CHECK_FALSE(without(message(beat), { "life" }).has_value());
+    CHECK_FALSE(without(message(update), { "gateways" }).has_value());
+}
+
 TEST_CASE("codec: damaged bytes give an error or a message, never anything else", "[link][property]")
 {
     const auto samples = oneOfEach();
--- a/src/buckthornrail/net/reachability.cpp
+++ b/src/buckthornrail/net/reachability.cpp
@@ -29,6 +29,7 @@
     std::array<channel_pointer, 2> channels;
     std::size_t dialled = 0;
     std::optional<reachability> found; ///< empty: under way
+    bool tellsOpen = false;
     steady_time keepUntil {}; ///< settled: what was found holds until then
 };
 
@@ -100,6 +101,16 @@
     known->second->timer.set(now, [this, address, found] { m_tell(address, *found); });
 }
 
+void reachability_checks::checkAnew(const std::string& address)
+{
+    const auto known = m_trialsByAddress.find(address);
+    if (known != m_trialsByAddress.end() && known->second->found == reachability::Open)
+        m_trialsByAddress.erase(known);
+    check(address);
+    if (const auto begun = m_trialsByAddress.find(address); begun != m_trialsByAddress.end())
+        begun->second->tellsOpen = true;
+}
+
 void reachability_checks::begin(const std::string& address)
 {
     ++m_trials;
@@ -154,7 +165,7 @@
     keep->keepUntil = now + (found == reachability::Open ? m_options.keepOpen : m_options.keepUnreachable);
     keep->timer.cancel();
     keep->closeAll();
-    if (found != reachability::Open)
+    if (found != reachability::Open || keep->tellsOpen)
         m_tell(address, found);
 }
 
--- /dev/null
+++ b/src/buckthornrail/registry/quarantine_test.cpp
@@ -0,0 +1,277 @@
+/// @file
+/// @brief What is held against requests: stages, trials, terms, bounds; the same at every member and in every copy.
+#include "buckthornrail/registry/quarantine.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+#include <set>
+
+using namespace buckthornrail;
+using namespace buckthornrail::registry;
+
+namespace {
+
+constexpr steady_time zero {};
+
+request_fingerprint named(std::uint16_t name)
+{
+    request_fingerprint one;
+    one.bytes[0] = static_cast<std::uint8_t>(name);
+    one.bytes[1] = static_cast<std::uint8_t>(name >> 8U);
+    return one;
+}
+
+quarantine_change crashOf(const std::string& target, std::vector<request_fingerprint> begun)
+{
+    quarantine_change change;
+    change.crashes.push_back({ target, std::move(begun) });
+    return change;
+}
+
+quarantine_change claimOf(const request_fingerprint& fingerprint, trial_number trial, const std::string& target)
+{
+    quarantine_change change;
+    change.claims.push_back({ fingerprint, trial, target });
+    return change;
+}
+
+quarantine_stage stageOf(const quarantine_table& table, const request_fingerprint& fingerprint)
+{
+    const auto* entry = table.find(fingerprint);
+    return entry == nullptr ? quarantine_stage::None : entry->stage;
+}
+
+/// Ends targets under a request until it is proven, the last one on trial.
+void prove(quarantine_table& table, const request_fingerprint& one, const std::string& prefix)
+{
+    table.apply(crashOf(prefix + "1", { one }));
+    table.apply(crashOf(prefix + "2", { one }));
+    table.apply(claimOf(one, 9, prefix + "3"));
+    table.apply(crashOf(prefix + "3", { one }));
+}
+
+quarantine_change anyChange()
+{
+    const auto fingerprint = [] { return named(*rc::gen::inRange<std::uint16_t>(0, 6)); };
+    const auto target = [] { return std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 8))); };
+    quarantine_change change;
+    switch (*rc::gen::inRange(0, 5)) {
+    case 0: {
+        std::vector<request_fingerprint> begun;
+        for (int at = 0; at < *rc::gen::inRange(1, 4); ++at)
+            begun.push_back(fingerprint());
+        return crashOf(target(), begun);
+    }
+    case 1:
+        return claimOf(fingerprint(), *rc::gen::inRange<std::uint64_t>(1, 9), target());
+    case 2:
+        change.ends.push_back({ fingerprint(), *rc::gen::inRange<std::uint64_t>(1, 9) });
+        return change;
+    case 3:
+        change.cleared.push_back(fingerprint());
+        return change;
+    default:
+        change.expired.push_back({ fingerprint(), *rc::gen::inRange<std::uint64_t>(0, 40) });
+        return change;
+    }
+}
+
+} // namespace
+
+TEST_CASE("quarantine: a target's end counts once, whoever reports it", "[quarantine]")
+{
+    quarantine_table table;
+    table.apply(crashOf("a", { named(1), named(2) }));
+    table.apply(crashOf("a", { named(1) }));
+    CHECK(stageOf(table, named(1)) == quarantine_stage::Suspect);
+    CHECK(stageOf(table, named(2)) == quarantine_stage::Suspect);
+    table.apply(crashOf("b", { named(1) }));
+    CHECK(stageOf(table, named(1)) == quarantine_stage::Held);
+    CHECK(stageOf(table, named(2)) == quarantine_stage::Suspect);
+}
+
+TEST_CASE("quarantine: a suspect runs once at a time, one that is held beside no other", "[quarantine]")
+{
+    quarantine_table table;
+    table.apply(crashOf("a", { named(1), named(2) }));
+    const trial_claim first { named(1), 11, "b" };
+    const trial_claim second { named(1), 12, "c" };
+    table.apply(claimOf(named(1), 11, "b"));
+    table.apply(claimOf(named(1), 12, "c"));
+    CHECK(table.refusalOf(first) == trial_refusal::None);
+    CHECK(table.refusalOf(second) == trial_refusal::Running);
+    // Suspects are many, and nearly all innocent: they don't wait for each other.
+    table.apply(claimOf(named(2), 13, "b"));
+    CHECK(table.refusalOf({ named(2), 13, "b" }) == trial_refusal::None);
+    table.apply(crashOf("b", { named(1), named(2) }));
+    CHECK(table.refusalOf(first) == trial_refusal::None); // free to be claimed again
+    table.apply(claimOf(named(1), 14, "c"));
+    table.apply(claimOf(named(2), 15, "c"));
+    CHECK(table.refusalOf({ named(1), 14, "c" }) == trial_refusal::None);
+    CHECK(table.refusalOf({ named(2), 15, "c" }) == trial_refusal::TargetTaken);
+    quarantine_change end;
+    end.ends.push_back({ named(1), 14 });
+    table.apply(end);
+    CHECK(table.refusalOf({ named(2), 15, "c" }) == trial_refusal::None);
+    CHECK(table.refusalOf({ named(3), 16, "c" }) == trial_refusal::Unknown);
+}
+
+TEST_CASE("quarantine: what ends a target beside no other suspect is proven for a minute, and each time for longer",
+    "[quarantine]")
+{
+    quarantine_table table;
+    quarantine_clock clock;
+    prove(table, named(1), "a");
+    CHECK(stageOf(table, named(1)) == quarantine_stage::Proven);
+    CHECK(table.refusalOf({ named(1), 20, "x" }) == trial_refusal::Proven);
+    steady_time now = zero;
+    milliseconds expected { 60000 };
+    for (int time = 0; time < 9; ++time) {
+        CHECK(clock.takeEnded(table, now).empty());
+        CHECK(clock.takeEnded(table, now + expected - milliseconds(1)).empty());
+        now += expected;
+        quarantine_change ended;
+        ended.expired = clock.takeEnded(table, now);
+        REQUIRE(ended.expired.size() == 1);
+        table.apply(ended);
+        CHECK(stageOf(table, named(1)) == quarantine_stage::Held); // one more trial tells
+        const std::string target = "b" + std::to_string(time);
+        table.apply(claimOf(named(1), 30, target));
+        table.apply(crashOf(target, { named(1) }));
+        CHECK(stageOf(table, named(1)) == quarantine_stage::Proven);
+        expected = std::min(expected * 2, milliseconds(3600000));
+    }
+}
+
+TEST_CASE("quarantine: three targets that end at one moment prove little: one more trial comes soon", "[quarantine]")
+{
+    quarantine_table table;
+    quarantine_clock clock;
+    for (const auto* target : { "a", "b", "c" })
+        table.apply(crashOf(target, { named(1) }));
+    CHECK(stageOf(table, named(1)) == quarantine_stage::Proven);
+    CHECK(clock.takeEnded(table, zero).empty());
+    quarantine_change ended;
+    ended.expired = clock.takeEnded(table, zero + milliseconds(5000));
+    REQUIRE(ended.expired.size() == 1);
+    table.apply(ended);
+    CHECK(stageOf(table, named(1)) == quarantine_stage::Held);
+    // An innocent one gets its whole answer then, and is free.
+    quarantine_change answered;
+    answered.cleared.push_back(named(1));
+    table.apply(answered);
+    CHECK(stageOf(table, named(1)) == quarantine_stage::None);
+}
+
+TEST_CASE("quarantine: a trial of a gateway that is gone ends, a suspicion is forgotten", "[quarantine]")
+{
+    quarantine_table table;
+    quarantine_clock clock;
+    table.apply(crashOf("a", { named(1) }));
+    table.apply(claimOf(named(1), 11, "b"));
+    CHECK(clock.takeEnded(table, zero).empty());
+    quarantine_change ended;
+    ended.expired = clock.takeEnded(table, zero + milliseconds(5000));
+    REQUIRE(ended.expired.size() == 1);
+    // Lost on its way, it is told again.
+    CHECK(clock.takeEnded(table, zero + milliseconds(5500)).empty());
+    CHECK(clock.takeEnded(table, zero + milliseconds(6000)).size() == 1);
+    table.apply(ended);
+    CHECK(table.refusalOf({ named(1), 12, "c" }) == trial_refusal::None);
+    CHECK(clock.takeEnded(table, zero + milliseconds(7000)).empty());
+    ended.expired = clock.takeEnded(table, zero + milliseconds(700000));
+    table.apply(ended);
+    CHECK(table.entries().empty());
+}
+
+TEST_CASE("quarantine: an expiry that was overtaken changes nothing", "[quarantine]")
+{
+    quarantine_table table;
+    table.apply(crashOf("a", { named(1) }));
+    quarantine_change late;
+    late.expired.push_back({ named(1), table.find(named(1))->revision });
+    table.apply(crashOf("b", { named(1) }));
+    table.apply(late);
+    CHECK(stageOf(table, named(1)) == quarantine_stage::Held);
+}
+
+TEST_CASE("quarantine: many other requests that end targets push out no proof, and fill no memory", "[quarantine]")
+{
+    quarantine_options options;
+    options.mostProven = 10;
+    options.mostSuspects = 20;
+    quarantine_table table(options);
+    prove(table, named(1), "first");
+    for (std::uint16_t at = 2; at < 1000; ++at)
+        prove(table, named(at), "t" + std::to_string(at) + "-");
+    CHECK(stageOf(table, named(1)) == quarantine_stage::Proven);
+    CHECK(table.entries().size() <= 30);
+    // Those beyond the bound aren't let loose: each may be on trial, and no more.
+    CHECK(stageOf(table, named(999)) == quarantine_stage::Held);
+}
+
+TEST_CASE("quarantine: copies that follow by changes hold what the table holds", "[quarantine][property]")
+{
+    rc::prop("any changes, told at any moments", [] {
+        quarantine_options options;
+        options.mostSuspects = 4;
+        options.mostProven = 2;
+        options.mostRemovalsKept = 2;
+        quarantine_table table(options);
+        quarantine_view view;
+        const int steps = *rc::gen::inRange(1, 60);
+        for (int step = 0; step < steps; ++step) {
+            table.apply(anyChange());
+            if (*rc::gen::inRange(0, 3) == 0)
+                view.apply(table.changesSince(view.revision()));
+        }
+        view.apply(table.changesSince(view.revision()));
+        RC_ASSERT(view.size() == table.entries().size());
+        for (const auto& [fingerprint, entry] : table.entries())
+            RC_ASSERT(view.stageOf(fingerprint) == entry.stage);
+    });
+}
+
+TEST_CASE("quarantine: invariants over any changes", "[quarantine][property]")
+{
+    rc::prop("one trial a target that is held, none of the proven, counts fit stages", [] {
+        quarantine_table table;
+        const int steps = *rc::gen::inRange(1, 80);
+        for (int step = 0; step < steps; ++step) {
+            table.apply(anyChange());
+            std::set<target_incarnation> taken;
+            for (const auto& [fingerprint, entry] : table.entries()) {
+                RC_ASSERT(entry.stage != quarantine_stage::None);
+                RC_ASSERT(entry.crashes >= entry.ended.size());
+                RC_ASSERT((entry.stage == quarantine_stage::Suspect) == (entry.crashes == 1));
+                if (entry.stage == quarantine_stage::Proven) {
+                    RC_ASSERT(entry.trial == 0U);
+                    RC_ASSERT(entry.crashes >= 3U);
+                }
+                if (entry.stage == quarantine_stage::Held && entry.trial != 0)
+                    RC_ASSERT(taken.insert(entry.trialTarget).second);
+            }
+        }
+    });
+    rc::prop("a member that takes a snapshot over goes on like the others", [] {
+        quarantine_table one;
+        for (int step = 0; step < *rc::gen::inRange(0, 30); ++step)
+            one.apply(anyChange());
+        quarantine_table other;
+        other.restore(one.entries(), one.revision());
+        for (int step = 0; step < *rc::gen::inRange(0, 30); ++step) {
+            const auto change = anyChange();
+            one.apply(change);
+            other.apply(change);
+        }
+        RC_ASSERT(one.revision() == other.revision());
+        RC_ASSERT(one.entries().size() == other.entries().size());
+        for (const auto& [fingerprint, entry] : one.entries()) {
+            const auto* same = other.find(fingerprint);
+            RC_ASSERT(same != nullptr);
+            RC_ASSERT(same->stage == entry.stage);
+            RC_ASSERT(same->trial == entry.trial);
+            RC_ASSERT(same->crashes == entry.crashes);
+        }
+    });
+}
--- a/tests/incident_crashing_request_test.cpp
+++ b/tests/incident_crashing_request_test.cpp
@@ -3,6 +3,11 @@
 ///
 /// Seen: a request under which three targets had ended was sent to targets 14 times more; 26 ended in all, and with
 /// each of them 15 to 60 streams were cut off. For 13 s nearly no stream was served, three times in a day.
+/// How: its gateway sent it to the next target at once, up to six times; then its caller came again, under another id, at
+/// any gateway, and found the target that had just taken the place of a lost one.
+/// Cause: an end was always the target's fault. Nothing that outlived one request at one gateway counted ends by
+/// request. Proof: in the logs of the first case, on the code of that time, 63 ids were at targets that ended, all of
+/// one fingerprint, 6 of them at two or three targets.
 #include "support/gateway_world.hpp"
 
 #include <algorithm>
@@ -29,6 +34,15 @@
         std::count_if(crashes.begin(), crashes.end(), [&path](const auto& one) { return one.path == path; }));
 }
 
+/// Checks the number of ends; leaves the logs when it is too high.
+void checkCrashes(gateway_world& world, const std::string& path)
+{
+    const std::size_t crashes = crashesBy(world, path);
+    CHECK(crashes <= mostCrashes);
+    if (crashes > mostCrashes)
+        WARN("logs: " << world.keepFolder());
+}
+
 /// Sends one request again and again, under new ids, from a thread of its own.
 class persistent_caller {
 public:
@@ -112,7 +126,7 @@
         CHECK(answers.back().status == 400);
         CHECK(answers.back().comeBack.empty());
     }
-    CHECK(crashesBy(world, path) <= mostCrashes);
+    checkCrashes(world, path);
     CHECK(waitUntil([&] { return isServingEverywhere(world); }, patience));
 }
 
@@ -122,8 +136,7 @@
     gateway_world world(3);
     REQUIRE(world.start());
     sendToAll(world, "POST", path, 3);
-    const std::size_t before = crashesBy(world, path);
-    CHECK(before <= mostCrashes);
+    checkCrashes(world, path);
     SECTION("the leader is killed")
     {
         const std::string leader = world.leader();
@@ -167,5 +180,78 @@
     }
     REQUIRE(waitUntil([&] { return isServingEverywhere(world); }, patience));
     sendToAll(world, "POST", path, 3);
-    CHECK(crashesBy(world, path) <= mostCrashes);
+    checkCrashes(world, path);
+}
+
+TEST_CASE("crashing request: the same innocent one, asked for by many, is served while targets crash", "[incident]")
+{
+    constexpr std::size_t enginesPerDomain = 4;
+    constexpr milliseconds longestRefusal { 3000 };
+    const std::string path = "/stream/hot/n20";
+    const auto body = gateway_world::streamBody(path, 20);
+    gateway_world world(3, enginesPerDomain);
+    REQUIRE(world.start());
+    std::vector<std::unique_ptr<persistent_caller>> callers;
+    for (int at = 0; at < 4; ++at) {
+        for (const auto& gateway : world.gateways())
+            callers.push_back(std::make_unique<persistent_caller>(world, gateway, "POST", path));
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    // A sixth of the engines at one moment, twice, each time among them those at which paths begin.
+    for (int time = 0; time < 2; ++time) {
+        for (std::size_t at = 0; at < world.engines().size(); at += 6)
+            world.fleet().kill(world.engines()[at]);
+        std::this_thread::sleep_for(milliseconds(600));
+        for (std::size_t at = 0; at < world.engines().size(); at += 6)
+            world.fleet().restart(world.engines()[at]);
+        std::this_thread::sleep_for(milliseconds(600));
+    }
+    std::this_thread::sleep_for(seconds(1));
+    for (auto& caller : callers) {
+        const auto& answers = caller->stop();
+        const auto isServed = [&body](const auto& one) { return one.isWhole && one.status == 200 && one.body == body; };
+        // Refused for a moment at most, and never with a final answer.
+        CHECK(std::none_of(answers.begin(), answers.end(), [](const auto& one) { return one.status == 400; }));
+        CHECK(isServed(answers.back()));
+        std::size_t inRow = 0;
+        for (const auto& one : answers) {
+            inRow = isServed(one) ? 0 : inRow + 1;
+            CHECK(inRow * repeatPause < longestRefusal);
+        }
+    }
+}
+
+TEST_CASE("crashing request: other requests go on, and an operator can list and clear it", "[incident]")
+{
+    const std::string path = "/stream/crash/n20";
+    gateway_world world(3);
+    REQUIRE(world.start());
+    std::vector<std::unique_ptr<persistent_caller>> callers;
+    for (int at = 0; at < 3; ++at) {
+        for (const auto& gateway : world.gateways())
+            callers.push_back(std::make_unique<persistent_caller>(
+                world, gateway, "POST", "/stream/other/" + std::to_string(at) + "/n60"));
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    sendToAll(world, "POST", path, 3);
+    for (auto& caller : callers) {
+        const auto& answers = caller->stop();
+        // Streams that were cut off with a target have gone on elsewhere.
+        CHECK(std::all_of(answers.begin(), answers.end(), [](const auto& one) { return one.status != 400; }));
+        CHECK((answers.back().isWhole && answers.back().status == 200));
+    }
+    checkCrashes(world, path);
+    const std::string registry = world.registries().front();
+    const auto list = world.control(registry, "GET", "/quarantine");
+    CHECK(list.body.find("\"stage\":\"proven\"") != std::string::npos);
+    const auto at = list.body.find("\"fingerprint\":\"");
+    REQUIRE(at != std::string::npos);
+    CHECK(world.control(registry, "DELETE", "/quarantine/nonsense").status == 400);
+    CHECK(world.control(registry, "DELETE", "/quarantine/" + std::string(32, '0')).status == 404);
+    CHECK(world.control(registry, "DELETE", "/quarantine/all").status == 200);
+    CHECK(world.control(registry, "GET", "/quarantine").body == R"({"requests":[]})");
+    const std::size_t before = crashesBy(world, path);
+    REQUIRE(waitUntil([&] { return isServingEverywhere(world); }, patience));
+    sendToAll(world, "POST", path, 1);
+    CHECK(crashesBy(world, path) > before); // it may run again
 }
--- a/tests/support/exchange_bench.hpp
+++ b/tests/support/exchange_bench.hpp
@@ -16,6 +16,12 @@
 /// Notes what the exchange asks for.
 class recording_port : public exchange_port {
 public:
+    dispatch_verdict mayBegin(const selection& where) override
+    {
+        asked.push_back(where.parts.front().target.id);
+        return verdicts.contains(asked.back()) ? verdicts.at(asked.back()) : verdict;
+    }
+    bool mustLeave() override { return leaves; }
     void openAttempt(std::uint32_t number, const selection& where, std::optional<std::uint64_t> lastEventId) override
     {
         CHECK_FALSE(isOpen);
@@ -43,6 +49,10 @@
     request_fingerprint fingerprint() override { return {}; }
     void note(event_code /*event*/, std::initializer_list<log_field> /*fields*/) override { }
 
+    dispatch_verdict verdict = dispatch_verdict::Go;
+    std::map<std::string, dispatch_verdict> verdicts; ///< by first target; any other has the one above
+    std::vector<std::string> asked; ///< first targets
+    bool leaves = false;
     bool isOpen = false;
     bool begun = false;
     std::uint32_t attempts = 0;
--- a/tests/support/gateway_world.cpp
+++ b/tests/support/gateway_world.cpp
@@ -287,6 +287,16 @@
     return ask(m_addresses.at(registry), "GET", "/metrics", "", {}, controlPatience).body;
 }
 
+caller_answer gateway_world::control(const std::string& registry, const std::string& method, const std::string& path)
+{
+    const auto response = ask(m_addresses.at(registry), method, path, "", {}, controlPatience);
+    caller_answer answer;
+    answer.status = response.status;
+    answer.isWhole = response.outcome == http::client_outcome::Ok;
+    answer.body = response.body;
+    return answer;
+}
+
 int gateway_world::sendRecord(
     const std::string& registry, const std::string& method, const std::string& id, const std::string& body)
 {
--- a/tests/support/gateway_world.hpp
+++ b/tests/support/gateway_world.hpp
@@ -83,6 +83,8 @@
     /// @brief A registry's line on a target at its status page; empty when it is unknown there.
     std::string targetLine(const std::string& registry, const std::string& targetId);
     std::string metricsOf(const std::string& registry);
+    /// @brief An operator's call to a registry that is not of the platform.
+    caller_answer control(const std::string& registry, const std::string& method, const std::string& path);
 
     /// @brief The relay before a registry's links.
     relay& linkRelay(const std::string& registry) { return *m_relays.at(registry); }
--- a/tests/support/stand_in_fleet.cpp
+++ b/tests/support/stand_in_fleet.cpp
@@ -43,8 +43,8 @@
 
 void stand_in_fleet::implementation::crash(target& one, const std::string& requestId, const std::string& path)
 {
-    if (!one.isUp)
-        return;
+    if (std::exchange(one.crashedLife, one.life) == one.life)
+        return; // two copies of the request at one target end it once
     crashes.push_back({ requestId, path, one.id });
     // After the session that asks for it has returned: it ends with the target.
     loop.post([this, &one, life = one.life] {
--- a/tests/support/stand_in_session.hpp
+++ b/tests/support/stand_in_session.hpp
@@ -26,7 +26,8 @@
     700
 }; ///< a stream whose member is gone stands still so long, then breaks off
 inline constexpr milliseconds loadTime { 30 };
-inline constexpr milliseconds crashAfter { 10 }; ///< a request that ends its target has begun
+/// A request that ends its target has come: its prompt is read first.
+inline constexpr milliseconds crashAfter { 100 };
 inline constexpr milliseconds restartAfter { 600 }; ///< a target that crashed is gone
 inline constexpr std::string_view crashMark = "/crash";
 
@@ -67,6 +68,7 @@
         std::size_t number = 0;
         std::string id;
         std::size_t life = 0; ///< tells lives apart that have the same id
+        std::size_t crashedLife = 0; ///< the last one that a request has ended
         std::uint64_t startedMs = 0; ///< told only by targets that keep their ids
         std::string service;
         std::string domain;
--- a/tests/target_restart_test.cpp
+++ b/tests/target_restart_test.cpp
@@ -71,6 +71,13 @@
     int m_calls = 0;
 };
 
+/// The number after the last such mark in a log; 0: there is none.
+std::uint64_t lastNumberIn(const std::string& log, const std::string& mark)
+{
+    const auto at = log.rfind(mark);
+    return at == std::string::npos ? 0 : std::stoull(log.substr(at + mark.size()));
+}
+
 } // namespace
 
 TEST_CASE("target restart: its layers are loaded anew at once, and streams over it go on", "[target_restart]")
@@ -300,12 +307,15 @@
     };
     REQUIRE(logs("E403 snapshot_saved"));
     world.killHard(again);
+    const auto saved = lastNumberIn(world.logOf(again), "E403 snapshot_saved index=");
     world.startProcess(again);
     const std::string id = world.fleet().idOf(engine);
     REQUIRE(waitUntil([&] { return !world.leader().empty() && world.targetState(again, id) == "ready"; }, patience));
     CHECK(waitUntil([&] { return world.targetLine(again, id) == world.targetLine(world.leader(), id); }, patience));
-    // It began with what the snapshot holds, an index of 100 to 199, and not with the whole log.
-    CHECK(logs("E407 log_opened snapshot=1"));
+    // It began with the last snapshot, and not with the whole log. One whose line was lost with the process is newer.
+    CHECK(saved >= 100);
+    const auto opened = [&] { return lastNumberIn(world.logOf(again), "E407 log_opened snapshot="); };
+    CHECK(waitUntil([&] { return opened() >= saved; }, patience));
     CHECK(waitUntil([&] { return world.serves(); }, patience));
 }
 
