--- a/include/buckthornrail/gateway/quarantine_gate.hpp
+++ b/include/buckthornrail/gateway/quarantine_gate.hpp
@@ -23,18 +23,6 @@
     enum_name<dispatch_verdict> { dispatch_verdict::Refuse, "refused" },
 };
 
-/// What a gateway has to say, until the controllers have it in their log.
-struct quarantine_news {
-    std::uint64_t number = 0; ///< counts them
-    registry::quarantine_change change;
-};
-
-/// A claim that came to nothing.
-struct refused_claim {
-    registry::trial_number trial = 0;
-    registry::trial_refusal why = registry::trial_refusal::None;
-};
-
 struct quarantine_gate_options {
     /// A suspect, of which there are dozens to each request that is to blame, isn't kept waiting when no controller
     /// answers.
@@ -62,7 +50,7 @@
     /// @brief What the controllers tell.
     void told(const registry::quarantine_delta& delta) { m_view.apply(delta); }
     /// @brief News stand in the log; claims in them that aren't named are granted.
-    void received(std::uint64_t number, const std::vector<refused_claim>& refused, steady_time now);
+    void received(const registry::quarantine_receipt& receipt, steady_time now);
     [[nodiscard]] std::uint64_t revision() const { return m_view.revision(); }
 
     /// @brief Nothing is held against any request: none needs to be asked for.
@@ -86,7 +74,7 @@
     /// @return whether there is something that wasn't sent yet
     [[nodiscard]] bool hasNews() const { return !m_next.isEmpty(); }
     /// @brief What is to be sent now. @param all also what was sent, over a session that is over
-    std::vector<quarantine_news> takeNews(bool all, steady_time now);
+    std::vector<registry::quarantine_batch> takeNews(bool all, steady_time now);
 
 private:
     enum class claim_state : std::uint8_t { Open, Granted, Refused };
@@ -100,7 +88,7 @@
         steady_time decideBy {}; ///< Open: a suspect goes then all the same. Refused: it is claimed anew then
     };
     struct sent_news {
-        quarantine_news news;
+        registry::quarantine_batch batch;
         steady_time sendAgainAt {};
     };
 
--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -154,24 +154,6 @@
     std::string reason;
 };
 
-/// What a gateway has to say of requests that end targets. Sent again until a receipt for it comes.
-struct quarantine_batch {
-    std::uint64_t number = 0; ///< counts the batches of a gateway's process
-    registry::quarantine_change change;
-};
-
-/// A claim that came to nothing.
-struct refused_trial {
-    registry::trial_number trial = 0;
-    registry::trial_refusal why = registry::trial_refusal::None;
-};
-
-/// A batch stands in the log. Its claims that aren't named are granted.
-struct quarantine_receipt {
-    std::uint64_t number = 0;
-    std::vector<refused_trial> refused;
-};
-
 /// Gateway to controller, each heartbeat period: what it holds and what it has seen.
 struct gateway_beat {
     instance_id instance;
@@ -185,7 +167,7 @@
     registry::repeat_counts repeats; ///< that it spent within the window
     bool isRepeatsComplete = false; ///< also those of processes before this one; false: it wants to be told of them
     std::uint64_t quarantineRevision = 0; ///< of the standings that it holds
-    std::vector<quarantine_batch> quarantine; ///< without a receipt so far
+    std::vector<registry::quarantine_batch> quarantine; ///< without a receipt so far
 };
 
 /// A text, or a change of the table of targets as encodeDelta() gives it, as a patch (see compression/text_patch.hpp).
@@ -209,7 +191,7 @@
     std::uint32_t othersOpenAttempts = 0; ///< under way from all other gateways, as they told last
     registry::load_row othersLoads; ///< the same by target, once the changes above are applied; empty: not told
     std::vector<registry::quarantine_delta> quarantine; ///< at most one: nothing to change
-    std::vector<quarantine_receipt> quarantineReceipts;
+    std::vector<registry::quarantine_receipt> quarantineReceipts;
 };
 
 /// A target's heartbeat.
--- a/include/buckthornrail/registry/quarantine.hpp
+++ b/include/buckthornrail/registry/quarantine.hpp
@@ -110,6 +110,24 @@
     enum_name<trial_refusal> { trial_refusal::Unknown, "unknown" },
 };
 
+/// What a gateway has to say. Sent again until a receipt for it comes.
+struct quarantine_batch {
+    std::uint64_t number = 0; ///< counts the batches of a gateway's process
+    quarantine_change change;
+};
+
+/// A claim that came to nothing.
+struct refused_trial {
+    trial_number trial = 0;
+    trial_refusal why = trial_refusal::None;
+};
+
+/// A batch stands in the log. Its claims that aren't named are granted.
+struct quarantine_receipt {
+    std::uint64_t number = 0;
+    std::vector<refused_trial> refused;
+};
+
 struct quarantine_options {
     /// A caller who sends many requests that end targets must not push out what is proved of others, nor fill memory.
     std::size_t mostProven = 1024;
--- a/src/app/control_shell.cpp
+++ b/src/app/control_shell.cpp
@@ -96,8 +96,10 @@
     const json error = answer.body.is_object() ? answer.body.value("error", json::object()) : json::object();
     std::cerr << "buckthornrail ctl: " << error.value("code", answer.status) << " " << error.value("name", "error")
               << ": " << error.value("message", "");
-    if (error.contains("reason"))
-        std::cerr << " (" << error.value("reason", "") << ")";
+    // Registries give the reason alone.
+    const json& reasoned = error.contains("reason") ? error : answer.body;
+    if (reasoned.is_object() && reasoned.contains("reason"))
+        std::cerr << " (" << reasoned.value("reason", "") << ")";
     std::cerr << "\n";
     return exitFailure;
 }
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -287,20 +287,15 @@
             m_context.quarantine.endTrial(call);
     }
     beat.quarantineRevision = m_context.quarantine.revision();
-    for (auto& news : m_context.quarantine.takeNews(isFirst, now))
-        beat.quarantine.push_back({ news.number, std::move(news.change) });
+    beat.quarantine = m_context.quarantine.takeNews(isFirst, now);
 }
 
 void gateway_role::onQuarantine(const link::gateway_update& update)
 {
     for (const auto& delta : update.quarantine)
         m_context.quarantine.told(delta);
-    for (const auto& receipt : update.quarantineReceipts) {
-        std::vector<gateway::refused_claim> refused;
-        for (const auto& one : receipt.refused)
-            refused.push_back({ one.trial, one.why });
-        m_context.quarantine.received(receipt.number, refused, steadyNow());
-    }
+    for (const auto& receipt : update.quarantineReceipts)
+        m_context.quarantine.received(receipt, steadyNow());
     if (!update.quarantine.empty() || !update.quarantineReceipts.empty())
         spreadQuarantine();
 }
--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway_session.cpp
@@ -148,11 +148,7 @@
 
 std::string gateway_session::nearestController() const
 {
-    std::vector<std::string> near;
-    for (const auto& place : m_controllers) {
-        if (!place.failureDomain.empty() && place.failureDomain == m_settings.failureDomain)
-            near.push_back(place.address);
-    }
+    auto near = addressesIn(m_controllers, m_settings.failureDomain, &link::controller_place::address);
     if (std::find(near.begin(), near.end(), m_address) != near.end())
         return m_address;
     if (!near.empty())
--- a/src/app/preferred_address.hpp
+++ b/src/app/preferred_address.hpp
@@ -2,6 +2,8 @@
 /// @brief Spreading sessions over controllers without a list of who has which.
 #pragma once
 
+#include "buckthornrail/link/message.hpp"
+
 #include <string>
 #include <vector>
 
@@ -12,4 +14,8 @@
 /// @return empty when there are no addresses
 std::string preferredAddress(const std::string& key, const std::vector<std::string>& addresses);
 
+/// @brief Addresses of the controllers in a failure domain. @param address which of theirs
+std::vector<std::string> addressesIn(const std::vector<link::controller_place>& places,
+    const std::string& failureDomain, std::string link::controller_place::*address);
+
 } // namespace buckthornrail::app
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -103,7 +103,7 @@
     void reportToLeader();
     /// @param receipts of its batches that stand in the log now
     void sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence,
-        std::vector<link::quarantine_receipt> receipts = {});
+        std::vector<registry::quarantine_receipt> receipts = {});
     void submitTargets(const std::vector<registry::target_record>& records, std::function<void(bool)> done);
     void onChanged();
     void formWhenFirst();
--- a/src/app/registry_quarantine.cpp
+++ b/src/app/registry_quarantine.cpp
@@ -13,7 +13,6 @@
 constexpr std::string_view quarantinePath = "/quarantine";
 constexpr std::string_view everyEntry = "all";
 constexpr std::size_t mostLinesLogged = 50; ///< of one change: a lost failure domain makes suspects of hundreds
-constexpr std::size_t mostClaims = 4096; ///< of one command; a gateway's batch that brings more is taken alone
 
 template <typename Item> void append(std::vector<Item>& all, const std::vector<Item>& more)
 {
@@ -38,7 +37,7 @@
 void registry_role::takeQuarantine(link::channel_number channel, session& one, const link::gateway_beat& beat)
 {
     for (const auto& batch : beat.quarantine) {
-        if (batch.number <= one.quarantineBatch || m_quarantineNext.change.claims.size() > mostClaims)
+        if (batch.number <= one.quarantineBatch)
             continue;
         one.quarantineBatch = batch.number;
         auto& next = m_quarantineNext.change;
@@ -80,7 +79,7 @@
             found->second.quarantineBatch = std::min(found->second.quarantineBatch, batch.number - 1);
             continue;
         }
-        link::quarantine_receipt receipt { batch.number, {} };
+        registry::quarantine_receipt receipt { batch.number, {} };
         for (const auto& claim : batch.claims) {
             const auto why = m_state.quarantine().refusalOf(claim);
             if (why != registry::trial_refusal::None)
--- a/src/app/registry_sessions.cpp
+++ b/src/app/registry_sessions.cpp
@@ -177,8 +177,8 @@
         m_tablePushAt = now + tablePushPeriod;
 }
 
-void registry_role::sendUpdate(
-    link::channel_number channel, session& one, std::uint64_t sequence, std::vector<link::quarantine_receipt> receipts)
+void registry_role::sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence,
+    std::vector<registry::quarantine_receipt> receipts)
 {
     const auto fleet = m_board.summaryFor(channel, m_state.targets(), steadyNow());
     link::gateway_update update;
--- a/src/app/registry_targets.cpp
+++ b/src/app/registry_targets.cpp
@@ -10,11 +10,7 @@
 
 std::string registry_role::nextHeartbeatAddress(const registry::target_record& record) const
 {
-    std::vector<std::string> near;
-    for (const auto& place : m_places) {
-        if (!place.failureDomain.empty() && place.failureDomain == record.failureDomain)
-            near.push_back(place.controlAddress);
-    }
+    const auto near = addressesIn(m_places, record.failureDomain, &link::controller_place::controlAddress);
     return near.empty() ? m_settings.httpAddress : preferredAddress(record.id, near);
 }
 
--- a/src/buckthornrail/gateway/quarantine_gate.cpp
+++ b/src/buckthornrail/gateway/quarantine_gate.cpp
@@ -140,13 +140,14 @@
         m_next.cleared.push_back(fingerprint);
 }
 
-void quarantine_gate::received(std::uint64_t number, const std::vector<refused_claim>& refused, steady_time now)
+void quarantine_gate::received(const registry::quarantine_receipt& receipt, steady_time now)
 {
-    const auto found
-        = std::find_if(m_sent.begin(), m_sent.end(), [number](const auto& one) { return one.news.number == number; });
+    const auto& refused = receipt.refused;
+    const auto found = std::find_if(
+        m_sent.begin(), m_sent.end(), [&receipt](const auto& one) { return one.batch.number == receipt.number; });
     if (found == m_sent.end())
         return;
-    for (const auto& report : found->news.change.crashes) {
+    for (const auto& report : found->batch.change.crashes) {
         for (const auto& fingerprint : report.begun) {
             const auto reported = m_reported.find(fingerprint);
             if (reported != m_reported.end() && reported->second.unconfirmed > 0)
@@ -155,7 +156,7 @@
     }
     for (auto& [call, trial] : m_trials) {
         const auto isOwn = [&trial](const auto& one) { return one.trial == trial.claim.trial; };
-        const auto& claims = found->news.change.claims;
+        const auto& claims = found->batch.change.claims;
         if (trial.state != claim_state::Open || std::none_of(claims.begin(), claims.end(), isOwn))
             continue;
         const auto refusal = std::find_if(refused.begin(), refused.end(), isOwn);
@@ -167,7 +168,7 @@
     m_sent.erase(found);
 }
 
-std::vector<quarantine_news> quarantine_gate::takeNews(bool all, steady_time now)
+std::vector<registry::quarantine_batch> quarantine_gate::takeNews(bool all, steady_time now)
 {
     dropReported(now);
     if (hasNews()) {
@@ -175,12 +176,12 @@
         if (m_sent.size() > m_options.mostNews)
             m_sent.pop_front();
     }
-    std::vector<quarantine_news> news;
+    std::vector<registry::quarantine_batch> news;
     for (auto& one : m_sent) {
         if (!all && now < one.sendAgainAt)
             continue;
         one.sendAgainAt = now + m_options.resendAfter;
-        news.push_back(one.news);
+        news.push_back(one.batch);
     }
     return news;
 }
--- a/src/buckthornrail/gateway/quarantine_gate_test.cpp
+++ b/src/buckthornrail/gateway/quarantine_gate_test.cpp
@@ -108,7 +108,7 @@
     gate.told(standing(1, named(1), quarantine_stage::Suspect));
     SECTION("granted")
     {
-        gate.received(news.front().number, {}, zero + milliseconds(10));
+        gate.received({ news.front().number, {} }, zero + milliseconds(10));
         CHECK(gate.mayBegin(1, named(1), "b", zero + milliseconds(20)) == dispatch_verdict::Wait);
         CHECK(gate.mayBegin(1, named(1), "b", zero + milliseconds(50)) == dispatch_verdict::Go);
         CHECK_FALSE(gate.mustLeave(1, named(1)));
@@ -122,7 +122,7 @@
     SECTION("it runs somewhere else")
     {
         gate.received(
-            news.front().number, { { news.front().change.claims.front().trial, trial_refusal::Running } }, zero);
+            { news.front().number, { { news.front().change.claims.front().trial, trial_refusal::Running } } }, zero);
         CHECK(gate.mayBegin(1, named(1), "b", zero + milliseconds(100)) == dispatch_verdict::Wait);
         CHECK_FALSE(gate.hasNews());
         CHECK(gate.mayBegin(1, named(1), "b", zero + milliseconds(200)) == dispatch_verdict::Wait);
@@ -154,12 +154,12 @@
     const auto news = gate.takeNews(false, zero);
     REQUIRE(news.size() == 1);
     gate.received(
-        news.front().number, { { news.front().change.claims.front().trial, trial_refusal::TargetTaken } }, zero);
+        { news.front().number, { { news.front().change.claims.front().trial, trial_refusal::TargetTaken } } }, zero);
     CHECK(gate.mayBegin(1, named(1), "a", zero) == dispatch_verdict::Elsewhere);
     CHECK(gate.mayBegin(1, named(1), "b", zero) == dispatch_verdict::Wait);
     const auto again = gate.takeNews(false, zero);
     REQUIRE(again.size() == 1);
-    gate.received(again.front().number, {}, zero);
+    gate.received({ again.front().number, {} }, zero);
     CHECK(gate.mayBegin(1, named(1), "b", zero + milliseconds(40)) == dispatch_verdict::Go);
     // Not to another target with that trial.
     CHECK(gate.mayBegin(1, named(1), "c", zero + milliseconds(41)) == dispatch_verdict::Wait);
@@ -189,7 +189,7 @@
     CHECK(gate.takeNews(true, zero + milliseconds(300)).size() == 1); // over another session
     const auto again = gate.takeNews(false, zero + milliseconds(1300));
     REQUIRE(again.size() == 1);
-    gate.received(again.front().number, {}, zero);
+    gate.received({ again.front().number, {} }, zero);
     CHECK(gate.takeNews(true, zero + milliseconds(9000)).empty());
     // What nobody answers doesn't gather for ever, nor is it asked for ever.
     CHECK_FALSE(gate.isQuiet());
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -69,6 +69,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_report, sequence, sums, lives)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(earlier_repeats, gateway, spent)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(fleet_report, answers, others, budgetSharers, earlier)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_batch, number, change)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(refused_trial, trial, why)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_receipt, number, refused)
 } // namespace registry
 
 namespace execution {
@@ -111,9 +114,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_request, member, address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_hello, member, address, initialized, controlAddress, failureDomain)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_place, address, controlAddress, failureDomain)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_batch, number, change)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(refused_trial, trial, why)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_receipt, number, refused)
 /// A field that the program before doesn't send: an upgrade is rolled while both are at work.
 template <typename Field> void readIfThere(const nlohmann::json& in, const char* name, Field& field)
 {
