--- a/include/buckthornrail/core/clock.hpp
+++ b/include/buckthornrail/core/clock.hpp
@@ -14,7 +14,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<boot_clock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): as the standard asks of clocks
 
     static time_point now() noexcept
     {
--- a/src/buckthornrail/gateway/quarantine_gate.cpp
+++ b/src/buckthornrail/gateway/quarantine_gate.cpp
@@ -142,7 +142,6 @@
 
 void quarantine_gate::received(const registry::quarantine_receipt& receipt, steady_time now)
 {
-    const auto& refused = receipt.refused;
     const auto found = std::find_if(
         m_sent.begin(), m_sent.end(), [&receipt](const auto& one) { return one.batch.number == receipt.number; });
     if (found == m_sent.end())
@@ -154,15 +153,16 @@
                 --reported->second.unconfirmed; // the view holds it now
         }
     }
-    for (auto& [call, trial] : m_trials) {
+    const auto& claims = found->batch.change.claims;
+    for (auto& item : m_trials) {
+        auto& trial = item.second;
         const auto isOwn = [&trial](const auto& one) { return one.trial == trial.claim.trial; };
-        const auto& claims = found->batch.change.claims;
         if (trial.state != claim_state::Open || std::none_of(claims.begin(), claims.end(), isOwn))
             continue;
-        const auto refusal = std::find_if(refused.begin(), refused.end(), isOwn);
+        const auto refusal = std::find_if(receipt.refused.begin(), receipt.refused.end(), isOwn);
         trial.beginsAt = now + m_options.settleTime;
-        trial.state = refusal == refused.end() ? claim_state::Granted : claim_state::Refused;
-        if (refusal != refused.end())
+        trial.state = refusal == receipt.refused.end() ? claim_state::Granted : claim_state::Refused;
+        if (refusal != receipt.refused.end())
             trial.why = refusal->why;
     }
     m_sent.erase(found);
--- a/src/buckthornrail/link/loop_implementation.hpp
+++ b/src/buckthornrail/link/loop_implementation.hpp
@@ -19,6 +19,7 @@
 /// How long the operating system is asked to wait for a timer. It waits by the steady clock, which stands still while
 /// the machine is suspended: timers that end meanwhile are found at the latest so long after it wakes.
 struct boot_wait_traits {
+    // NOLINTBEGIN(readability-identifier-naming): asio calls it so
     static boot_clock::duration to_wait_duration(const boot_clock::duration& left)
     {
         constexpr milliseconds longestWait { 100 };
@@ -28,6 +29,7 @@
     {
         return to_wait_duration(end - boot_clock::now());
     }
+    // NOLINTEND(readability-identifier-naming)
 };
 
 using boot_timer = asio::basic_waitable_timer<boot_clock, boot_wait_traits>;
--- a/tests/incident_crashing_request_test.cpp
+++ b/tests/incident_crashing_request_test.cpp
@@ -3,11 +3,11 @@
 ///
 /// Seen: a request under which three targets had ended was sent to targets 14 times more; 26 ended in all, and with
 /// each of them 15 to 60 streams were cut off. For 13 s nearly no stream was served, three times in a day.
-/// How: its gateway sent it to the next target at once, up to six times; then its caller came again, under another id, at
-/// any gateway, and found the target that had just taken the place of a lost one.
-/// Cause: an end was always the target's fault. Nothing that outlived one request at one gateway counted ends by
-/// request. Proof: in the logs of the first case, on the code of that time, 63 ids were at targets that ended, all of
-/// one fingerprint, 6 of them at two or three targets.
+/// How: its gateway sent it to the next target at once, up to six times; then its caller came again, under another id,
+/// at any gateway, and found the target that had just taken the place of a lost one. Cause: an end was always the
+/// target's fault. Nothing that outlived one request at one gateway counted ends by request. Proof: in the logs of the
+/// first case, on the code of that time, 63 ids were at targets that ended, all of one fingerprint, 6 of them at two or
+/// three targets.
 #include "support/gateway_world.hpp"
 
 #include <algorithm>
