A trial that was granted stands until its attempt begins

Found by reading, before it was seen: a gateway ends trials whose attempts can't be to blame any more, with each heartbeat. One that was granted and waited its 40 ms had no attempt yet, passed for over, and was claimed anew; with heartbeats in quick succession, as reports of a crash make them, a request could wait its 400 ms out and be sent away. Its trial now counts as begun only once it was let go. Failed first: 'a trial that is granted stands until it begins'.

--- a/include/buckthornrail/gateway/quarantine_gate.hpp
+++ b/include/buckthornrail/gateway/quarantine_gate.hpp
@@ -65,6 +65,7 @@
     [[nodiscard]] bool mustLeave(call_number call, const request_fingerprint& fingerprint) const;
     /// @brief A call's attempt can't be to blame any more, or is over.
     void endTrial(call_number call);
+    /// @return calls whose attempts on trial have begun
     [[nodiscard]] std::vector<call_number> callsOnTrial() const;
 
     void crashed(const registry::crash_report& report, steady_time now);
@@ -85,6 +86,7 @@
         claim_state state = claim_state::Open;
         registry::trial_refusal why = registry::trial_refusal::None;
         steady_time beginsAt {}; ///< no sooner
+        bool hasBegun = false; ///< until then it has no attempt that could be over
         steady_time decideBy {}; ///< Open: a suspect goes then all the same. Refused: it is claimed anew then
     };
     struct sent_news {
--- a/src/buckthornrail/gateway/quarantine_gate.cpp
+++ b/src/buckthornrail/gateway/quarantine_gate.cpp
@@ -42,11 +42,13 @@
 
 dispatch_verdict quarantine_gate::standingOf(call_number call, own_trial& trial, steady_time now)
 {
-    if (trial.state == claim_state::Granted)
-        return now < trial.beginsAt ? dispatch_verdict::Wait : dispatch_verdict::Go;
+    if (trial.state == claim_state::Granted) {
+        trial.hasBegun = now >= trial.beginsAt;
+        return trial.hasBegun ? dispatch_verdict::Go : dispatch_verdict::Wait;
+    }
     if (trial.state == claim_state::Open) {
-        const bool goesUnasked = trial.stage == quarantine_stage::Suspect && now >= trial.decideBy;
-        return goesUnasked ? dispatch_verdict::Go : dispatch_verdict::Wait;
+        trial.hasBegun = trial.stage == quarantine_stage::Suspect && now >= trial.decideBy;
+        return trial.hasBegun ? dispatch_verdict::Go : dispatch_verdict::Wait;
     }
     if (trial.why == trial_refusal::Unknown)
         return dispatch_verdict::Go;
@@ -67,8 +69,12 @@
     const registry::trial_number number = std::max<std::uint64_t>(m_random(), 1);
     const registry::trial_claim wish { fingerprint, number, target };
     m_next.claims.push_back(wish);
-    m_trials[call] = { fingerprint, wish, stageOf(fingerprint), claim_state::Open, trial_refusal::None, {},
-        now + m_options.grantPatience };
+    own_trial trial;
+    trial.fingerprint = fingerprint;
+    trial.claim = wish;
+    trial.stage = stageOf(fingerprint);
+    trial.decideBy = now + m_options.grantPatience;
+    m_trials[call] = trial;
     return dispatch_verdict::Wait;
 }
 
@@ -98,7 +104,7 @@
 {
     std::vector<call_number> calls;
     for (const auto& [call, trial] : m_trials) {
-        if (trial.state == claim_state::Granted)
+        if (trial.hasBegun)
             calls.push_back(call);
     }
     return calls;
--- a/src/buckthornrail/gateway/quarantine_gate_test.cpp
+++ b/src/buckthornrail/gateway/quarantine_gate_test.cpp
@@ -165,6 +165,19 @@
     CHECK(gate.mayBegin(1, named(1), "c", zero + milliseconds(41)) == dispatch_verdict::Wait);
 }
 
+TEST_CASE("quarantine gate: a trial that is granted stands until it begins", "[quarantine]")
+{
+    quarantine_gate gate(1);
+    gate.told(standing(1, named(1), quarantine_stage::Held));
+    CHECK(gate.mayBegin(1, named(1), "a", zero) == dispatch_verdict::Wait);
+    const auto news = gate.takeNews(false, zero);
+    gate.received({ news.front().number, {} }, zero);
+    // Whoever ends trials whose attempts are over finds none: this one's attempt is still to come.
+    CHECK(gate.callsOnTrial().empty());
+    CHECK(gate.mayBegin(1, named(1), "a", zero + milliseconds(40)) == dispatch_verdict::Go);
+    CHECK(gate.callsOnTrial() == std::vector<call_number> { 1 });
+}
+
 TEST_CASE("quarantine gate: own reports prove nothing; a whole answer clears", "[quarantine]")
 {
     quarantine_gate gate(1);
