--- a/include/buckthornrail/gateway/quarantine_gate.hpp
+++ b/include/buckthornrail/gateway/quarantine_gate.hpp
@@ -70,7 +70,8 @@
 
     void crashed(const registry::crash_report& report, steady_time now);
     /// @brief The request got a whole answer: it doesn't end whoever runs it.
-    void answered(const request_fingerprint& fingerprint);
+    /// @return whether something was held against it
+    bool answered(const request_fingerprint& fingerprint);
 
     /// @return whether there is something that wasn't sent yet
     [[nodiscard]] bool hasNews() const { return !m_next.isEmpty(); }
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -201,8 +201,7 @@
     if (m_context.quarantine.isQuiet())
         return;
     const auto stage = m_context.quarantine.stageOf(fingerprint());
-    m_context.quarantine.answered(fingerprint());
-    if (!m_context.quarantine.hasNews())
+    if (!m_context.quarantine.answered(fingerprint()))
         return;
     telemetry::logEvent(event_code::RequestCleared,
         { { "request", m_caller.requestId }, { "fingerprint", text(fingerprint()) },
--- a/src/buckthornrail/gateway/quarantine_gate.cpp
+++ b/src/buckthornrail/gateway/quarantine_gate.cpp
@@ -139,11 +139,13 @@
     }
 }
 
-void quarantine_gate::answered(const request_fingerprint& fingerprint)
+bool quarantine_gate::answered(const request_fingerprint& fingerprint)
 {
     const bool isReported = m_reported.erase(fingerprint) > 0;
-    if (isReported || m_view.stageOf(fingerprint) != quarantine_stage::None)
+    const bool isHeld = isReported || m_view.stageOf(fingerprint) != quarantine_stage::None;
+    if (isHeld)
         m_next.cleared.push_back(fingerprint);
+    return isHeld;
 }
 
 void quarantine_gate::received(const registry::quarantine_receipt& receipt, steady_time now)
--- a/src/buckthornrail/gateway/quarantine_gate_test.cpp
+++ b/src/buckthornrail/gateway/quarantine_gate_test.cpp
@@ -185,8 +185,8 @@
         gate.crashed({ target, { named(1) } }, zero);
     CHECK(gate.stageOf(named(1)) == quarantine_stage::Held);
     (void)gate.takeNews(false, zero);
-    gate.answered(named(1));
-    gate.answered(named(2)); // of which nothing is known
+    CHECK(gate.answered(named(1)));
+    CHECK_FALSE(gate.answered(named(2))); // of which nothing is known
     const auto news = gate.takeNews(false, zero);
     REQUIRE(news.size() == 1);
     CHECK(news.front().change.cleared == std::vector { named(1) });
