--- a/src/app/registry_state_test.cpp
+++ b/src/app/registry_state_test.cpp
@@ -223,3 +223,37 @@
         RC_ASSERT((restored || restored.error().code == result_code::StorageCorrupt));
     });
 }
+
+TEST_CASE(
+    "registry state: what is held against requests survives a snapshot, and none of the program before", "[registry]")
+{
+    request_fingerprint one;
+    one.bytes.fill(0xC3);
+    registry::quarantine_change change;
+    change.crashes = { { "a", { one } }, { "b", { one } } };
+    change.claims = { { one, 7, "c" } };
+    registry_state state;
+    CHECK(state.applyCommand(encodeQuarantine("id", change)) == "id");
+    registry_state copy;
+    REQUIRE(copy.restoreState(state.saveState()));
+    const auto* entry = copy.quarantine().find(one);
+    REQUIRE(entry != nullptr);
+    CHECK(entry->stage == registry::quarantine_stage::Held);
+    CHECK(entry->trial == 7U);
+    CHECK(copy.quarantine().revision() == state.quarantine().revision());
+    // The trial goes on to be one beside no other: the end of its target proves the request, at both.
+    registry::quarantine_change end;
+    end.crashes = { { "c", { one } } };
+    for (auto* each : { &state, &copy }) {
+        CHECK(each->applyCommand(encodeQuarantine("end", end)) == "end");
+        CHECK(each->quarantine().find(one)->stage == registry::quarantine_stage::Proven);
+        CHECK(each->quarantine().find(one)->proofs == 1U);
+    }
+    auto earlier = nlohmann::json::from_cbor(state.saveState());
+    earlier.erase("quarantine");
+    earlier.erase("quarantineRevision");
+    std::string bytes;
+    nlohmann::json::to_cbor(earlier, bytes);
+    REQUIRE(copy.restoreState(bytes));
+    CHECK(copy.quarantine().entries().empty());
+}
