--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -2,8 +2,6 @@
 /// @brief Carrying out what an exchange asks for.
 #include "app/gateway_call.hpp"
 
-#include "buckthornrail/gateway/fingerprint_request.hpp"
-
 #include <algorithm>
 
 namespace buckthornrail::app {
@@ -158,57 +156,6 @@
         m_channel->setReading(true);
 }
 
-gateway::dispatch_verdict gateway_call::mayBegin(const gateway::selection& where)
-{
-    const auto now = steadyNow();
-    if (m_context.crashes.awaitsVerdict(m_number, now))
-        return gateway::dispatch_verdict::Wait;
-    if (m_context.quarantine.isQuiet())
-        return gateway::dispatch_verdict::Go;
-    const auto verdict = m_context.quarantine.mayBegin(m_number, fingerprint(), where.parts.front().target, now);
-    noteVerdict(verdict, where);
-    if (m_context.quarantine.hasNews())
-        m_context.sendNews();
-    return verdict;
-}
-
-void gateway_call::noteVerdict(gateway::dispatch_verdict verdict, const gateway::selection& where)
-{
-    if (std::exchange(m_verdict, verdict) == verdict)
-        return;
-    const auto stage = m_context.quarantine.stageOf(fingerprint());
-    telemetry::logEvent(event_code::TrialDecided,
-        { { "request", m_caller.requestId }, { "fingerprint", text(fingerprint()) }, { "workspace", m_workspace },
-            { "path", m_head.target }, { "target", text(where.parts.front().target) },
-            { "stage", std::string(nameIn(registry::quarantineStageNames, stage)) },
-            { "outcome", std::string(nameIn(gateway::dispatchVerdictNames, verdict)) },
-            { "revision", std::to_string(m_context.quarantine.revision()) } });
-}
-
-bool gateway_call::mustLeave()
-{
-    return !m_context.quarantine.isQuiet() && m_context.quarantine.mustLeave(m_number, fingerprint());
-}
-
-void gateway_call::quarantineChanged()
-{
-    if (m_exchange && m_sink != nullptr)
-        m_exchange->onQuarantineChanged(steadyNow());
-}
-
-void gateway_call::noteAnswered()
-{
-    if (m_context.quarantine.isQuiet())
-        return;
-    const auto stage = m_context.quarantine.stageOf(fingerprint());
-    if (!m_context.quarantine.answered(fingerprint()))
-        return;
-    telemetry::logEvent(event_code::RequestCleared,
-        { { "request", m_caller.requestId }, { "fingerprint", text(fingerprint()) },
-            { "stage", std::string(nameIn(registry::quarantineStageNames, stage)) } });
-    m_context.sendNews();
-}
-
 void gateway_call::openAttempt(
     std::uint32_t number, const gateway::selection& where, std::optional<std::uint64_t> lastEventId)
 {
@@ -511,14 +458,6 @@
     });
 }
 
-request_fingerprint gateway_call::fingerprint()
-{
-    if (!m_fingerprint)
-        m_fingerprint = gateway::fingerprintOf({ m_head.method,
-            http1::valueOf(m_head.fields, "Host").value_or(std::string_view()), m_head.target, m_workspace, m_body });
-    return *m_fingerprint;
-}
-
 void gateway_call::note(event_code event, std::initializer_list<log_field> fields)
 {
     telemetry::logEvent(event, fields);
