--- a/include/buckthornrail/gateway/dialect.hpp
+++ b/include/buckthornrail/gateway/dialect.hpp
@@ -2,6 +2,7 @@
 /// @brief What an adapter to a platform translates for gateways and their controllers: its names, nothing else.
 #pragma once
 
+#include "buckthornrail/document/outline.hpp"
 #include "buckthornrail/gateway/exchange.hpp"
 #include "buckthornrail/http1/message.hpp"
 
@@ -98,6 +99,15 @@
     [[nodiscard]] virtual control_call readCall(const http1::request_head& head, const std::string& body) const = 0;
     /// @return InvalidDocument when the text can't be read or isn't valid
     [[nodiscard]] virtual tl::expected<route_document, failure> readDocument(const std::string& text) const = 0;
+    /// @brief Cuts a document that was read as a whole before. @param text must outlive the result
+    /// @return InvalidDocument when the text is no document
+    [[nodiscard]] virtual tl::expected<document::outline, failure> cutDocument(const std::string& text) const = 0;
+    /// @brief Reads an entry of an outline. @return InvalidDocument when it can't be read
+    [[nodiscard]] virtual tl::expected<route, failure> readRoute(const std::string& entry) const = 0;
+    /// @copydoc readRoute
+    [[nodiscard]] virtual tl::expected<workspace_keys, failure> readWorkspace(const std::string& entry) const = 0;
+    /// @brief Reads an outline's rest. @return InvalidDocument when it can't be read
+    [[nodiscard]] virtual tl::expected<document_rest, failure> readRest(const std::string& rest) const = 0;
     /// @brief Body of the answer to an announcement. @param address where to announce from now on; empty: anywhere
     [[nodiscard]] virtual std::string writeAnnounceAnswer(const std::string& address) const = 0;
     [[nodiscard]] virtual http1::request_head writeReportCall(const std::string& targetId) const = 0;
--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -20,8 +20,8 @@
 struct exchange_request {
     std::string id; ///< the caller's
     std::string service;
-    std::shared_ptr<const route_index> document; ///< that the route belongs to
-    const route* chosen = nullptr;
+    std::uint64_t documentVersion = 0; ///< that the route was chosen under
+    route_pointer chosen;
     steady_time arrived {};
     steady_time deadline {}; ///< final answer by then: the caller's or the route's, whichever is sooner
     std::optional<std::uint64_t> lastEventId; ///< the caller has a stream's events up to it
--- a/include/buckthornrail/gateway/route_document.hpp
+++ b/include/buckthornrail/gateway/route_document.hpp
@@ -7,7 +7,6 @@
 #include "buckthornrail/core/result_code.hpp"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -108,7 +107,14 @@
     std::optional<std::uint32_t> priority; ///< goes before the route's
 };
 
-/// The whole document.
+/// What a document holds besides routes and workspaces.
+struct document_rest {
+    std::vector<service> services;
+    caller_limits limits;
+    bool needsKeys = false; ///< the document names workspaces
+};
+
+/// The whole document, as operators are answered by it; gateways hold it as a route_index.
 struct route_document {
     std::uint64_t version = 0;
     std::vector<route> routes;
@@ -123,24 +129,6 @@
 /// time to answer in, or a key of two workspaces
 tl::expected<void, failure> checkDocument(const route_document& document);
 
-/// @brief A document with its look-up tables; does not change.
-class route_index {
-public:
-    explicit route_index(route_document document);
-
-    /// @brief Route of a host and a path: the longest prefix wins. @param target path, perhaps with a query
-    [[nodiscard]] const route* find(std::string_view host, std::string_view target) const;
-    /// @brief Workspace that holds a key, if any.
-    [[nodiscard]] const workspace_keys* holderOf(std::string_view key) const;
-    [[nodiscard]] const service* findService(std::string_view name) const;
-    [[nodiscard]] const route_document& document() const { return m_document; }
-
-private:
-    route_document m_document;
-    std::map<std::string, std::vector<const route*>, std::less<>> m_byHost; ///< longest prefix first
-    std::map<std::string, const workspace_keys*, std::less<>> m_byKey;
-};
-
 /// @brief Picks a service by the weights. @param draw uniform in [0, 1)
 const std::string& pickService(const route& route, double draw);
 
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "buckthornrail/gateway/layer_path.hpp"
-#include "buckthornrail/gateway/route_document.hpp"
+#include "buckthornrail/gateway/route_index.hpp"
 #include "buckthornrail/registry/load_board.hpp"
 
 #include <array>
--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -7,6 +7,7 @@
 #include "buckthornrail/dispatch/claim_table.hpp"
 #include "buckthornrail/dispatch/messages.hpp"
 #include "buckthornrail/dispatch/order_keeper.hpp"
+#include "buckthornrail/document/change.hpp"
 #include "buckthornrail/execution/stage_guard.hpp"
 #include "buckthornrail/membership/membership_table.hpp"
 #include "buckthornrail/registry/quarantine.hpp"
@@ -158,7 +159,9 @@
 struct gateway_beat {
     instance_id instance;
     std::uint64_t sequence = 0;
-    std::uint64_t documentVersion = 0;
+    std::uint64_t documentVersion = 0; ///< of the text that it holds; 0: none
+    /// Version in force of one that takes the document in slices. Nothing: of a program that needs the text.
+    std::optional<std::uint64_t> sliceVersion;
     std::uint64_t targetRevision = 0;
     std::uint32_t openAttempts = 0; ///< under way at targets
     std::vector<registry::target_incarnation> darkTargets; ///< that were dead or cut off for it since the last beat
@@ -177,6 +180,16 @@
     std::string patch;
 };
 
+/// Controller to gateway: a slice of a change of the document. The update that follows puts whole changes in force.
+struct document_slice {
+    std::uint64_t from = 0; ///< version that the receiver must hold; 0: none, the slices make the whole document
+    std::uint64_t to = 0;
+    std::uint32_t number = 0; ///< from 0 on
+    std::uint32_t count = 1; ///< of slices of this change
+    std::uint64_t digest = 0; ///< of the document at `to`
+    std::string patch; ///< of the part, as encodeChange() gives it (see compression/text_patch.hpp)
+};
+
 /// Controller to gateway. Sent after a quorum has confirmed what the controller holds, or with what was committed.
 struct gateway_update {
     std::uint64_t sequence = 0; ///< of the beat that this answers; 0: none
@@ -214,7 +227,7 @@
     dispatch::attempt_refused, dispatch::attempt_started, dispatch::answer_frame, dispatch::answer_end,
     dispatch::attempt_revoke, dispatch::revoke_reply, dispatch::answer_attach, dispatch::attach_reply,
     dispatch::load_report, execution::stage_step, stage_fence, stage_fenced, stage_close, stage_token, stage_failed,
-    order_report, gateway_beat, gateway_update, member_report, registry::fleet_report>;
+    order_report, gateway_beat, gateway_update, member_report, registry::fleet_report, document_slice>;
 
 /// @brief A message as CBOR, with the protocol version and its type.
 std::string encode(const message& value);
@@ -225,6 +238,12 @@
 /// @brief A change of the table of targets as CBOR.
 std::string encodeDelta(const registry::target_delta& delta);
 
+/// @brief A change of the document, or a part of one, as CBOR.
+std::string encodeChange(const document::change& change);
+
+/// @return the change; MalformedMessage when it isn't one.
+tl::expected<document::change, failure> decodeChange(const std::string& bytes);
+
 /// @return the change; MalformedMessage when it isn't one.
 tl::expected<registry::target_delta, failure> decodeDelta(const std::string& bytes);
 
--- /dev/null
+++ b/src/app/document_feed.cpp
@@ -0,0 +1,107 @@
+/// @file
+/// @brief Cutting, comparing and encoding the document.
+#include "app/document_feed.hpp"
+
+#include "buckthornrail/compression/text_patch.hpp"
+#include "buckthornrail/telemetry/log.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::app {
+namespace {
+
+/// Gateways lag by one version as a rule, by a few where changes come in quick succession.
+constexpr std::size_t keptSteps = 8;
+/// Bytes that a slice may come to: as many as a message between processes.
+constexpr std::size_t longestSlice = 32U << 20U;
+
+std::vector<std::string> encodeAll(const std::vector<document::change_slice>& slices)
+{
+    std::vector<std::string> messages;
+    messages.reserve(slices.size());
+    for (const auto& slice : slices)
+        messages.push_back(link::encode(link::message(packSlice(slice))));
+    return messages;
+}
+
+} // namespace
+
+link::document_slice packSlice(const document::change_slice& slice)
+{
+    return { slice.from, slice.to, slice.number, slice.count, slice.digest,
+        compression::makePatch({}, link::encodeChange(slice.part)) };
+}
+
+tl::expected<document::change_slice, failure> unpackSlice(const link::document_slice& packed)
+{
+    const auto bytes = compression::applyPatch({}, packed.patch, longestSlice);
+    if (!bytes)
+        return tl::make_unexpected(bytes.error());
+    auto part = link::decodeChange(*bytes);
+    if (!part)
+        return tl::make_unexpected(part.error());
+    return document::change_slice { packed.from, packed.to, packed.number, packed.count, packed.digest,
+        std::move(*part) };
+}
+
+void document_feed::follow(const versioned_text& committed)
+{
+    if (committed.version == m_marks.version())
+        return;
+    const auto outline = m_dialect.cutDocument(committed.text);
+    if (!outline) {
+        telemetry::logEvent(event_code::ConfigurationRejected,
+            { { "version", std::to_string(committed.version) }, { "reason", outline.error().reason } },
+            telemetry::severity::Error);
+        return;
+    }
+    readRest(outline->rest);
+    const std::uint64_t from = m_marks.version();
+    auto messages = encodeAll(m_marks.follow(*outline));
+    if (from == 0) {
+        m_whole = std::move(messages);
+        return;
+    }
+    m_whole.clear();
+    m_steps.push_back({ from, std::move(messages) });
+    if (m_steps.size() > keptSteps)
+        m_steps.pop_front();
+}
+
+void document_feed::readRest(const std::string& rest)
+{
+    if (rest == m_restText)
+        return;
+    auto read = m_dialect.readRest(rest);
+    if (!read) {
+        telemetry::logEvent(
+            event_code::ConfigurationRejected, { { "reason", read.error().reason } }, telemetry::severity::Error);
+        return;
+    }
+    m_rest = std::move(*read);
+    m_restText = rest;
+}
+
+std::vector<const std::string*> document_feed::messagesFrom(std::uint64_t held, const versioned_text& newest)
+{
+    std::vector<const std::string*> messages;
+    if (held >= m_marks.version())
+        return messages;
+    auto next = std::find_if(m_steps.begin(), m_steps.end(), [held](const step& one) { return one.from == held; });
+    if (next != m_steps.end() && held != 0) {
+        for (; next != m_steps.end(); ++next) {
+            for (const auto& message : next->messages)
+                messages.push_back(&message);
+        }
+        return messages;
+    }
+    if (m_whole.empty()) {
+        if (const auto outline = m_dialect.cutDocument(newest.text))
+            m_whole = encodeAll(document::slicesOf(*outline));
+    }
+    for (const auto& message : m_whole)
+        messages.push_back(&message);
+    return messages;
+}
+
+} // namespace buckthornrail::app
--- a/src/app/gateway.cpp
+++ b/src/app/gateway.cpp
@@ -43,15 +43,15 @@
     const gateway::traffic_dialect& traffic, const gateway::control_dialect& control, telemetry::metrics& metrics)
     : m_loop(loop)
     , m_settings(settings)
-    , m_control(control)
+    , m_document(control)
     , m_context { loop, traffic, metrics, gateway::target_pool(poolOptions(settings), randomNumber()),
         gateway::repeat_budgets(budgetOptions(settings)), nullptr, 0, std::mt19937_64(randomNumber()) }
     , m_listener(loop, [this](net::channel_pointer channel) { onChannel(std::move(channel)); })
     , m_health(loop,
           [this](const net::whole_request& request, const net::responder& respond) { onHealthCall(request, respond); })
-    , m_session(loop, settings,
+    , m_session(loop, settings, m_document,
           gateway_session_callbacks {
-              [this](const versioned_text& document) { onDocument(document); },
+              [this] { onDocument(); },
               [this](const registry::target_view& targets) { onTargets(targets); },
               [this] { return static_cast<std::uint32_t>(m_context.pool.openAttempts()); },
               [this] { return m_context.pool.loads(); },
@@ -129,7 +129,7 @@
 
 gateway::caller_limits gateway_role::limits() const
 {
-    return m_context.document ? m_context.document->document().limits : gateway::caller_limits {};
+    return m_context.document ? m_context.document->rest()->limits : gateway::caller_limits {};
 }
 
 void gateway_role::onChannel(net::channel_pointer channel)
@@ -154,18 +154,20 @@
             { { "gateways", std::to_string(update.budgetSharers) }, { "before", std::to_string(before) } });
 }
 
-void gateway_role::onDocument(const versioned_text& document)
+void gateway_role::onDocument()
+{
+    m_context.document = m_document.index();
+    if (std::exchange(m_services, m_context.document->rest()) != m_context.document->rest())
+        tellEngines();
+    telemetry::logEvent(event_code::ConfigurationApplied,
+        { { "version", std::to_string(m_context.document->version()) },
+            { "routes", std::to_string(m_context.document->routeCount()) } });
+}
+
+void gateway_role::tellEngines()
 {
-    auto read = m_control.readDocument(document.text);
-    if (!read) {
-        telemetry::logEvent(event_code::ConfigurationRejected,
-            { { "version", std::to_string(document.version) }, { "reason", read.error().reason } },
-            telemetry::severity::Error);
-        return;
-    }
-    m_context.document = std::make_shared<gateway::route_index>(std::move(*read));
     std::set<std::string> engines;
-    for (const auto& service : m_context.document->document().services) {
+    for (const auto& service : m_services->services) {
         m_context.pool.setEngine(service.name, service.engine);
         if (service.engine)
             engines.insert(service.name);
@@ -175,9 +177,6 @@
             m_context.pool.setEngine(name, std::nullopt);
     }
     m_engines = std::move(engines);
-    telemetry::logEvent(event_code::ConfigurationApplied,
-        { { "version", std::to_string(document.version) },
-            { "routes", std::to_string(m_context.document->document().routes.size()) } });
 }
 
 void gateway_role::onTargets(const registry::target_view& targets)
@@ -199,7 +198,7 @@
         return;
     telemetry::logEvent(event_code::ProcessStoodStill,
         { { "ms", std::to_string(gap.count()) },
-            { "version", std::to_string(m_context.document ? m_context.document->document().version : 0) } },
+            { "version", std::to_string(m_context.document ? m_context.document->version() : 0) } },
         telemetry::severity::Warning);
     m_context.confirmBy = now + documentPatience;
     m_session.beatSoon();
--- a/src/app/gateway.hpp
+++ b/src/app/gateway.hpp
@@ -36,7 +36,8 @@
     void onChannel(net::channel_pointer channel);
     /// @brief Takes over what the leader says of the other gateways.
     void onServed(const link::gateway_update& update);
-    void onDocument(const versioned_text& document);
+    /// @brief Another version is in force.
+    void onDocument();
     /// @brief What was told before a standstill may be long overtaken: calls wait until it is confirmed.
     void lookForStandstill();
     /// @brief Lets calls go on that wait for the controllers' word.
@@ -55,13 +56,16 @@
     void spreadQuarantine();
     void onHealthCall(const net::whole_request& request, const net::responder& respond);
     void checkStopped();
+    /// @brief Tells the pool which engines the services have.
+    void tellEngines();
     [[nodiscard]] bool isReady() const { return m_context.document != nullptr && !m_context.isStopping; }
 
     link::event_loop& m_loop;
     const settings::settings& m_settings;
-    const gateway::control_dialect& m_control;
+    gateway_document m_document;
     gateway_context m_context;
     std::set<std::string> m_engines; ///< services that the pool knows an engine of
+    std::shared_ptr<const gateway::document_rest> m_services; ///< that the pool knows
     std::set<std::shared_ptr<caller_channel>> m_channels;
     net::tcp_listener m_listener;
     net::http_service m_health;
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -99,13 +99,13 @@
     }
     const auto& index = *m_context.document;
     const auto host = http1::valueOf(m_head.fields, "Host");
-    const auto* route = index.find(host.value_or(""), m_head.target);
+    const auto route = index.find(host.value_or(""), m_head.target);
     if (route == nullptr) {
         refuse(result_code::NotFound, "no route for host and path");
         return;
     }
-    const auto* holder = m_caller.key.empty() ? nullptr : index.holderOf(m_caller.key);
-    if (index.document().needsKeys && !route->isPublic && holder == nullptr) {
+    const auto holder = m_caller.key.empty() ? nullptr : index.holderOf(m_caller.key);
+    if (index.rest()->needsKeys && !route->isPublic && holder == nullptr) {
         refuse(result_code::Unauthorized, "no workspace holds the key");
         return;
     }
@@ -117,7 +117,7 @@
     }
     gateway::exchange_request request;
     request.id = m_caller.requestId;
-    request.document = m_context.document;
+    request.documentVersion = index.version();
     request.chosen = route;
     std::uniform_real_distribution<double> draw(0, 1);
     request.service = gateway::pickService(*route, draw(m_context.random));
@@ -398,7 +398,7 @@
 
 void gateway_call::refuse(result_code code, const std::string& reason)
 {
-    const std::uint64_t version = m_context.document ? m_context.document->document().version : 0;
+    const std::uint64_t version = m_context.document ? m_context.document->version() : 0;
     telemetry::logEvent(event_code::CallRefused,
         { { "request", m_caller.requestId }, { "code", std::to_string(static_cast<int>(code)) }, { "reason", reason },
             { "version", std::to_string(version) }, { "target", m_head.target } });
--- /dev/null
+++ b/src/app/gateway_document.cpp
@@ -0,0 +1,75 @@
+/// @file
+/// @brief Taking changes of the document over.
+#include "app/gateway_document.hpp"
+
+namespace buckthornrail::app {
+
+tl::expected<void, failure> gateway_document::take(const link::document_slice& slice)
+{
+    m_text = {};
+    const auto unpacked = unpackSlice(slice);
+    if (!unpacked)
+        return tl::make_unexpected(unpacked.error());
+    const auto taken = m_assembly.take(*unpacked);
+    if (taken || taken.error().code != result_code::InvalidDocument)
+        return taken;
+    logUnreadable(slice.to, taken.error());
+    m_needsWhole = true;
+    return {};
+}
+
+tl::expected<void, failure> gateway_document::take(const link::text_update& update)
+{
+    if (auto applied = applyTextUpdate(m_text, update); !applied)
+        return applied;
+    if (m_text.version <= version())
+        return {};
+    const auto outline = m_dialect.cutDocument(m_text.text);
+    if (!outline) {
+        logUnreadable(m_text.version, outline.error());
+        return {};
+    }
+    for (const auto& slice : document::slicesOf(*outline)) {
+        const auto taken = m_assembly.take(slice);
+        if (!taken)
+            logUnreadable(m_text.version, taken.error());
+    }
+    return {};
+}
+
+tl::expected<bool, failure> gateway_document::putInForce()
+{
+    bool isChanged = false;
+    for (auto& finished : m_assembly.takeFinished()) {
+        if (finished.change.to <= version())
+            continue; // sent before the controller knew what is held
+        if (const auto put = putInForce(std::move(finished)); !put) {
+            m_needsWhole = true;
+            return tl::make_unexpected(put.error());
+        }
+        isChanged = true;
+    }
+    return isChanged;
+}
+
+tl::expected<void, failure> gateway_document::putInForce(gateway::finished_change finished)
+{
+    if (!finished.whole) {
+        if (m_index)
+            return m_index->apply(finished.change);
+        return tl::make_unexpected(failure { result_code::MalformedMessage, "a change, and no document is held" });
+    }
+    if (auto sealed = finished.whole->seal(finished.change.to, finished.change.digest); !sealed)
+        return sealed;
+    m_index = std::move(finished.whole);
+    m_needsWhole = false;
+    return {};
+}
+
+void gateway_document::logUnreadable(std::uint64_t version, const failure& fault)
+{
+    telemetry::logEvent(event_code::ConfigurationRejected,
+        { { "version", std::to_string(version) }, { "reason", fault.reason } }, telemetry::severity::Error);
+}
+
+} // namespace buckthornrail::app
--- /dev/null
+++ b/src/app/gateway_document_test.cpp
@@ -0,0 +1,283 @@
+/// @file
+/// @brief The document's way from registries to a gateway, of this program and of the one before.
+#include "app/gateway_document.hpp"
+
+#include "buckthornrail/compression/text_patch.hpp"
+#include "platform/dialects.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace buckthornrail;
+using namespace buckthornrail::app;
+using nlohmann::json;
+
+namespace {
+
+const gateway::control_dialect& dialect() { return platform::controlDialect(); }
+
+json routeOf(const std::string& name, const std::string& service)
+{
+    return { { "name", name }, { "host", "h" }, { "path-prefix", "/" + name + "/" }, { "kind", "safe" },
+        { "timeout-ms", 1000 }, { "service", service } };
+}
+
+json documentOf(std::uint64_t version, const std::vector<json>& routes)
+{
+    return { { "version", version }, { "routes", routes }, { "services", json::array({ { { "name", "s" } } }) },
+        { "tenants", json::array({ { { "name", "w" }, { "api-keys", { "k" } } } }) } };
+}
+
+versioned_text manyRoutes(std::uint64_t version, int routes)
+{
+    std::vector<json> all;
+    for (int at = 0; at < routes; ++at)
+        all.push_back(routeOf("r" + std::to_string(at), "s"));
+    return { version, documentOf(version, all).dump() };
+}
+
+/// A registry and the gateways that it tells.
+class registry_side {
+public:
+    explicit registry_side(const versioned_text& first)
+        : m_newest(first)
+    {
+        m_feed.follow(m_newest);
+    }
+
+    void publish(versioned_text next)
+    {
+        m_newest = std::move(next);
+        m_feed.follow(m_newest);
+    }
+
+    /// @brief What a gateway lacks, taken over. @return slices
+    std::size_t tell(gateway_document& gateway)
+    {
+        const auto messages = m_feed.messagesFrom(gateway.toldVersion(), m_newest);
+        for (const auto* bytes : messages) {
+            const auto decoded = link::decode(*bytes);
+            REQUIRE(decoded);
+            REQUIRE(gateway.take(std::get<link::document_slice>(*decoded)));
+        }
+        REQUIRE(gateway.putInForce());
+        return messages.size();
+    }
+
+    document_feed& feed() { return m_feed; }
+    [[nodiscard]] const versioned_text& newest() const { return m_newest; }
+
+private:
+    versioned_text m_newest;
+    document_feed m_feed { dialect() };
+};
+
+/// What the program before sends.
+link::text_update wholeText(const versioned_text& text)
+{
+    return { 0, text.version, compression::makePatch({}, text.text) };
+}
+
+} // namespace
+
+TEST_CASE("gateway document: slices make what was published", "[gateway_document]")
+{
+    registry_side registry(manyRoutes(3, 500));
+    gateway_document held(dialect());
+    CHECK(registry.tell(held) > 1);
+    CHECK(held.version() == 3);
+    CHECK(held.index()->routeCount() == 500);
+    CHECK(held.index()->find("h", "/r499/x")->name == "r499");
+    CHECK(held.index()->holderOf("k")->workspace == "w");
+    CHECK(held.index()->rest()->needsKeys);
+    CHECK(held.index()->rest()->services.at(0).name == "s");
+
+    registry.publish(manyRoutes(4, 501));
+    registry.publish(manyRoutes(8, 499));
+    CHECK(registry.tell(held) == 2); // one for each version
+    CHECK(held.version() == 8);
+    CHECK(held.index()->find("h", "/r499/x") == nullptr);
+    CHECK(held.index()->find("h", "/r498/x")->name == "r498");
+    CHECK(registry.tell(held) == 0);
+}
+
+TEST_CASE("gateway document: one that lags by many versions, or by those of a later start, gets the whole",
+    "[gateway_document]")
+{
+    registry_side registry(manyRoutes(1, 10));
+    gateway_document held(dialect());
+    registry.tell(held);
+    SECTION("many versions")
+    {
+        for (std::uint64_t version = 2; version < 40; ++version)
+            registry.publish(manyRoutes(version, 10 + static_cast<int>(version)));
+        registry.tell(held);
+        CHECK(held.version() == 39);
+        CHECK(held.index()->routeCount() == 49);
+    }
+    SECTION("a registry that has just started")
+    {
+        registry_side other(manyRoutes(2, 12));
+        other.tell(held);
+        CHECK(held.version() == 2);
+        CHECK(held.index()->routeCount() == 12);
+    }
+}
+
+TEST_CASE("gateway document: slices of a link that ended are forgotten", "[gateway_document]")
+{
+    registry_side registry(manyRoutes(1, 1000));
+    gateway_document held(dialect());
+    const auto messages = registry.feed().messagesFrom(0, registry.newest());
+    REQUIRE(messages.size() > 2);
+    const auto sliceAt
+        = [&messages](std::size_t at) { return std::get<link::document_slice>(*link::decode(*messages[at])); };
+    REQUIRE(held.take(sliceAt(0)));
+    REQUIRE(held.take(sliceAt(1)));
+    CHECK(*held.putInForce() == false);
+    CHECK(held.index() == nullptr);
+    held.linkEnded();
+    CHECK_FALSE(held.take(sliceAt(2))); // its beginning is gone
+    registry.tell(held);
+    CHECK(held.index()->routeCount() == 1000);
+}
+
+TEST_CASE("gateway document: damaged slices are refused and change nothing", "[gateway_document]")
+{
+    registry_side registry(manyRoutes(1, 10));
+    gateway_document held(dialect());
+    registry.tell(held);
+    registry.publish(manyRoutes(2, 11));
+    const auto messages = registry.feed().messagesFrom(1, registry.newest());
+    REQUIRE(messages.size() == 1);
+    auto slice = std::get<link::document_slice>(*link::decode(*messages.front()));
+    SECTION("its bytes")
+    {
+        slice.patch[slice.patch.size() / 2] ^= 0x55;
+        CHECK_FALSE(held.take(slice));
+    }
+    SECTION("its number")
+    {
+        slice.number = 1;
+        CHECK_FALSE(held.take(slice));
+    }
+    SECTION("its digest")
+    {
+        ++slice.digest;
+        CHECK(held.take(slice));
+        CHECK_FALSE(held.putInForce());
+        CHECK(held.toldVersion() == 0);
+    }
+    SECTION("its start")
+    {
+        slice.from = 7;
+        CHECK(held.take(slice));
+        CHECK_FALSE(held.putInForce());
+    }
+    CHECK(held.version() == 1);
+    CHECK(held.index()->routeCount() == 10);
+    held.linkEnded();
+    registry.tell(held);
+    CHECK(held.version() == 2);
+}
+
+TEST_CASE("gateway document: an entry that can't be read leaves the version before in force", "[gateway_document]")
+{
+    registry_side registry(manyRoutes(1, 10));
+    gateway_document held(dialect());
+    registry.tell(held);
+    json unreadable = documentOf(2, { routeOf("a", "s") });
+    unreadable["routes"][0]["timeout-ms"] = "soon";
+    registry.publish({ 2, unreadable.dump() });
+    registry.tell(held);
+    CHECK(held.version() == 1);
+    CHECK(held.index()->routeCount() == 10);
+    CHECK(held.toldVersion() == 0); // the next version follows from one that it doesn't hold
+    registry.publish(manyRoutes(3, 11));
+    registry.tell(held);
+    CHECK(held.version() == 3);
+    CHECK(held.toldVersion() == 3);
+    CHECK(held.index()->routeCount() == 11);
+}
+
+TEST_CASE("gateway document: an upgrade can be rolled", "[gateway_document]")
+{
+    registry_side registry(manyRoutes(5, 20));
+    gateway_document held(dialect());
+    registry.tell(held);
+    CHECK(held.textVersion() == 0); // so a controller of the program before sends the whole text
+    SECTION("to a controller of the program before, which is ahead, and back")
+    {
+        const auto ahead = manyRoutes(6, 30);
+        REQUIRE(held.take(wholeText(ahead)));
+        CHECK(*held.putInForce());
+        CHECK(held.version() == 6);
+        CHECK(held.textVersion() == 6);
+        CHECK(held.index()->routeCount() == 30);
+        const auto next = manyRoutes(7, 31);
+        REQUIRE(held.take(link::text_update { 6, 7, compression::makePatch(ahead.text, next.text) }));
+        CHECK(*held.putInForce());
+        CHECK(held.index()->routeCount() == 31);
+        registry.publish(manyRoutes(8, 32));
+        registry.tell(held);
+        CHECK(held.version() == 8);
+        CHECK(held.index()->routeCount() == 32);
+        CHECK(held.textVersion() == 0);
+    }
+    SECTION("to one that is behind: never an older version")
+    {
+        REQUIRE(held.take(wholeText(manyRoutes(4, 3))));
+        CHECK(*held.putInForce() == false);
+        CHECK(held.version() == 5);
+        CHECK(held.index()->routeCount() == 20);
+    }
+    SECTION("a beat tells controllers of both programs what they need")
+    {
+        link::gateway_beat beat;
+        beat.documentVersion = held.textVersion();
+        beat.sliceVersion = held.version();
+        const auto decoded = link::decode(link::encode(link::message(beat)));
+        REQUIRE(decoded);
+        CHECK(std::get<link::gateway_beat>(*decoded).documentVersion == 0);
+        CHECK(std::get<link::gateway_beat>(*decoded).sliceVersion == 5U);
+        beat.sliceVersion.reset();
+        CHECK_FALSE(std::get<link::gateway_beat>(*link::decode(link::encode(link::message(beat)))).sliceVersion);
+    }
+}
+
+TEST_CASE("gateway document: what gateways hold is what a reading of the whole text gives", "[gateway_document]")
+{
+    rc::prop("any versions", [] {
+        const auto names = rc::gen::unique<std::vector<int>>(rc::gen::inRange(0, 30));
+        registry_side registry(manyRoutes(1, 1));
+        gateway_document held(dialect());
+        gateway_document other(dialect());
+        const auto versions = *rc::gen::inRange<std::uint64_t>(2, 6);
+        for (std::uint64_t version = 2; version <= versions; ++version) {
+            std::vector<json> routes;
+            for (const int name : *names)
+                routes.push_back(routeOf("r" + std::to_string(name), "s"));
+            auto whole = documentOf(version, routes);
+            if (*rc::gen::arbitrary<bool>())
+                whole.erase("tenants");
+            const std::string text = *rc::gen::arbitrary<bool>() ? whole.dump() : whole.dump(2);
+            registry.publish({ version, text });
+            if (*rc::gen::arbitrary<bool>())
+                registry.tell(other); // this one lags now and then
+            registry.tell(held);
+            const auto read = dialect().readDocument(text);
+            RC_ASSERT(read.has_value());
+            const gateway::route_index expected(*read);
+            RC_ASSERT(held.index()->routeCount() == expected.routeCount());
+            RC_ASSERT(held.index()->rest()->needsKeys == expected.rest()->needsKeys);
+            for (int name = 0; name < 30; ++name) {
+                const std::string path = "/r" + std::to_string(name) + "/x";
+                RC_ASSERT((held.index()->find("h", path) != nullptr) == (expected.find("h", path) != nullptr));
+            }
+            RC_ASSERT((held.index()->holderOf("k") != nullptr) == (expected.holderOf("k") != nullptr));
+        }
+        registry.tell(other);
+        RC_ASSERT(other.index()->routeCount() == held.index()->routeCount());
+    });
+}
--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway_session.cpp
@@ -43,12 +43,13 @@
 
 } // namespace
 
-gateway_session::gateway_session(
-    link::event_loop& loop, const settings::settings& settings, gateway_session_callbacks callbacks)
+gateway_session::gateway_session(link::event_loop& loop, const settings::settings& settings, gateway_document& held,
+    gateway_session_callbacks callbacks)
     : m_settings(settings)
     , m_callbacks(std::move(callbacks))
     , m_seeds(settings.controllers)
     , m_nextAddress(std::hash<std::string>()(settings.id))
+    , m_document(held)
     , m_hub(loop,
           link::hub_handlers {
               [this](link::channel_number channel, bool) { onOpened(channel); },
@@ -111,7 +112,7 @@
         { { "controller", m_address }, { "reason", why },
             { "silent_ms", std::to_string(between(m_answeredAt, steadyNow()).count()) },
             { "received", std::to_string(m_hub.bytesReceived() - m_receivedBefore) },
-            { "version", std::to_string(m_document.version) } },
+            { "version", std::to_string(m_document.version()) } },
         telemetry::severity::Warning);
 }
 
@@ -121,6 +122,7 @@
         return;
     m_channel = 0;
     m_open = false;
+    m_document.linkEnded();
     m_toldQuarantine = false;
     const bool wasServed = std::exchange(m_isServed, false);
     if (wasServed && m_leaveCause != leave_cause::Nearer)
@@ -169,7 +171,7 @@
         return;
     m_moveAt = now + movePause;
     telemetry::logEvent(event_code::SessionMoved,
-        { { "controller", m_address }, { "to", nearest }, { "version", std::to_string(m_document.version) } });
+        { { "controller", m_address }, { "to", nearest }, { "version", std::to_string(m_document.version()) } });
     leave(leave_cause::Nearer, nearest);
 }
 
@@ -187,8 +189,9 @@
         return;
     for (auto& target : m_callbacks.takeDarkTargets())
         m_dark.push_back(std::move(target));
-    link::gateway_beat beat { m_settings.id, ++m_sequence, m_document.version, m_targets.revision(),
-        m_callbacks.openAttempts(), std::exchange(m_dark, {}), m_callbacks.loads(), m_life, {}, false };
+    link::gateway_beat beat { m_settings.id, ++m_sequence, m_document.textVersion(), m_document.toldVersion(),
+        m_targets.revision(), m_callbacks.openAttempts(), std::exchange(m_dark, {}), m_callbacks.loads(), m_life, {},
+        false };
     m_callbacks.tellRepeats(beat);
     m_callbacks.tellQuarantine(beat, !std::exchange(m_toldQuarantine, true));
     m_hub.send(m_channel, link::encode(link::message(std::move(beat))));
@@ -207,9 +210,12 @@
 void gateway_session::onMessage(link::channel_number channel, const std::string& bytes)
 {
     const auto message = decodeOrClose(m_hub, channel, bytes);
-    const auto* update = message ? std::get_if<link::gateway_update>(&*message) : nullptr;
-    if (update != nullptr && channel == m_channel)
+    if (!message || channel != m_channel)
+        return;
+    if (const auto* update = std::get_if<link::gateway_update>(&*message))
         onUpdate(*update);
+    else if (const auto* slice = std::get_if<link::document_slice>(&*message))
+        onSlice(*slice);
 }
 
 void gateway_session::onProgress(link::channel_number channel)
@@ -219,6 +225,38 @@
         m_silenceDeadline = steadyNow() + silenceLimit;
 }
 
+void gateway_session::leaveUnfitting(std::uint64_t version, const failure& fault)
+{
+    telemetry::logEvent(event_code::ConfigurationRejected,
+        { { "version", std::to_string(version) }, { "reason", fault.reason } }, telemetry::severity::Warning);
+    leave(leave_cause::Unfitting, {});
+}
+
+void gateway_session::onSlice(const link::document_slice& slice)
+{
+    m_silenceDeadline = steadyNow() + silenceLimit;
+    if (const auto taken = m_document.take(slice); !taken)
+        leaveUnfitting(slice.to, taken.error());
+}
+
+bool gateway_session::takeDocument(const link::gateway_update& update)
+{
+    for (const auto& change : update.document) {
+        if (const auto taken = m_document.take(change); !taken) {
+            leaveUnfitting(change.to, taken.error());
+            return false;
+        }
+    }
+    const auto changed = m_document.putInForce();
+    if (!changed) {
+        leaveUnfitting(m_document.version(), changed.error());
+        return false;
+    }
+    if (*changed)
+        m_callbacks.documentChanged();
+    return true;
+}
+
 void gateway_session::onUpdate(const link::gateway_update& update)
 {
     if (!update.isServed) {
@@ -236,18 +274,8 @@
     if (!update.controllers.empty())
         m_controllers = update.controllers;
     m_callbacks.served(update);
-    for (const auto& change : update.document) {
-        const std::uint64_t before = m_document.version;
-        if (const auto applied = applyTextUpdate(m_document, change); !applied) {
-            telemetry::logEvent(event_code::ConfigurationRejected,
-                { { "version", std::to_string(change.to) }, { "reason", applied.error().reason } },
-                telemetry::severity::Warning);
-            leave(leave_cause::Unfitting, {}); // the next session tells what is held, and gets what follows from it
-            return;
-        }
-        if (m_document.version != before)
-            m_callbacks.documentChanged(m_document);
-    }
+    if (!takeDocument(update))
+        return;
     for (const auto& change : update.targets) {
         const auto delta = readTargetsUpdate(change);
         if (!delta)
--- a/src/app/gateway_session.hpp
+++ b/src/app/gateway_session.hpp
@@ -3,8 +3,8 @@
 /// there is one, and takes document and targets over.
 #pragma once
 
+#include "app/gateway_document.hpp"
 #include "app/process.hpp"
-#include "app/registry_state.hpp"
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/net/tcp.hpp"
 
@@ -20,7 +20,7 @@
 };
 
 struct gateway_session_callbacks {
-    std::function<void(const versioned_text&)> documentChanged;
+    std::function<void()> documentChanged; ///< another version is in force
     std::function<void(const registry::target_view&)> targetsChanged;
     std::function<std::uint32_t()> openAttempts;
     std::function<registry::load_row()> loads; ///< of own attempts, at the targets told of last
@@ -37,7 +37,8 @@
 /// quorum has just confirmed.
 class gateway_session {
 public:
-    gateway_session(link::event_loop& loop, const settings::settings& settings, gateway_session_callbacks callbacks);
+    gateway_session(link::event_loop& loop, const settings::settings& settings, gateway_document& held,
+        gateway_session_callbacks callbacks);
 
     /// @brief Takes other seeds over.
     void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
@@ -52,6 +53,11 @@
     void onMessage(link::channel_number channel, const std::string& bytes);
     void onProgress(link::channel_number channel);
     void onUpdate(const link::gateway_update& update);
+    void onSlice(const link::document_slice& slice);
+    /// @brief Takes the document over as far as it has come. @return false: the session is being left
+    bool takeDocument(const link::gateway_update& update);
+    /// @brief Leaves a controller whose change can't be taken: the next session tells what is held.
+    void leaveUnfitting(std::uint64_t version, const failure& fault);
     void leave(leave_cause cause, const std::string& next);
     void onEnding(link::channel_number channel, const link::link_end& end);
     /// @brief Tries another controller soon, unless this one is heard of a leader meanwhile.
@@ -80,7 +86,7 @@
     steady_time m_answeredAt {};
     std::uint64_t m_receivedBefore = 0; ///< bytes, until the last answer
     steady_time m_silenceDeadline {}; ///< without an answer until then another controller is tried
-    versioned_text m_document;
+    gateway_document& m_document;
     registry::target_view m_targets;
     std::vector<registry::target_incarnation> m_dark; ///< not told yet
     bool m_toldQuarantine = false; ///< in this session
--- a/src/app/gateway_session_test.cpp
+++ b/src/app/gateway_session_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// @brief Finding the controller that leads.
 #include "app/gateway_session.hpp"
+#include "platform/dialects.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -51,7 +52,7 @@
 gateway_session_callbacks silentCallbacks()
 {
     gateway_session_callbacks callbacks;
-    callbacks.documentChanged = [](const versioned_text&) {};
+    callbacks.documentChanged = [] {};
     callbacks.targetsChanged = [](const registry::target_view&) {};
     callbacks.openAttempts = [] { return 0U; };
     callbacks.loads = [] { return registry::load_row(); };
@@ -81,7 +82,8 @@
     settings.failureDomain = "own";
     settings.heartbeatMs = 100;
     settings.controllers = { near.address() };
-    gateway_session session(loop, settings, silentCallbacks());
+    gateway_document held(platform::controlDialect());
+    gateway_session session(loop, settings, held, silentCallbacks());
     const auto begun = boot_clock::now();
     int nearBeats = 0;
     int farBeats = 0;
@@ -119,7 +121,8 @@
         isServed = true;
         loop.stop();
     };
-    gateway_session session(loop, settings, std::move(callbacks));
+    gateway_document held(platform::controlDialect());
+    gateway_session session(loop, settings, held, std::move(callbacks));
     loop.runAt(boot_clock::now() + enough, [&loop] { loop.stop(); });
     loop.run();
     CHECK(isServed);
--- a/src/app/registry.cpp
+++ b/src/app/registry.cpp
@@ -26,6 +26,7 @@
     , m_settings(settings)
     , m_dialect(dialect)
     , m_metrics(metrics)
+    , m_feed(dialect)
     , m_orders(loop, dialect)
     , m_watch(loop, dialect, m_state.targets(), milliseconds(settings.targetHeartbeatMs),
           target_watch_callbacks {
@@ -254,8 +255,7 @@
     if (m_log->isLeader()) {
         m_watch.step(now);
         endQuarantineTerms();
-        readDocument();
-        m_orders.step(m_state.targets(), m_services, m_readVersion, now);
+        m_orders.step(m_state.targets(), services(), m_feed.version(), now);
     }
     m_metrics.gauge("is_leader", m_log->isLeader() ? 1 : 0);
     m_metrics.gauge("commit_index", static_cast<double>(m_log->replica().commitIndex()));
@@ -290,15 +290,10 @@
     }
 }
 
-void registry_role::readDocument()
+const std::vector<gateway::service>& registry_role::services()
 {
-    const auto& held = m_state.document();
-    if (held.version == m_readVersion)
-        return;
-    m_readVersion = held.version;
-    auto read = m_dialect.readDocument(held.text);
-    if (read)
-        m_services = std::move(read->services);
+    m_feed.follow(m_state.document());
+    return m_feed.services();
 }
 
 std::optional<milliseconds> registry_role::ageOfSums() const
--- a/src/app/registry.hpp
+++ b/src/app/registry.hpp
@@ -2,6 +2,7 @@
 /// @brief The registry role: a controller before gateways that reach targets without sidecars.
 #pragma once
 
+#include "app/document_feed.hpp"
 #include "app/layer_orders.hpp"
 #include "app/registry_state.hpp"
 #include "app/target_watch.hpp"
@@ -29,7 +30,8 @@
     /// A gateway's session.
     struct session {
         instance_id instance;
-        std::uint64_t documentVersion = 0;
+        std::uint64_t documentVersion = 0; ///< that it holds, or was sent
+        bool takesSlices = false; ///< false: a gateway of the program before, which needs the text
         std::uint64_t targetRevision = 0;
         std::uint64_t waitingSequence = 0; ///< beat that wants an answer; 0: none
         std::uint64_t quarantineRevision = 0; ///< of the standings that it was told
@@ -104,10 +106,14 @@
     /// @param receipts of its batches that stand in the log now
     void sendUpdate(link::channel_number channel, session& one, std::uint64_t sequence,
         std::vector<registry::quarantine_receipt> receipts = {});
+    /// @brief Sends a gateway what it lacks of the document, in slices.
+    void sendSlices(link::channel_number channel, const session& one);
+    void noteSent(link::channel_number channel, const session& one, std::size_t bytes);
     void submitTargets(const std::vector<registry::target_record>& records, std::function<void(bool)> done);
     void onChanged();
     void formWhenFirst();
-    void readDocument();
+    /// @brief Services of the document in force.
+    [[nodiscard]] const std::vector<gateway::service>& services();
     [[nodiscard]] bool isSafeToWrite() const;
     /// @brief Where a target's next heartbeats go: to a controller of its own failure domain if there is one.
     [[nodiscard]] std::string nextHeartbeatAddress(const registry::target_record& record) const;
@@ -118,13 +124,12 @@
     const gateway::control_dialect& m_dialect;
     telemetry::metrics& m_metrics;
     registry_state m_state;
+    document_feed m_feed;
     std::unique_ptr<link::link_hub> m_hub;
     std::unique_ptr<replicated_log> m_log;
     std::unique_ptr<net::http_service> m_control;
     layer_orders m_orders;
     target_watch m_watch;
-    std::vector<gateway::service> m_services; ///< of the document in force
-    std::uint64_t m_readVersion = 0; ///< of that document
     std::uint64_t m_loggedRevision = 0; ///< changes of targets up to it are in the log
     std::map<link::channel_number, session> m_sessions;
     std::vector<link::controller_place> m_places; ///< of all members, to be told
--- a/src/app/registry_sessions.cpp
+++ b/src/app/registry_sessions.cpp
@@ -38,7 +38,8 @@
     one.instance = beat.instance;
     // What was sent over this channel arrives before anything sent later: a beat that crossed it on the way says less
     // than the gateway will hold.
-    one.documentVersion = std::max(one.documentVersion, beat.documentVersion);
+    one.takesSlices = beat.sliceVersion.has_value();
+    one.documentVersion = std::max(one.documentVersion, beat.sliceVersion.value_or(beat.documentVersion));
     one.targetRevision = std::max(one.targetRevision, beat.targetRevision);
     const registry::gateway_life life { beat.instance, beat.life, beat.repeats, beat.isRepeatsComplete };
     m_board.heard(
@@ -184,7 +185,10 @@
     link::gateway_update update;
     update.sequence = sequence;
     update.isServed = true;
-    update.document = m_state.documentUpdate(one.documentVersion);
+    if (one.takesSlices)
+        sendSlices(channel, one); // the update puts them in force
+    else
+        update.document = m_state.documentUpdate(one.documentVersion);
     update.targets = m_state.targetsUpdate(one.targetRevision);
     if (std::exchange(one.placesTold, m_placesRevision) != m_placesRevision)
         update.controllers = m_places;
@@ -201,13 +205,31 @@
     update.quarantineReceipts = std::move(receipts);
     const std::string bytes = link::encode(link::message(update));
     if (!update.document.empty())
-        telemetry::logEvent(event_code::DocumentSent,
-            { { "gateway", one.instance }, { "from", std::to_string(update.document.front().from) },
-                { "to", std::to_string(update.document.front().to) }, { "bytes", std::to_string(bytes.size()) },
-                { "waiting", std::to_string(m_hub->bytesWaiting(channel)) } });
+        noteSent(channel, one, bytes.size());
     one.documentVersion = std::max(one.documentVersion, m_state.document().version);
     one.targetRevision = m_state.targets().revision();
     m_hub->send(channel, bytes);
 }
 
+void registry_role::sendSlices(link::channel_number channel, const session& one)
+{
+    m_feed.follow(m_state.document());
+    const auto messages = m_feed.messagesFrom(one.documentVersion, m_state.document());
+    std::size_t bytes = 0;
+    for (const auto* message : messages) {
+        bytes += message->size();
+        m_hub->send(channel, *message);
+    }
+    if (!messages.empty())
+        noteSent(channel, one, bytes);
+}
+
+void registry_role::noteSent(link::channel_number channel, const session& one, std::size_t bytes)
+{
+    telemetry::logEvent(event_code::DocumentSent,
+        { { "gateway", one.instance }, { "from", std::to_string(one.documentVersion) },
+            { "to", std::to_string(m_state.document().version) }, { "bytes", std::to_string(bytes) },
+            { "waiting", std::to_string(m_hub->bytesWaiting(channel)) } });
+}
+
 } // namespace buckthornrail::app
--- a/src/app/registry_targets.cpp
+++ b/src/app/registry_targets.cpp
@@ -78,10 +78,9 @@
 
 bool registry_role::isServiceNamed(const std::string& service)
 {
-    readDocument();
-    return m_readVersion == 0 || std::any_of(m_services.begin(), m_services.end(), [&service](const auto& one) {
-        return one.name == service;
-    });
+    const auto& named = services();
+    return m_feed.version() == 0
+        || std::any_of(named.begin(), named.end(), [&service](const auto& one) { return one.name == service; });
 }
 
 void registry_role::takeAnnouncement(const registry::target_record& record)
--- /dev/null
+++ b/src/buckthornrail/document/change.cpp
@@ -0,0 +1,153 @@
+/// @file
+/// @brief Comparing versions by their entries.
+#include "buckthornrail/document/change.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <xxhash.h>
+
+namespace buckthornrail::document {
+namespace {
+
+/// Text that a slice adds at most, unless one entry is longer: a tenth of a core reads as much within 20 ms.
+constexpr std::size_t mostAddedBytes = 24U << 10U;
+/// Hashes that a slice removes at most; each is a look-up.
+constexpr std::size_t mostRemoved = 2000;
+
+/// @brief Hashes of entries, sorted, each once.
+std::vector<entry_hash> marksOf(const std::vector<std::string_view>& entries)
+{
+    std::vector<entry_hash> marks;
+    marks.reserve(entries.size());
+    for (const auto entry : entries)
+        marks.push_back(hashOf(entry));
+    std::sort(marks.begin(), marks.end());
+    marks.erase(std::unique(marks.begin(), marks.end()), marks.end());
+    return marks;
+}
+
+entry_changes changesBetween(const std::vector<entry_hash>& before, const std::vector<entry_hash>& after,
+    const std::vector<std::string_view>& entries)
+{
+    entry_changes changes;
+    std::set_difference(before.begin(), before.end(), after.begin(), after.end(), std::back_inserter(changes.removed));
+    std::vector<entry_hash> fresh;
+    std::set_difference(after.begin(), after.end(), before.begin(), before.end(), std::back_inserter(fresh));
+    if (fresh.empty())
+        return changes;
+    std::vector<bool> isAdded(fresh.size(), false); // the same text twice is one entry
+    for (const auto entry : entries) {
+        const entry_hash mark = hashOf(entry);
+        const auto found = std::lower_bound(fresh.begin(), fresh.end(), mark);
+        if (found == fresh.end() || *found != mark)
+            continue;
+        const auto at = static_cast<std::size_t>(found - fresh.begin());
+        if (isAdded[at])
+            continue;
+        isAdded[at] = true;
+        changes.added.emplace_back(entry);
+    }
+    return changes;
+}
+
+std::uint64_t digestOf(
+    const std::vector<entry_hash>& routes, const std::vector<entry_hash>& workspaces, entry_hash rest)
+{
+    content_digest digest;
+    for (const auto mark : routes)
+        digest.add(mark);
+    for (const auto mark : workspaces)
+        digest.add(mark);
+    digest.add(rest);
+    return digest.sum();
+}
+
+/// Fills slices one after another.
+class slicer {
+public:
+    explicit slicer(change_slice head)
+        : m_slices { std::move(head) }
+    {
+    }
+
+    void put(const entry_changes& changes, entry_changes change::*kind)
+    {
+        for (const auto removed : changes.removed) {
+            if (m_removed == mostRemoved)
+                begin();
+            ++m_removed;
+            (m_slices.back().part.*kind).removed.push_back(removed);
+        }
+        for (const auto& added : changes.added) {
+            if (m_addedBytes > 0 && m_addedBytes + added.size() > mostAddedBytes)
+                begin();
+            m_addedBytes += added.size();
+            (m_slices.back().part.*kind).added.push_back(added);
+        }
+    }
+
+    std::vector<change_slice> take()
+    {
+        std::uint32_t number = 0;
+        for (auto& one : m_slices) {
+            one.number = number++;
+            one.count = static_cast<std::uint32_t>(m_slices.size());
+        }
+        return std::move(m_slices);
+    }
+
+private:
+    void begin()
+    {
+        change_slice next;
+        next.from = m_slices.front().from;
+        next.to = m_slices.front().to;
+        next.digest = m_slices.front().digest;
+        m_slices.push_back(std::move(next));
+        m_removed = 0;
+        m_addedBytes = 0;
+    }
+
+    std::vector<change_slice> m_slices;
+    std::size_t m_removed = 0; ///< in the last slice
+    std::size_t m_addedBytes = 0;
+};
+
+} // namespace
+
+entry_hash hashOf(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+
+std::vector<change_slice> slicesOf(std::uint64_t from, std::uint64_t to, std::uint64_t digest, const change& made)
+{
+    change_slice head;
+    head.from = from;
+    head.to = to;
+    head.digest = digest;
+    head.part.rest = made.rest;
+    slicer slices(std::move(head));
+    slices.put(made.routes, &change::routes);
+    slices.put(made.workspaces, &change::workspaces);
+    return slices.take();
+}
+
+std::vector<change_slice> slicesOf(const outline& whole) { return marks().follow(whole); }
+
+std::vector<change_slice> marks::follow(const outline& next)
+{
+    const auto routes = marksOf(next.routes);
+    const auto workspaces = marksOf(next.workspaces);
+    const entry_hash rest = hashOf(next.rest);
+    change made;
+    made.routes = changesBetween(m_routes, routes, next.routes);
+    made.workspaces = changesBetween(m_workspaces, workspaces, next.workspaces);
+    if (rest != m_rest)
+        made.rest = next.rest;
+    const std::uint64_t from = m_version;
+    m_version = next.version;
+    m_routes = routes;
+    m_workspaces = workspaces;
+    m_rest = rest;
+    return slicesOf(from, m_version, digestOf(m_routes, m_workspaces, m_rest), made);
+}
+
+} // namespace buckthornrail::document
--- /dev/null
+++ b/src/buckthornrail/gateway/document_assembly.cpp
@@ -0,0 +1,116 @@
+/// @file
+/// @brief Decoding slices as they come.
+#include "buckthornrail/gateway/document_assembly.hpp"
+
+#include <iterator>
+
+namespace buckthornrail::gateway {
+namespace {
+
+using document::entry_hash;
+
+tl::unexpected<failure> outOfOrder(const document::change_slice& slice)
+{
+    return tl::make_unexpected(failure { result_code::MalformedMessage,
+        "slice " + std::to_string(slice.number) + " of version " + std::to_string(slice.to) + " is out of order" });
+}
+
+/// @brief Reads entries of one kind. @param read of the dialect
+template <typename Entry>
+tl::expected<void, failure> decodeEntries(const control_dialect& dialect,
+    tl::expected<Entry, failure> (control_dialect::*read)(const std::string&) const,
+    const std::vector<std::string>& texts, std::vector<decoded_entry<Entry>>& decoded)
+{
+    for (const auto& text : texts) {
+        auto entry = (dialect.*read)(text);
+        if (!entry)
+            return tl::make_unexpected(entry.error());
+        decoded.push_back({ document::hashOf(text), std::make_shared<const Entry>(std::move(*entry)) });
+    }
+    return {};
+}
+
+void append(std::vector<entry_hash>& all, const std::vector<entry_hash>& more)
+{
+    all.insert(all.end(), more.begin(), more.end());
+}
+
+} // namespace
+
+bool document_assembly::follows(const document::change_slice& slice) const
+{
+    if (slice.number != m_next || slice.number >= slice.count)
+        return false;
+    const auto& open = m_open.change;
+    return m_next == 0 || (slice.from == open.from && slice.to == open.to && slice.digest == open.digest);
+}
+
+tl::expected<void, failure> document_assembly::take(const document::change_slice& slice)
+{
+    if (!follows(slice)) {
+        drop();
+        return outOfOrder(slice);
+    }
+    if (m_next == 0) {
+        m_open = {};
+        m_open.change.from = slice.from;
+        m_open.change.to = slice.to;
+        m_open.change.digest = slice.digest;
+        m_isLeftOut = false;
+        if (slice.from == 0)
+            m_open.whole = std::make_shared<route_index>();
+    }
+    tl::expected<void, failure> decoded;
+    if (!m_isLeftOut)
+        decoded = decode(slice.part);
+    m_isLeftOut = m_isLeftOut || !decoded;
+    m_next = slice.number + 1 == slice.count ? 0 : m_next + 1;
+    if (m_next == 0 && !m_isLeftOut)
+        m_finished.push_back(std::move(m_open));
+    if (m_next == 0)
+        m_open = {};
+    return decoded;
+}
+
+tl::expected<void, failure> document_assembly::decode(const document::change& part)
+{
+    decoded_change slice;
+    if (auto read = decodeEntries(m_dialect, &control_dialect::readRoute, part.routes.added, slice.routes); !read)
+        return read;
+    if (auto read = decodeEntries(m_dialect, &control_dialect::readWorkspace, part.workspaces.added, slice.workspaces);
+        !read)
+        return read;
+    if (!part.rest.empty()) {
+        auto rest = m_dialect.readRest(part.rest);
+        if (!rest)
+            return tl::make_unexpected(rest.error());
+        slice.rest = std::make_shared<const document_rest>(std::move(*rest));
+        slice.restHash = document::hashOf(part.rest);
+    }
+    if (m_open.whole) {
+        m_open.whole->put(slice);
+        return {};
+    }
+    auto& change = m_open.change;
+    append(change.removedRoutes, part.routes.removed);
+    append(change.removedWorkspaces, part.workspaces.removed);
+    std::move(slice.routes.begin(), slice.routes.end(), std::back_inserter(change.routes));
+    std::move(slice.workspaces.begin(), slice.workspaces.end(), std::back_inserter(change.workspaces));
+    if (slice.rest) {
+        change.rest = slice.rest;
+        change.restHash = slice.restHash;
+    }
+    return {};
+}
+
+std::vector<finished_change> document_assembly::takeFinished() { return std::exchange(m_finished, {}); }
+
+void document_assembly::drop()
+{
+    m_finished.clear();
+    m_open = {};
+    m_next = 0;
+    m_isLeftOut = false;
+}
+
+} // namespace buckthornrail::gateway
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -403,8 +403,8 @@
     m_pool.began(m_where, m_request.size);
     m_port.note(event_code::RouteChosen,
         { { "request", m_request.id }, { "route", m_request.chosen->name },
-            { "version", std::to_string(m_request.document->document().version) },
-            { "attempt", std::to_string(m_tries) }, { "chosen", describe(where) }, { "candidates", where.summary },
+            { "version", std::to_string(m_request.documentVersion) }, { "attempt", std::to_string(m_tries) },
+            { "chosen", describe(where) }, { "candidates", where.summary },
             { "left_ms", inMs(between(now, m_request.deadline)) } });
     scheduleWake(now);
     m_port.openAttempt(m_tries, m_where, m_lastEventId);
--- /dev/null
+++ b/src/buckthornrail/gateway/route_index.cpp
@@ -0,0 +1,178 @@
+/// @file
+/// @brief Looking routes and keys up, and changing them in place.
+#include "buckthornrail/gateway/route_index.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::gateway {
+
+using document::entry_hash;
+
+namespace {
+
+std::string_view withoutPort(std::string_view host) { return host.substr(0, host.find(':')); }
+
+tl::unexpected<failure> unfitting(const std::string& reason)
+{
+    return tl::make_unexpected(failure { result_code::MalformedMessage, "document change: " + reason });
+}
+
+template <typename Table> bool holdsAll(const Table& table, const std::vector<entry_hash>& hashes)
+{
+    return std::all_of(hashes.begin(), hashes.end(), [&table](entry_hash hash) { return table.contains(hash); });
+}
+
+} // namespace
+
+route_index::route_index(route_document whole)
+    : m_version(whole.version)
+{
+    auto rest = std::make_shared<document_rest>();
+    rest->services = std::move(whole.services);
+    rest->limits = whole.limits;
+    rest->needsKeys = whole.needsKeys;
+    m_rest = std::move(rest);
+    // Nothing follows from such an index by a change, so any numbers tell its entries apart.
+    entry_hash number = 0;
+    for (auto& one : whole.routes)
+        add({ ++number, std::make_shared<route>(std::move(one)) });
+    for (auto& one : whole.workspaces)
+        add({ ++number, std::make_shared<workspace_keys>(std::move(one)) });
+}
+
+tl::expected<void, failure> route_index::check(const decoded_change& change) const
+{
+    if (change.from != m_version) {
+        return unfitting(
+            "it follows from version " + std::to_string(change.from) + ", held is " + std::to_string(m_version));
+    }
+    if (!holdsAll(m_routes, change.removedRoutes) || !holdsAll(m_workspaces, change.removedWorkspaces))
+        return unfitting("it removes what isn't held");
+    document::content_digest digest = m_digest;
+    for (const auto hash : change.removedRoutes)
+        digest.remove(hash);
+    for (const auto hash : change.removedWorkspaces)
+        digest.remove(hash);
+    for (const auto& one : change.routes)
+        digest.add(one.hash);
+    for (const auto& one : change.workspaces)
+        digest.add(one.hash);
+    if (change.rest) {
+        digest.remove(m_restHash);
+        digest.add(change.restHash);
+    }
+    if (digest.sum() != change.digest)
+        return unfitting("version " + std::to_string(change.to) + " would hold other entries than it does");
+    return {};
+}
+
+tl::expected<void, failure> route_index::apply(const decoded_change& change)
+{
+    if (auto checked = check(change); !checked)
+        return checked;
+    for (const auto hash : change.removedRoutes)
+        removeRoute(hash);
+    for (const auto hash : change.removedWorkspaces)
+        removeWorkspace(hash);
+    put(change);
+    m_version = change.to;
+    return {};
+}
+
+void route_index::put(const decoded_change& part)
+{
+    for (const auto& one : part.routes)
+        add(one);
+    for (const auto& one : part.workspaces)
+        add(one);
+    if (!part.rest)
+        return;
+    m_digest.remove(m_restHash);
+    m_digest.add(part.restHash);
+    m_rest = part.rest;
+    m_restHash = part.restHash;
+}
+
+tl::expected<void, failure> route_index::seal(std::uint64_t version, std::uint64_t digest)
+{
+    if (m_digest.sum() != digest)
+        return unfitting("version " + std::to_string(version) + " holds other entries than came");
+    m_version = version;
+    return {};
+}
+
+void route_index::add(const decoded_entry<route>& entry)
+{
+    if (!m_routes.emplace(entry.hash, entry.value).second)
+        return;
+    m_digest.add(entry.hash);
+    auto& host = m_byHost[entry.value->host];
+    ++host.lengths[entry.value->pathPrefix.size()];
+    host.byPrefix.emplace(entry.value->pathPrefix, entry.value);
+}
+
+void route_index::removeRoute(entry_hash hash)
+{
+    const auto found = m_routes.find(hash);
+    if (found == m_routes.end())
+        return; // a damaged change names it twice
+    const route_pointer gone = found->second;
+    m_routes.erase(found);
+    m_digest.remove(hash);
+    const auto host = m_byHost.find(gone->host);
+    host->second.byPrefix.erase(gone->pathPrefix);
+    const auto length = host->second.lengths.find(gone->pathPrefix.size());
+    if (--length->second == 0)
+        host->second.lengths.erase(length);
+    if (host->second.byPrefix.empty())
+        m_byHost.erase(host);
+}
+
+void route_index::add(const decoded_entry<workspace_keys>& entry)
+{
+    if (!m_workspaces.emplace(entry.hash, entry.value).second)
+        return;
+    m_digest.add(entry.hash);
+    for (const auto& key : entry.value->keys)
+        m_byKey.emplace(key, entry.value);
+}
+
+void route_index::removeWorkspace(entry_hash hash)
+{
+    const auto found = m_workspaces.find(hash);
+    if (found == m_workspaces.end())
+        return; // a damaged change names it twice
+    const workspace_pointer gone = found->second;
+    m_workspaces.erase(found);
+    m_digest.remove(hash);
+    for (const auto& key : gone->keys) {
+        const auto [begin, end] = m_byKey.equal_range(key);
+        const auto held = std::find_if(begin, end, [&gone](const auto& item) { return item.second == gone; });
+        if (held != end)
+            m_byKey.erase(held);
+    }
+}
+
+route_pointer route_index::find(std::string_view host, std::string_view target) const
+{
+    const auto known = m_byHost.find(withoutPort(host));
+    if (known == m_byHost.end())
+        return nullptr;
+    const std::string_view path = target.substr(0, target.find('?'));
+    for (const auto& [length, count] : known->second.lengths) {
+        if (length > path.size())
+            continue;
+        const auto found = known->second.byPrefix.find(path.substr(0, length));
+        if (found != known->second.byPrefix.end())
+            return found->second;
+    }
+    return nullptr;
+}
+
+workspace_pointer route_index::holderOf(std::string_view key) const
+{
+    const auto known = m_byKey.find(key);
+    return known == m_byKey.end() ? nullptr : known->second;
+}
+
+} // namespace buckthornrail::gateway
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -128,6 +128,8 @@
         { "openAttempts", value.openAttempts }, { "darkTargets", value.darkTargets }, { "loads", value.loads },
         { "life", value.life }, { "repeats", value.repeats }, { "isRepeatsComplete", value.isRepeatsComplete },
         { "quarantineRevision", value.quarantineRevision }, { "quarantine", value.quarantine } };
+    if (value.sliceVersion)
+        out["sliceVersion"] = *value.sliceVersion;
 }
 static void from_json(const nlohmann::json& in, gateway_beat& value)
 {
@@ -143,6 +145,8 @@
     in.at("isRepeatsComplete").get_to(value.isRepeatsComplete);
     readIfThere(in, "quarantineRevision", value.quarantineRevision);
     readIfThere(in, "quarantine", value.quarantine);
+    if (const auto found = in.find("sliceVersion"); found != in.end())
+        value.sliceVersion = found->get<std::uint64_t>();
 }
 
 // As an array, like registry::gateway_life.
@@ -157,6 +161,7 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_report, sessions, heard, darkTargets)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(text_update, from, to, patch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(document_slice, from, to, number, count, digest, patch)
 static void to_json(nlohmann::json& out, const gateway_update& value)
 {
     out = { { "sequence", value.sequence }, { "isServed", value.isServed }, { "waitsForQuorum", value.waitsForQuorum },
@@ -380,5 +385,27 @@
 
 tl::expected<registry::target_delta, failure> decodeDelta(const std::string& bytes) { return readCbor(bytes, deltaOf); }
 
+std::string encodeChange(const document::change& change)
+{
+    const json whole = json::array({ change.routes.removed, change.routes.added, change.workspaces.removed,
+        change.workspaces.added, change.rest });
+    std::string bytes;
+    json::to_cbor(whole, bytes);
+    return bytes;
+}
+
+tl::expected<document::change, failure> decodeChange(const std::string& bytes)
+{
+    return readCbor(bytes, [](const json& whole) {
+        document::change change;
+        whole.at(0).get_to(change.routes.removed);
+        whole.at(1).get_to(change.routes.added);
+        whole.at(2).get_to(change.workspaces.removed);
+        whole.at(3).get_to(change.workspaces.added);
+        whole.at(4).get_to(change.rest);
+        return change;
+    });
+}
+
 } // namespace link
 } // namespace buckthornrail
--- a/tests/support/exchange_bench.hpp
+++ b/tests/support/exchange_bench.hpp
@@ -89,9 +89,7 @@
         one.latencyTarget = milliseconds(100);
         one.maxAttempts = 2;
         one.services = { { "s", 1 } };
-        route_document document;
-        document.routes.push_back(one);
-        m_index = std::make_shared<route_index>(document);
+        m_route = std::make_shared<route>(one);
         std::map<std::string, registry::target_record> records;
         for (const std::string domain : { "a", "b", "c" }) {
             for (const std::uint32_t part : { 0U, 1U }) {
@@ -146,8 +144,7 @@
         exchange_request request;
         request.id = "q";
         request.service = "s";
-        request.document = m_index;
-        request.chosen = &m_index->document().routes.front();
+        request.chosen = m_route;
         request.arrived = zero;
         request.deadline = zero + milliseconds(1000);
         budget.toldGateways(1, zero);
@@ -160,7 +157,7 @@
     repeat_budget budget { repeat_budget_options {} };
 
 private:
-    std::shared_ptr<route_index> m_index;
+    route_pointer m_route;
     std::map<std::string, registry::target_record> m_records;
 };
 
