--- a/include/buckthornrail/core/event_code.hpp
+++ b/include/buckthornrail/core/event_code.hpp
@@ -17,6 +17,7 @@
     SettingsReloaded = 104,
     LogLinesDropped = 105,
     ProcessStoodStill = 106,
+    LoopHeld = 107,
     RouteChosen = 200,
     RouteRefused = 201,
     AttemptRefused = 202,
--- a/include/buckthornrail/link/event_loop.hpp
+++ b/include/buckthornrail/link/event_loop.hpp
@@ -4,7 +4,7 @@
 /// Plain C++17, as websocketpp does not compile as C++20.
 #pragma once
 
-#include "buckthornrail/core/clock.hpp"
+#include "buckthornrail/link/loop_watch.hpp"
 
 #include <functional>
 #include <memory>
@@ -28,11 +28,18 @@
     /// @brief Runs until stop(); the calling thread becomes the loop thread.
     void run();
     void stop();
+    /// @brief Tells of turns over their bounds. Call before run().
+    void watchTurns(loop_watch_options options, loop_watch::handler onHeld);
+    /// @return empty: turns aren't watched
+    [[nodiscard]] loop_watch* watch() { return m_watch.get(); }
 
     loop_implementation& implementation() { return *m_implementation; }
 
 private:
+    void runWatched();
+
     std::unique_ptr<loop_implementation> m_implementation;
+    std::unique_ptr<loop_watch> m_watch;
 };
 
 } // namespace buckthornrail::link
--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway_session.cpp
@@ -45,7 +45,8 @@
 
 gateway_session::gateway_session(link::event_loop& loop, const settings::settings& settings, gateway_document& held,
     gateway_session_callbacks callbacks)
-    : m_settings(settings)
+    : m_loop(loop)
+    , m_settings(settings)
     , m_callbacks(std::move(callbacks))
     , m_seeds(settings.controllers)
     , m_nextAddress(std::hash<std::string>()(settings.id))
@@ -234,6 +235,7 @@
 
 void gateway_session::onSlice(const link::document_slice& slice)
 {
+    const link::named_work work(m_loop, "document slice");
     m_silenceDeadline = steadyNow() + silenceLimit;
     if (const auto taken = m_document.take(slice); !taken)
         leaveUnfitting(slice.to, taken.error());
@@ -241,6 +243,7 @@
 
 bool gateway_session::takeDocument(const link::gateway_update& update)
 {
+    const link::named_work work(m_loop, "document");
     for (const auto& change : update.document) {
         if (const auto taken = m_document.take(change); !taken) {
             leaveUnfitting(change.to, taken.error());
@@ -277,6 +280,7 @@
     if (!takeDocument(update))
         return;
     for (const auto& change : update.targets) {
+        const link::named_work work(m_loop, "targets");
         const auto delta = readTargetsUpdate(change);
         if (!delta)
             telemetry::logEvent(event_code::MessageRejected,
--- a/src/app/gateway_session.hpp
+++ b/src/app/gateway_session.hpp
@@ -68,6 +68,7 @@
     [[nodiscard]] std::string nearestController() const;
     [[nodiscard]] std::vector<std::string> addresses() const;
 
+    link::event_loop& m_loop;
     const settings::settings& m_settings;
     gateway_session_callbacks m_callbacks;
     std::vector<std::string> m_seeds;
--- a/src/app/role_runner.cpp
+++ b/src/app/role_runner.cpp
@@ -15,4 +15,16 @@
     return std::nullopt;
 }
 
+void reportHeldTurns(link::event_loop& loop, telemetry::metrics& metrics)
+{
+    loop.watchTurns({}, [&metrics](const link::held_turn& held) {
+        const std::string work = held.work.empty() ? "unnamed" : std::string(held.work);
+        metrics.count("held_turns", work);
+        telemetry::logEvent(event_code::LoopHeld,
+            { { "work", work }, { "ms", std::to_string(held.elapsed.count()) },
+                { "processor_ms", std::to_string(held.processor.count()) } },
+            telemetry::severity::Warning);
+    });
+}
+
 } // namespace buckthornrail::app
--- a/src/app/role_runner.hpp
+++ b/src/app/role_runner.hpp
@@ -15,6 +15,9 @@
 /// @brief Decodes a message; logs one that can't be read, and closes its link.
 std::optional<link::message> decodeOrClose(link::link_hub& hub, link::channel_number channel, const std::string& bytes);
 
+/// @brief Logs and counts turns of the loop over their bounds.
+void reportHeldTurns(link::event_loop& loop, telemetry::metrics& metrics);
+
 /// @brief Starts a role, serves HTTP and runs until a signal has ended the role's work.
 /// @tparam Role has start(), isReady() and stop(std::function<void()>)
 /// @param routesOf gives the role's own routes; those for health are added
@@ -50,7 +53,11 @@
     telemetry::logEvent(event_code::ProcessStarted,
         { { "role", std::string(nameIn(settings::processRoleNames, kind)) }, { "instance", settings.id },
             { "link", settings.linkAddress }, { "http", settings.httpAddress } });
-    const periodic_task logs(loop, logFlushPeriod, [] { telemetry::flushLog(); });
+    const periodic_task logs(loop, logFlushPeriod, [&loop] {
+        const link::named_work work(loop, "log");
+        telemetry::flushLog();
+    });
+    reportHeldTurns(loop, metrics);
     loop.run();
     server->reset();
     role.reset();
@@ -90,7 +97,11 @@
             { "http", settings.httpAddress } });
     reload = std::make_unique<settings_watch>(
         loop, settings, kind, [&role](const settings::settings& changed) { role->reload(changed); });
-    const periodic_task logs(loop, logFlushPeriod, [] { telemetry::flushLog(); });
+    const periodic_task logs(loop, logFlushPeriod, [&loop] {
+        const link::named_work work(loop, "log");
+        telemetry::flushLog();
+    });
+    reportHeldTurns(loop, metrics);
     loop.run();
     reload.reset();
     role.reset();
