Slices that come together are taken one a turn of the loop, with pauses for streams

Change: what a controller sends is worked through in order, one slice a turn, with pauses of twice its own time for 0.8 s (none before the first document). The new test fails on the code before.

--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway_session.cpp
@@ -24,6 +24,10 @@
 constexpr milliseconds movePause { 10000 };
 /// Heartbeats that can't wait gather what comes within so long.
 constexpr milliseconds soonPeriod { 3 };
+/// A change of many slices is taken with pauses for so long, then without: it must be in force within two seconds.
+constexpr milliseconds unhurriedTime { 800 };
+/// Pauses as long as this many times a slice's own work leave streams most of the processor.
+constexpr int pausesPerSlice = 2;
 
 constexpr std::array leaveCauseNames {
     enum_name<leave_cause> { leave_cause::None, "link_ended" },
@@ -62,6 +66,7 @@
           hubOptions(settings))
     , m_leaderlessTimer(loop)
     , m_soonTimer(loop)
+    , m_inboxTimer(loop)
     , m_beats(loop, milliseconds(settings.heartbeatMs), [this] { beat(); })
 {
     loop.post([this] { connect(); });
@@ -123,7 +128,7 @@
         return;
     m_channel = 0;
     m_open = false;
-    m_document.linkEnded();
+    forgetInbox();
     m_toldQuarantine = false;
     const bool wasServed = std::exchange(m_isServed, false);
     if (wasServed && m_leaveCause != leave_cause::Nearer)
@@ -213,10 +218,47 @@
     const auto message = decodeOrClose(m_hub, channel, bytes);
     if (!message || channel != m_channel)
         return;
-    if (const auto* update = std::get_if<link::gateway_update>(&*message))
-        onUpdate(*update);
-    else if (const auto* slice = std::get_if<link::document_slice>(&*message))
+    onProgress(channel);
+    m_inbox.push_back(std::move(*message));
+    if (!m_isPausing)
+        workThroughInbox();
+}
+
+void gateway_session::workThroughInbox()
+{
+    m_isPausing = false;
+    while (!m_inbox.empty()) {
+        const auto next = std::move(m_inbox.front());
+        m_inbox.pop_front();
+        if (const auto* update = std::get_if<link::gateway_update>(&next))
+            onUpdate(*update);
+        const auto* slice = std::get_if<link::document_slice>(&next);
+        if (slice == nullptr)
+            continue;
+        const steady_time begun = steadyNow();
+        if (slice->number == 0)
+            m_unhurriedUntil = begun + unhurriedTime;
         onSlice(*slice);
+        // Many slices may come within one turn: streams get theirs between them.
+        const steady_time now = steadyNow();
+        m_isPausing = true;
+        m_inboxTimer.set(now + pauseAfter(now - begun), [this] { workThroughInbox(); });
+        return;
+    }
+}
+
+steady_time::duration gateway_session::pauseAfter(steady_time::duration slice) const
+{
+    const bool isUnhurried = m_document.version() != 0 && steadyNow() < m_unhurriedUntil;
+    return isUnhurried ? slice * pausesPerSlice : steady_time::duration(0);
+}
+
+void gateway_session::forgetInbox()
+{
+    m_inbox.clear();
+    m_inboxTimer.cancel();
+    m_isPausing = false;
+    m_document.linkEnded();
 }
 
 void gateway_session::onProgress(link::channel_number channel)
@@ -230,13 +272,13 @@
 {
     telemetry::logEvent(event_code::ConfigurationRejected,
         { { "version", std::to_string(version) }, { "reason", fault.reason } }, telemetry::severity::Warning);
+    forgetInbox();
     leave(leave_cause::Unfitting, {});
 }
 
 void gateway_session::onSlice(const link::document_slice& slice)
 {
     const link::named_work work(m_loop, "document slice");
-    m_silenceDeadline = steadyNow() + silenceLimit;
     if (const auto taken = m_document.take(slice); !taken)
         leaveUnfitting(slice.to, taken.error());
 }
--- a/src/app/gateway_session.hpp
+++ b/src/app/gateway_session.hpp
@@ -8,6 +8,8 @@
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/net/tcp.hpp"
 
+#include <deque>
+
 namespace buckthornrail::app {
 
 /// Why a gateway leaves a controller.
@@ -54,6 +56,11 @@
     void onProgress(link::channel_number channel);
     void onUpdate(const link::gateway_update& update);
     void onSlice(const link::document_slice& slice);
+    /// @brief Works through what has come, with pauses for the loop's other work after slices of the document.
+    void workThroughInbox();
+    /// @return how long the rest waits after a slice that took so long
+    [[nodiscard]] steady_time::duration pauseAfter(steady_time::duration slice) const;
+    void forgetInbox();
     /// @brief Takes the document over as far as it has come. @return false: the session is being left
     bool takeDocument(const link::gateway_update& update);
     /// @brief Leaves a controller whose change can't be taken: the next session tells what is held.
@@ -88,12 +95,16 @@
     std::uint64_t m_receivedBefore = 0; ///< bytes, until the last answer
     steady_time m_silenceDeadline {}; ///< without an answer until then another controller is tried
     gateway_document& m_document;
+    std::deque<link::message> m_inbox; ///< of the controller, to be worked through in order
+    bool m_isPausing = false; ///< the inbox timer is set
+    steady_time m_unhurriedUntil {}; ///< slices are taken with pauses until then
     registry::target_view m_targets;
     std::vector<registry::target_incarnation> m_dark; ///< not told yet
     bool m_toldQuarantine = false; ///< in this session
     link::link_hub m_hub;
     net::loop_timer m_leaderlessTimer;
     net::loop_timer m_soonTimer;
+    net::loop_timer m_inboxTimer;
     bool m_isSoon = false; ///< that timer is set
     periodic_task m_beats;
 };
--- a/src/app/gateway_session_test.cpp
+++ b/src/app/gateway_session_test.cpp
@@ -128,3 +128,44 @@
     CHECK(isServed);
     CHECK(leader.beats() > 0);
 }
+
+TEST_CASE("gateway session: slices that come together are taken one a turn of the loop", "[gateway_session]")
+{
+    constexpr int routes = 3000;
+    link::event_loop loop;
+    std::string text = R"({"version":4,"services":[{"name":"s"}],"routes":[)";
+    for (int at = 0; at < routes; ++at) {
+        text += at == 0 ? "" : ",";
+        text += R"({"host":"h","path-prefix":"/)" + std::to_string(at) + R"(/","timeout-ms":9,"service":"s"})";
+    }
+    const versioned_text published { 4, text + "]}" };
+    document_feed feed(platform::controlDialect());
+    feed.follow(published);
+    const auto slices = feed.messagesFrom(0, published);
+    REQUIRE(slices.size() > 5);
+    std::unique_ptr<link::link_hub> controller;
+    controller = std::make_unique<link::link_hub>(loop,
+        link::hub_handlers { [](link::channel_number, bool) {}, [](link::channel_number) {},
+            [&](link::channel_number channel, const std::string&) {
+                for (const auto* slice : slices)
+                    controller->send(channel, *slice);
+                link::gateway_update update;
+                update.isServed = true;
+                controller->send(channel, link::encode(link::message(update)));
+            } });
+    settings::settings settings;
+    settings.id = "gateway";
+    settings.controllers = { "127.0.0.1:" + std::to_string(controller->listen("127.0.0.1:0")) };
+    gateway_document held(platform::controlDialect());
+    auto callbacks = silentCallbacks();
+    callbacks.documentChanged = [&loop] { loop.stop(); };
+    gateway_session session(loop, settings, held, std::move(callbacks));
+    std::size_t turns = 0;
+    loop.watchTurns({ milliseconds(0), milliseconds(1000) },
+        [&turns](const link::held_turn& turn) { turns += turn.work == "document slice" ? 1 : 0; });
+    loop.runAt(boot_clock::now() + milliseconds(5000), [&loop] { loop.stop(); });
+    loop.run();
+    REQUIRE(held.index());
+    CHECK(held.index()->routeCount() == routes);
+    CHECK(turns >= slices.size());
+}
