A member that stalls under many streams is dialled at the first doubt

Cause: a doubting stream took a member for sound if another stream's event had come through it within 80 ms. With forty streams a member and events each 45 ms that is nearly always so 90 ms after one's own last event, so the dial came 100 ms later: pauses of 251 to 309 ms, around the gap target of 300 ms. Change: only an event since the doubting stream's own next one was due counts, by its own usual gap. Test: exchange, no network; it fails on a fixed look back.

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -71,8 +71,8 @@
     /// @brief Asks the first target of the open attempt which member of the path holds it up; onReport() follows.
     virtual void askForReport() = 0;
     /// @brief Finds out whether the members of the open attempt's path can be reached; onUnreachable() follows for each
-    /// that can't.
-    virtual void checkMembers() = 0;
+    /// that can't. @param passedSince a member through which another request's event has come since then passes them
+    virtual void checkMembers(steady_time passedSince) = 0;
     /// @brief Gives the caller the target's whole response.
     virtual void passOn() = 0;
     /// @brief Gives the caller the head of the target's stream.
@@ -96,6 +96,8 @@
     milliseconds checkAfter { 90 };
     double checkAfterGaps = 2; ///< the same, in gaps that are usual for the attempt; the longer of both counts
     milliseconds checkUnstartedAfter { 200 }; ///< the same before the first event: nearly all come within 100 ms
+    /// Before its own first event, an attempt's member passes events if another one's came through it so lately.
+    milliseconds heardLately { 80 };
     milliseconds checkAgainAfter { 100 }; ///< doubles with each look that finds nothing
     /// A stream that has been silent for so long leaves a member that can't be reached, whoever found out.
     milliseconds silentEnough { 40 };
@@ -198,6 +200,8 @@
     void finish(result_code code, ran_state ran, const std::string& reason, steady_time now);
     void scheduleWake(steady_time now);
     void checkMembersWhenDue(steady_time now);
+    /// @return from when on another request's event through a member of the open attempt shows that it passes them
+    [[nodiscard]] steady_time silentSince(steady_time now) const;
     /// @brief Looks after a stream without events. @return true when it moved
     bool leaveSilentPath(steady_time now);
     /// @brief Tries a safe request elsewhere when its answer is late. @return true when it moved
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway_call.cpp
@@ -13,9 +13,6 @@
 constexpr milliseconds reportPatience { 200 };
 /// Unread bytes at a caller from which on its target is read no more.
 constexpr std::size_t mostPendingBytes = 128U << 10U;
-/// A target through which another stream's event came so lately isn't dialled: that would cost a connection for
-/// nothing.
-constexpr milliseconds heardLately { 80 };
 constexpr gateway::exchange_options exchangeOptions {};
 constexpr http1::parser_limits responseLimits { 32U << 10U, 64U << 20U };
 /// When to come back after a refusal: a path that was lost is whole again after about three seconds.
@@ -247,13 +244,12 @@
         });
 }
 
-void gateway_call::checkMembers()
+void gateway_call::checkMembers(steady_time passedSince)
 {
-    const auto since = steadyNow() - heardLately;
     for (const auto& part : m_where.parts) {
         const bool isHeard
             = std::any_of(m_context.openCalls.begin(), m_context.openCalls.end(), [&](const gateway_call* other) {
-                  return other->m_exchange && other->m_exchange->heardThrough(part.target, since);
+                  return other->m_exchange && other->m_exchange->heardThrough(part.target, passedSince);
               });
         if (!isHeard)
             m_context.reachability->check(part.address);
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway_call.hpp
@@ -78,7 +78,7 @@
         std::uint32_t number, const gateway::selection& where, std::optional<std::uint64_t> lastEventId) override;
     void cancelAttempt() override;
     void askForReport() override;
-    void checkMembers() override;
+    void checkMembers(steady_time passedSince) override;
     void passOn() override;
     void beginStream() override;
     void passEvent(std::string_view bytes) override;
--- a/src/buckthornrail/gateway/exchange_stream_test.cpp
+++ b/src/buckthornrail/gateway/exchange_stream_test.cpp
@@ -349,3 +349,28 @@
     CHECK(bench.port.resumeAfter == 1U);
     CHECK(bench.port.target.substr(0, 1) != domain);
 }
+
+TEST_CASE("exchange: a member that stalls under many streams is tried at the first doubt", "[exchange]")
+{
+    // Forty streams through one member, an event each 45 ms, evenly spread. When one of them has been silent for two
+    // gaps, another one's last event may be only one gap old; a sound member has passed events since then.
+    constexpr milliseconds gap { 45 };
+    exchange_bench bench(request_kind::Stream, true, true);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    auto now = zero;
+    for (int at = 0; at < 20; ++at) {
+        now += gap;
+        call.onEvent("e", std::nullopt, now);
+    }
+    const auto stalledAt = now + gap - milliseconds(1); // just before this stream's next event
+    const auto lastOfAnother = stalledAt - milliseconds(1);
+    const auto doubt = bench.port.wake;
+    CHECK(doubt <= now + 2 * gap);
+    call.onTimer(doubt);
+    REQUIRE(bench.port.checks == 1);
+    CHECK(bench.port.silentSince > lastOfAnother); // so the member is dialled
+    CHECK(bench.port.silentSince <= doubt - gap + milliseconds(5)); // and a sound one isn't
+    CHECK(lastOfAnother > doubt - milliseconds(80)); // a look back over a fixed time would have to be shorter
+}
--- a/src/buckthornrail/gateway/exchange_watch.cpp
+++ b/src/buckthornrail/gateway/exchange_watch.cpp
@@ -103,7 +103,15 @@
     if (now < m_checkAt)
         return;
     m_checkAt = now + m_options.checkAgainAfter * (1U << std::min(m_vainChecks++, 3U));
-    m_port.checkMembers();
+    m_port.checkMembers(silentSince(now));
+}
+
+steady_time exchange::silentSince(steady_time now) const
+{
+    if (m_pacedEvents == 0)
+        return now - m_options.heardLately;
+    // What came through a member before this stream's own next event was due may be from before the member stalled.
+    return m_lastEventAt + std::max<steady_time::duration>(m_usualGap, m_options.checkAfter / 2);
 }
 
 void exchange::onTimer(steady_time now)
--- a/tests/support/exchange_bench.hpp
+++ b/tests/support/exchange_bench.hpp
@@ -33,7 +33,12 @@
     }
     void cancelAttempt() override { isOpen = false; }
     void askForReport() override { ++reports; }
-    void checkMembers() override { ++checks; }
+    void checkMembers(steady_time passedSince) override
+    {
+        ++checks;
+        silentSince = passedSince;
+    }
+    steady_time silentSince {};
     void passOn() override { end("passed on"); }
     void beginStream() override { begun = true; }
     void passEvent(std::string_view bytes) override { events += bytes; }
