--- a/src/app/console_page.cpp
+++ b/src/app/controller/console_page.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief The operators' console: one page of forms that make one validated document.
-#include "app/controller_api.hpp"
+#include "app/controller/controller_api.hpp"
 
 namespace buckthornrail::app {
 namespace {
--- a/src/app/controller.cpp
+++ b/src/app/controller/controller.cpp
@@ -1,9 +1,9 @@
 /// @file
 /// @brief Sessions, leases and orders over the replicated log.
-#include "app/controller.hpp"
+#include "app/controller/controller.hpp"
 
-#include "app/controller_api.hpp"
-#include "app/role_runner.hpp"
+#include "app/controller/controller_api.hpp"
+#include "app/shared/role_runner.hpp"
 
 namespace buckthornrail::app {
 namespace {
--- a/src/app/controller.hpp
+++ b/src/app/controller/controller.hpp
@@ -2,8 +2,8 @@
 /// @brief The controller role: the replicated state of configuration, membership and claims, served to sessions.
 #pragma once
 
-#include "app/replicated_log.hpp"
-#include "app/session_table.hpp"
+#include "app/controller/session_table.hpp"
+#include "app/shared/replicated_log.hpp"
 
 namespace buckthornrail::app {
 
--- a/src/app/controller_api.cpp
+++ b/src/app/controller/controller_api.cpp
@@ -1,8 +1,8 @@
 /// @file
 /// @brief Operators' requests.
-#include "app/controller_api.hpp"
+#include "app/controller/controller_api.hpp"
 
-#include "app/operator_access.hpp"
+#include "app/controller/operator_access.hpp"
 #include "buckthornrail/http/error_answer.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/app/controller_api.hpp
+++ b/src/app/controller/controller_api.hpp
@@ -2,7 +2,7 @@
 /// @brief The controllers' HTTP interface for operators. Reference: docs/API.md.
 #pragma once
 
-#include "app/controller.hpp"
+#include "app/controller/controller.hpp"
 
 namespace buckthornrail::app {
 
--- a/src/app/controller_state.cpp
+++ b/src/app/controller/controller_state.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Applying commands, and the snapshot of the state.
-#include "app/controller_state.hpp"
+#include "app/controller/controller_state.hpp"
 
 #include "buckthornrail/link/state_json.hpp"
 
--- a/src/app/controller_state.hpp
+++ b/src/app/controller/controller_state.hpp
@@ -2,7 +2,7 @@
 /// @brief The replicated state machine of the controllers: configuration, membership, claims, orders to targets.
 #pragma once
 
-#include "app/placement.hpp"
+#include "app/controller/placement.hpp"
 #include "buckthornrail/configuration/configuration_store.hpp"
 #include "buckthornrail/core/recent_set.hpp"
 #include "buckthornrail/dispatch/claim_table.hpp"
--- a/src/app/operator_access.cpp
+++ b/src/app/controller/operator_access.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Operators' token.
-#include "app/operator_access.hpp"
+#include "app/controller/operator_access.hpp"
 
 #include "buckthornrail/http/error_answer.hpp"
 
--- a/src/app/placement.cpp
+++ b/src/app/controller/placement.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Issuing and releasing orders.
-#include "app/placement.hpp"
+#include "app/controller/placement.hpp"
 
 #include <algorithm>
 
--- a/src/app/session_table.cpp
+++ b/src/app/controller/session_table.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Sessions of a controller.
-#include "app/session_table.hpp"
+#include "app/controller/session_table.hpp"
 
 namespace buckthornrail::app {
 namespace {
--- a/src/app/session_table.hpp
+++ b/src/app/controller/session_table.hpp
@@ -2,7 +2,7 @@
 /// @brief A controller's sessions with daemons: what each holds, what it still has to be sent, whose lease runs.
 #pragma once
 
-#include "app/controller_state.hpp"
+#include "app/controller/controller_state.hpp"
 #include "buckthornrail/core/clock.hpp"
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/link/message.hpp"
--- a/src/app/session_table_test.cpp
+++ b/src/app/controller/session_table_test.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief What sessions are sent, and when they say nothing any more.
-#include "app/session_table.hpp"
+#include "app/controller/session_table.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/src/app/admission.cpp
+++ b/src/app/entry/admission.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Admission by the configuration.
-#include "app/admission.hpp"
+#include "app/entry/admission.hpp"
 
 #include "buckthornrail/routing/route_table.hpp"
 
--- a/src/app/admission_test.cpp
+++ b/src/app/entry/admission_test.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Who is admitted, on what terms; and reading callers' requests.
-#include "app/entry_api.hpp"
+#include "app/entry/entry_api.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/src/app/entry.cpp
+++ b/src/app/entry/entry.cpp
@@ -1,9 +1,9 @@
 /// @file
 /// @brief Wiring of runs, routes, claims and links.
-#include "app/entry.hpp"
+#include "app/entry/entry.hpp"
 
-#include "app/entry_api.hpp"
-#include "app/role_runner.hpp"
+#include "app/entry/entry_api.hpp"
+#include "app/shared/role_runner.hpp"
 
 namespace buckthornrail::app {
 namespace {
--- a/src/app/entry.hpp
+++ b/src/app/entry/entry.hpp
@@ -2,11 +2,11 @@
 /// @brief The entry role: admits callers' requests, routes them to sidecars and gives back whole answers.
 #pragma once
 
-#include "app/admission.hpp"
-#include "app/answer_queue.hpp"
-#include "app/process.hpp"
-#include "app/session_client.hpp"
-#include "app/sidecar_links.hpp"
+#include "app/entry/admission.hpp"
+#include "app/entry/answer_queue.hpp"
+#include "app/shared/process.hpp"
+#include "app/shared/session_client.hpp"
+#include "app/sidecar/sidecar_links.hpp"
 #include "buckthornrail/dispatch/request_run.hpp"
 #include "buckthornrail/execution/chain_run.hpp"
 #include "buckthornrail/routing/retry_budget.hpp"
--- a/src/app/entry_api.cpp
+++ b/src/app/entry/entry_api.cpp
@@ -1,8 +1,8 @@
 /// @file
 /// @brief Callers' requests: reading them, and writing answers.
-#include "app/entry_api.hpp"
+#include "app/entry/entry_api.hpp"
 
-#include "app/operator_access.hpp"
+#include "app/controller/operator_access.hpp"
 #include "buckthornrail/http/error_answer.hpp"
 
 #include <algorithm>
--- a/src/app/entry_api.hpp
+++ b/src/app/entry/entry_api.hpp
@@ -2,7 +2,7 @@
 /// @brief The callers' HTTP interface. Reference: docs/API.md.
 #pragma once
 
-#include "app/entry.hpp"
+#include "app/entry/entry.hpp"
 
 namespace buckthornrail::app {
 
--- a/src/app/entry_chains.cpp
+++ b/src/app/entry/entry_chains.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief The entry's part that serves split models: chains of stages.
-#include "app/entry.hpp"
+#include "app/entry/entry.hpp"
 
 namespace buckthornrail::app {
 namespace {
--- a/src/app/entry_terms.cpp
+++ b/src/app/entry/entry_terms.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Admission of a request at an entry: its terms under the configuration in force, and the version it asks for.
-#include "app/entry.hpp"
+#include "app/entry/entry.hpp"
 
 namespace buckthornrail::app {
 
--- a/src/app/caller_channel.cpp
+++ b/src/app/gateway/caller_channel.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Reading requests off a caller's connection.
-#include "app/caller_channel.hpp"
+#include "app/gateway/caller_channel.hpp"
 
 namespace buckthornrail::app {
 namespace {
--- a/src/app/caller_channel.hpp
+++ b/src/app/gateway/caller_channel.hpp
@@ -2,7 +2,7 @@
 /// @brief One caller's connection at a gateway: requests one after the other.
 #pragma once
 
-#include "app/gateway.hpp"
+#include "app/gateway/gateway.hpp"
 
 namespace buckthornrail::app {
 
--- a/src/app/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -1,9 +1,9 @@
 /// @file
 /// @brief Wiring of a gateway.
-#include "app/gateway.hpp"
+#include "app/gateway/gateway.hpp"
 
-#include "app/caller_channel.hpp"
-#include "app/role_runner.hpp"
+#include "app/gateway/caller_channel.hpp"
+#include "app/shared/role_runner.hpp"
 
 #include <algorithm>
 
--- a/src/app/gateway.hpp
+++ b/src/app/gateway/gateway.hpp
@@ -2,8 +2,8 @@
 /// @brief The gateway role: callers in front, targets behind, without sidecars.
 #pragma once
 
-#include "app/gateway_call.hpp"
-#include "app/gateway_session.hpp"
+#include "app/gateway/gateway_call.hpp"
+#include "app/gateway/gateway_session.hpp"
 #include "buckthornrail/core/standstill_watch.hpp"
 
 #include <set>
--- a/src/app/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Carrying out what an exchange asks for.
-#include "app/gateway_call.hpp"
+#include "app/gateway/gateway_call.hpp"
 
 #include <algorithm>
 
--- a/src/app/gateway_call.hpp
+++ b/src/app/gateway/gateway_call.hpp
@@ -2,7 +2,7 @@
 /// @brief One request at a gateway: the exchange's port, with the connection to the target.
 #pragma once
 
-#include "app/process.hpp"
+#include "app/shared/process.hpp"
 #include "buckthornrail/gateway/dialect.hpp"
 #include "buckthornrail/http1/event_stream.hpp"
 #include "buckthornrail/http1/message_parser.hpp"
--- a/src/app/gateway_call_quarantine.cpp
+++ b/src/app/gateway/gateway_call_quarantine.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief A call's part in finding requests that end targets: whether it may run, and what its answer clears.
-#include "app/gateway_call.hpp"
+#include "app/gateway/gateway_call.hpp"
 
 #include "buckthornrail/gateway/fingerprint_request.hpp"
 
--- a/src/app/gateway_document.cpp
+++ b/src/app/gateway/gateway_document.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Taking changes of the document over.
-#include "app/gateway_document.hpp"
+#include "app/gateway/gateway_document.hpp"
 
 namespace buckthornrail::app {
 
--- a/src/app/gateway_document.hpp
+++ b/src/app/gateway/gateway_document.hpp
@@ -2,7 +2,7 @@
 /// @brief The document that a gateway has in force, and what has come of the next ones.
 #pragma once
 
-#include "app/document_feed.hpp"
+#include "app/registry/document_feed.hpp"
 #include "buckthornrail/gateway/document_assembly.hpp"
 
 namespace buckthornrail::app {
--- a/src/app/gateway_document_test.cpp
+++ b/src/app/gateway/gateway_document_test.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief The document's way from registries to a gateway, of this program and of the one before.
-#include "app/gateway_document.hpp"
+#include "app/gateway/gateway_document.hpp"
 
 #include "buckthornrail/compression/text_patch.hpp"
 #include "platform/dialects.hpp"
--- a/src/app/gateway_session.cpp
+++ b/src/app/gateway/gateway_session.cpp
@@ -1,9 +1,9 @@
 /// @file
 /// @brief Keeping a session with a controller.
-#include "app/gateway_session.hpp"
+#include "app/gateway/gateway_session.hpp"
 
-#include "app/preferred_address.hpp"
-#include "app/role_runner.hpp"
+#include "app/shared/preferred_address.hpp"
+#include "app/shared/role_runner.hpp"
 #include "buckthornrail/core/enum_names.hpp"
 
 #include <algorithm>
--- a/src/app/gateway_session.hpp
+++ b/src/app/gateway/gateway_session.hpp
@@ -3,8 +3,8 @@
 /// there is one, and takes document and targets over.
 #pragma once
 
-#include "app/gateway_document.hpp"
-#include "app/process.hpp"
+#include "app/gateway/gateway_document.hpp"
+#include "app/shared/process.hpp"
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/net/tcp.hpp"
 
--- a/src/app/gateway_session_test.cpp
+++ b/src/app/gateway/gateway_session_test.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Finding the controller that leads.
-#include "app/gateway_session.hpp"
+#include "app/gateway/gateway_session.hpp"
 #include "platform/dialects.hpp"
 
 #include <catch2/catch.hpp>
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,11 +1,11 @@
 /// @file
 /// @brief The one binary: picks the role by its sub-command.
-#include "app/control_shell.hpp"
-#include "app/controller.hpp"
-#include "app/entry.hpp"
-#include "app/gateway.hpp"
-#include "app/registry.hpp"
-#include "app/sidecar.hpp"
+#include "app/controller/controller.hpp"
+#include "app/entry/entry.hpp"
+#include "app/gateway/gateway.hpp"
+#include "app/registry/registry.hpp"
+#include "app/shell/control_shell.hpp"
+#include "app/sidecar/sidecar.hpp"
 #include "platform/dialects.hpp"
 
 #include <csignal>
--- a/src/app/document_feed.cpp
+++ b/src/app/registry/document_feed.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Cutting, comparing and encoding the document.
-#include "app/document_feed.hpp"
+#include "app/registry/document_feed.hpp"
 
 #include "buckthornrail/compression/text_patch.hpp"
 #include "buckthornrail/telemetry/log.hpp"
--- a/src/app/document_feed.hpp
+++ b/src/app/registry/document_feed.hpp
@@ -2,7 +2,7 @@
 /// @brief What a registry sends gateways of the document: each change made and encoded once, for all of them.
 #pragma once
 
-#include "app/registry_state.hpp"
+#include "app/registry/registry_state.hpp"
 #include "buckthornrail/gateway/dialect.hpp"
 
 namespace buckthornrail::app {
--- a/src/app/layer_orders.cpp
+++ b/src/app/registry/layer_orders.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Giving orders for layers.
-#include "app/layer_orders.hpp"
+#include "app/registry/layer_orders.hpp"
 
 #include <algorithm>
 
--- a/src/app/layer_orders.hpp
+++ b/src/app/registry/layer_orders.hpp
@@ -2,7 +2,7 @@
 /// @brief Carries out the plan of layers: orders to targets, fenced, one at a time each, with the state read before.
 #pragma once
 
-#include "app/process.hpp"
+#include "app/shared/process.hpp"
 #include "buckthornrail/gateway/dialect.hpp"
 #include "buckthornrail/net/http_service.hpp"
 #include "buckthornrail/registry/layer_plan.hpp"
--- a/src/app/registry.cpp
+++ b/src/app/registry/registry.cpp
@@ -1,9 +1,9 @@
 /// @file
 /// @brief A registry's start, its operators' calls and its ticks; see registry_targets and registry_sessions.
-#include "app/registry.hpp"
+#include "app/registry/registry.hpp"
 
-#include "app/control_answer.hpp"
-#include "app/role_runner.hpp"
+#include "app/shared/control_answer.hpp"
+#include "app/shared/role_runner.hpp"
 
 #include <algorithm>
 
--- a/src/app/registry.hpp
+++ b/src/app/registry/registry.hpp
@@ -2,10 +2,10 @@
 /// @brief The registry role: a controller before gateways that reach targets without sidecars.
 #pragma once
 
-#include "app/document_feed.hpp"
-#include "app/layer_orders.hpp"
-#include "app/registry_state.hpp"
-#include "app/target_watch.hpp"
+#include "app/registry/document_feed.hpp"
+#include "app/registry/layer_orders.hpp"
+#include "app/registry/registry_state.hpp"
+#include "app/registry/target_watch.hpp"
 #include "buckthornrail/core/standstill_watch.hpp"
 
 #include <set>
--- a/src/app/registry_quarantine.cpp
+++ b/src/app/registry/registry_quarantine.cpp
@@ -1,8 +1,8 @@
 /// @file
 /// @brief Requests that end targets, at a registry: what gateways report goes into the log; terms end by the leader's
 /// clock; operators list and clear.
-#include "app/control_answer.hpp"
-#include "app/registry.hpp"
+#include "app/registry/registry.hpp"
+#include "app/shared/control_answer.hpp"
 #include "buckthornrail/link/state_json.hpp"
 
 #include <algorithm>
--- a/src/app/registry_sessions.cpp
+++ b/src/app/registry/registry_sessions.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Gateways' sessions at a registry: heartbeats, confirmation by a quorum, what is pushed.
-#include "app/registry.hpp"
+#include "app/registry/registry.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/app/registry_state.cpp
+++ b/src/app/registry/registry_state.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Commands of the registry, and its snapshot.
-#include "app/registry_state.hpp"
+#include "app/registry/registry_state.hpp"
 
 #include "buckthornrail/compression/text_patch.hpp"
 #include "buckthornrail/link/state_json.hpp"
--- a/src/app/registry_state.hpp
+++ b/src/app/registry/registry_state.hpp
@@ -2,7 +2,7 @@
 /// @brief The replicated state of the controllers before gateways: the published document and the targets.
 #pragma once
 
-#include "app/replicated_log.hpp"
+#include "app/shared/replicated_log.hpp"
 #include "buckthornrail/registry/quarantine.hpp"
 #include "buckthornrail/registry/target_record.hpp"
 
--- a/src/app/registry_state_test.cpp
+++ b/src/app/registry/registry_state_test.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief The registry's replicated state: highest version, short updates, snapshots.
-#include "app/registry_state.hpp"
+#include "app/registry/registry_state.hpp"
 
 #include "buckthornrail/compression/text_patch.hpp"
 
--- a/src/app/registry_targets.cpp
+++ b/src/app/registry/registry_targets.cpp
@@ -1,8 +1,8 @@
 /// @file
 /// @brief Announcements of targets at a registry: which are news, which are late, which name no target to use.
-#include "app/control_answer.hpp"
-#include "app/preferred_address.hpp"
-#include "app/registry.hpp"
+#include "app/registry/registry.hpp"
+#include "app/shared/control_answer.hpp"
+#include "app/shared/preferred_address.hpp"
 
 #include <algorithm>
 
--- a/src/app/target_watch.cpp
+++ b/src/app/registry/target_watch.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Leases and probes of targets.
-#include "app/target_watch.hpp"
+#include "app/registry/target_watch.hpp"
 
 #include <algorithm>
 
--- a/src/app/target_watch.hpp
+++ b/src/app/registry/target_watch.hpp
@@ -2,7 +2,7 @@
 /// @brief Which targets are still there: leases renewed by announcements, and a question before one counts as lost.
 #pragma once
 
-#include "app/process.hpp"
+#include "app/shared/process.hpp"
 #include "buckthornrail/gateway/dialect.hpp"
 #include "buckthornrail/link/message.hpp"
 #include "buckthornrail/net/http_service.hpp"
--- a/src/app/control_answer.hpp
+++ b/src/app/shared/control_answer.hpp
@@ -2,7 +2,7 @@
 /// @brief Answers to calls for control, and their log line.
 #pragma once
 
-#include "app/process.hpp"
+#include "app/shared/process.hpp"
 #include "buckthornrail/net/http_service.hpp"
 
 namespace buckthornrail::app {
--- a/src/app/preferred_address.cpp
+++ b/src/app/shared/preferred_address.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Rendezvous hashing.
-#include "app/preferred_address.hpp"
+#include "app/shared/preferred_address.hpp"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/src/app/process.cpp
+++ b/src/app/shared/process.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Signals, timers, health pages.
-#include "app/process.hpp"
+#include "app/shared/process.hpp"
 
 #include <array>
 #include <csignal>
--- a/src/app/replicated_log.cpp
+++ b/src/app/shared/replicated_log.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Driving a replica: events in, effects carried out in order.
-#include "app/replicated_log.hpp"
+#include "app/shared/replicated_log.hpp"
 
 #include "buckthornrail/agreement/admission.hpp"
 
--- a/src/app/replicated_log.hpp
+++ b/src/app/shared/replicated_log.hpp
@@ -2,7 +2,7 @@
 /// @brief Drives one replica of the replicated log over disk and links, for any state machine.
 #pragma once
 
-#include "app/process.hpp"
+#include "app/shared/process.hpp"
 #include "buckthornrail/agreement/replica.hpp"
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/link/message.hpp"
--- a/src/app/replicated_log_links.cpp
+++ b/src/app/shared/replicated_log_links.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief A replica's links to its peers.
-#include "app/replicated_log.hpp"
+#include "app/shared/replicated_log.hpp"
 
 #include <algorithm>
 
--- a/src/app/role_runner.cpp
+++ b/src/app/shared/role_runner.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Reading messages off links.
-#include "app/role_runner.hpp"
+#include "app/shared/role_runner.hpp"
 
 namespace buckthornrail::app {
 
--- a/src/app/role_runner.hpp
+++ b/src/app/shared/role_runner.hpp
@@ -2,8 +2,8 @@
 /// @brief Running a daemon from its settings to its exit status.
 #pragma once
 
-#include "app/process.hpp"
-#include "app/settings_watch.hpp"
+#include "app/shared/process.hpp"
+#include "app/shared/settings_watch.hpp"
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/link/message.hpp"
 
--- a/src/app/session_client.cpp
+++ b/src/app/shared/session_client.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Keeping a session and the configuration lease.
-#include "app/session_client.hpp"
+#include "app/shared/session_client.hpp"
 
 #include <functional>
 
--- a/src/app/session_client.hpp
+++ b/src/app/shared/session_client.hpp
@@ -2,7 +2,7 @@
 /// @brief A daemon's session with one of the controllers: announcement, heartbeats, configuration, membership.
 #pragma once
 
-#include "app/process.hpp"
+#include "app/shared/process.hpp"
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/link/message.hpp"
 
--- a/src/app/settings_watch.cpp
+++ b/src/app/shared/settings_watch.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Reloading settings.
-#include "app/settings_watch.hpp"
+#include "app/shared/settings_watch.hpp"
 
 namespace buckthornrail::app {
 namespace {
--- a/src/app/settings_watch.hpp
+++ b/src/app/shared/settings_watch.hpp
@@ -2,7 +2,7 @@
 /// @brief Takes changes of a process's settings file up while it runs.
 #pragma once
 
-#include "app/process.hpp"
+#include "app/shared/process.hpp"
 
 namespace buckthornrail::app {
 
--- a/src/app/control_shell.cpp
+++ b/src/app/shell/control_shell.cpp
@@ -1,10 +1,10 @@
 /// @file
 /// @brief Commands of the operators' shell, as a table.
-#include "app/control_shell.hpp"
+#include "app/shell/control_shell.hpp"
 
-#include "app/log_account.hpp"
-#include "app/operator_access.hpp"
-#include "app/process.hpp"
+#include "app/controller/operator_access.hpp"
+#include "app/shared/process.hpp"
+#include "app/shell/log_account.hpp"
 #include "buckthornrail/http/http_client.hpp"
 
 #include <filesystem>
--- a/src/app/log_account.cpp
+++ b/src/app/shell/log_account.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Reading log lines back.
-#include "app/log_account.hpp"
+#include "app/shell/log_account.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/app/log_account_test.cpp
+++ b/src/app/shell/log_account_test.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Accounts of requests from logs.
-#include "app/log_account.hpp"
+#include "app/shell/log_account.hpp"
 
 #include <catch2/catch.hpp>
 #include <sstream>
--- a/src/app/sidecar.cpp
+++ b/src/app/sidecar/sidecar.cpp
@@ -1,8 +1,8 @@
 /// @file
 /// @brief Wiring of gate, stage guard, target and links.
-#include "app/sidecar.hpp"
+#include "app/sidecar/sidecar.hpp"
 
-#include "app/role_runner.hpp"
+#include "app/shared/role_runner.hpp"
 
 namespace buckthornrail::app {
 namespace {
--- a/src/app/sidecar.hpp
+++ b/src/app/sidecar/sidecar.hpp
@@ -2,9 +2,9 @@
 /// @brief The sidecar role: the only gate to its target.
 #pragma once
 
-#include "app/process.hpp"
-#include "app/session_client.hpp"
-#include "app/target_adapter.hpp"
+#include "app/shared/process.hpp"
+#include "app/shared/session_client.hpp"
+#include "app/sidecar/target_adapter.hpp"
 #include "buckthornrail/dispatch/sidecar_core.hpp"
 
 #include <asio/post.hpp>
--- a/src/app/sidecar_links.cpp
+++ b/src/app/sidecar/sidecar_links.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief Opening links and keeping what waits for them.
-#include "app/sidecar_links.hpp"
+#include "app/sidecar/sidecar_links.hpp"
 
 namespace buckthornrail::app {
 
--- a/src/app/sidecar_orders.cpp
+++ b/src/app/sidecar/sidecar_orders.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief The sidecar's part in orders to its target.
-#include "app/sidecar.hpp"
+#include "app/sidecar/sidecar.hpp"
 
 namespace buckthornrail::app {
 
--- a/src/app/sidecar_stages.cpp
+++ b/src/app/sidecar/sidecar_stages.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief The sidecar's part in split models: opening stages, running steps, passing them on.
-#include "app/sidecar.hpp"
+#include "app/sidecar/sidecar.hpp"
 
 namespace buckthornrail::app {
 namespace {
--- a/src/app/target_adapter.cpp
+++ b/src/app/sidecar/target_adapter.cpp
@@ -1,8 +1,8 @@
 /// @file
 /// @brief The four dialects.
-#include "app/target_adapter.hpp"
+#include "app/sidecar/target_adapter.hpp"
 
-#include "app/process.hpp"
+#include "app/shared/process.hpp"
 
 #include <nlohmann/json.hpp>
 #include <sstream>
--- a/src/buckthornrail/link/message_test.cpp
+++ b/src/buckthornrail/link/message_test.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief The codec gives back what it was given and refuses what it can't read.
-#include "app/controller_state.hpp"
+#include "app/controller/controller_state.hpp"
 #include "buckthornrail/link/message.hpp"
 
 #include <catch2/catch.hpp>
--- a/tools/bench_document.cpp
+++ b/tools/bench_document.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// @brief What a version of the document costs a registry that sends it and a gateway that takes it over, by routes.
-#include "app/gateway_document.hpp"
+#include "app/gateway/gateway_document.hpp"
 #include "buckthornrail/compression/text_patch.hpp"
 #include "platform/dialects.hpp"
 
