A controller that reaches no leader any more is left again; held loops are told by named work alone

Unnamed turns over 4 ms of the thread's processor time: withdrawn. Where that clock also runs while a process waits, they fill the log. Names stand at documents, tables, publishing, committed changes, messages and the log.

--- a/include/buckthornrail/link/event_loop.hpp
+++ b/include/buckthornrail/link/event_loop.hpp
@@ -28,16 +28,14 @@
     /// @brief Runs until stop(); the calling thread becomes the loop thread.
     void run();
     void stop();
-    /// @brief Tells of turns over their bounds. Call before run().
-    void watchTurns(loop_watch_options options, loop_watch::handler onHeld);
-    /// @return empty: turns aren't watched
+    /// @brief Tells of named work over its bound.
+    void watchWork(loop_watch::handler onHeld, milliseconds most = mostHeld);
+    /// @return empty: work isn't watched
     [[nodiscard]] loop_watch* watch() { return m_watch.get(); }
 
     loop_implementation& implementation() { return *m_implementation; }
 
 private:
-    void runWatched();
-
     std::unique_ptr<loop_implementation> m_implementation;
     std::unique_ptr<loop_watch> m_watch;
 };
--- a/include/buckthornrail/link/loop_watch.hpp
+++ b/include/buckthornrail/link/loop_watch.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Finds turns of an event loop that hold up everything else on it.
+/// @brief Finds work that holds up everything else on an event loop.
 ///
 /// Plain C++17, like the loop.
 #pragma once
@@ -11,43 +11,34 @@
 
 namespace buckthornrail::link {
 
-/// A turn over its bound.
-struct held_turn {
-    std::string_view work; ///< that took longest in it; empty: nothing that has a name
-    milliseconds elapsed { 0 }; ///< by the clock, of that work
-    milliseconds processor { 0 }; ///< time of the whole turn
+/// Work over its bound.
+struct held_loop {
+    std::string_view work;
+    milliseconds elapsed { 0 };
 };
 
-struct loop_watch_options {
-    milliseconds mostElapsed { 20 }; ///< for named work: streams wait as long for their next event
-    /// For a turn without a name. A process that has a tenth of a core is away ten times as long.
-    milliseconds mostProcessor { 4 };
-};
+/// Streams wait as long for their next event.
+inline constexpr milliseconds mostHeld { 20 };
 
-/// @brief Measures turns. Lives on the loop thread.
+/// @brief Tells of work over its bound, of pieces within pieces the inner one where it is most of the outer.
 class loop_watch {
 public:
-    using handler = std::function<void(const held_turn&)>;
+    using handler = std::function<void(const held_loop&)>;
 
-    loop_watch(loop_watch_options options, handler onHeld)
-        : m_options(options)
-        , m_onHeld(std::move(onHeld))
+    explicit loop_watch(handler onHeld, milliseconds most = mostHeld)
+        : m_onHeld(std::move(onHeld))
+        , m_most(most)
     {
     }
 
-    /// @brief A turn begins. @param processor time that the thread has used so far
-    void begin(std::chrono::nanoseconds processor);
-    /// @brief The turn has ended.
-    void end(std::chrono::nanoseconds processor);
-    /// @brief A named piece of the turn's work took so long.
-    void worked(std::string_view work, std::chrono::nanoseconds elapsed);
+    /// @brief A piece of work has ended.
+    void worked(std::string_view work, steady_time begun, steady_time ended);
 
 private:
-    loop_watch_options m_options;
     handler m_onHeld;
-    std::chrono::nanoseconds m_processorBefore { 0 };
-    std::string_view m_work; ///< longest of the turn
-    std::chrono::nanoseconds m_elapsed { 0 };
+    milliseconds m_most;
+    steady_time m_toldBegun {}; ///< of the piece told of last
+    steady_time::duration m_toldElapsed {};
 };
 
 class event_loop;
--- a/src/app/gateway/gateway_session.cpp
+++ b/src/app/gateway/gateway_session.cpp
@@ -218,7 +218,8 @@
     const auto message = decodeOrClose(m_hub, channel, bytes);
     if (!message || channel != m_channel)
         return;
-    onProgress(channel);
+    if (std::holds_alternative<link::document_slice>(*message))
+        onProgress(channel);
     m_inbox.push_back(std::move(*message));
     if (!m_isPausing)
         workThroughInbox();
@@ -239,6 +240,7 @@
         if (slice->number == 0)
             m_unhurriedUntil = begun + unhurriedTime;
         onSlice(*slice);
+        onProgress(m_channel);
         // Many slices may come within one turn: streams get theirs between them.
         const steady_time now = steadyNow();
         m_isPausing = true;
--- a/src/app/shared/role_runner.cpp
+++ b/src/app/shared/role_runner.cpp
@@ -15,14 +15,12 @@
     return std::nullopt;
 }
 
-void reportHeldTurns(link::event_loop& loop, telemetry::metrics& metrics)
+void reportHeldLoop(link::event_loop& loop, telemetry::metrics& metrics)
 {
-    loop.watchTurns({}, [&metrics](const link::held_turn& held) {
-        const std::string work = held.work.empty() ? "unnamed" : std::string(held.work);
-        metrics.count("held_turns", work);
+    loop.watchWork([&metrics](const link::held_loop& held) {
+        metrics.count("loop_holds", std::string(held.work));
         telemetry::logEvent(event_code::LoopHeld,
-            { { "work", work }, { "ms", std::to_string(held.elapsed.count()) },
-                { "processor_ms", std::to_string(held.processor.count()) } },
+            { { "work", std::string(held.work) }, { "ms", std::to_string(held.elapsed.count()) } },
             telemetry::severity::Warning);
     });
 }
--- a/src/app/shared/role_runner.hpp
+++ b/src/app/shared/role_runner.hpp
@@ -15,8 +15,8 @@
 /// @brief Decodes a message; logs one that can't be read, and closes its link.
 std::optional<link::message> decodeOrClose(link::link_hub& hub, link::channel_number channel, const std::string& bytes);
 
-/// @brief Logs and counts turns of the loop over their bounds.
-void reportHeldTurns(link::event_loop& loop, telemetry::metrics& metrics);
+/// @brief Logs and counts named work that holds the loop up.
+void reportHeldLoop(link::event_loop& loop, telemetry::metrics& metrics);
 
 /// @brief Starts a role, serves HTTP and runs until a signal has ended the role's work.
 /// @tparam Role has start(), isReady() and stop(std::function<void()>)
@@ -57,7 +57,7 @@
         const link::named_work work(loop, "log");
         telemetry::flushLog();
     });
-    reportHeldTurns(loop, metrics);
+    reportHeldLoop(loop, metrics);
     loop.run();
     server->reset();
     role.reset();
@@ -101,7 +101,7 @@
         const link::named_work work(loop, "log");
         telemetry::flushLog();
     });
-    reportHeldTurns(loop, metrics);
+    reportHeldLoop(loop, metrics);
     loop.run();
     reload.reset();
     role.reset();
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -17,9 +17,8 @@
         "Lines over the bound of volume were left out; field: count." },
     event_info { event_code::ProcessStoodStill, "process_stood_still",
         "The machine was suspended, or the process stopped; fields: ms, version (of the document held)." },
-    event_info { event_code::LoopHeld, "loop_held",
-        "One turn of the event loop held up everything else; fields: work, ms (of that work), processor_ms (of the "
-        "turn)." },
+    event_info {
+        event_code::LoopHeld, "loop_held", "Work on the event loop held up everything else there; fields: work, ms." },
     event_info { event_code::RouteChosen, "route_chosen",
         "Routing decision; fields: request, attempt, candidates, chosen, reason." },
     event_info { event_code::RouteRefused, "route_refused", "No target could be chosen; fields: request, reason." },
--- a/src/buckthornrail/link/link_hub.cpp
+++ b/src/buckthornrail/link/link_hub.cpp
@@ -34,41 +34,11 @@
     });
 }
 
-void event_loop::run()
-{
-    if (m_watch)
-        runWatched();
-    else
-        m_implementation->io.run();
-}
-
-void event_loop::watchTurns(loop_watch_options options, loop_watch::handler onHeld)
-{
-    m_watch = std::make_unique<loop_watch>(options, std::move(onHeld));
-}
-
-namespace {
+void event_loop::run() { m_implementation->io.run(); }
 
-/// Waiting for events takes none of it, so a turn's own time can be told.
-std::chrono::nanoseconds processorTime()
+void event_loop::watchWork(loop_watch::handler onHeld, milliseconds most)
 {
-    timespec used {};
-    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
-    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
-}
-
-} // namespace
-
-void event_loop::runWatched()
-{
-    auto used = processorTime();
-    while (!m_implementation->io.stopped()) {
-        m_watch->begin(used);
-        if (m_implementation->io.run_one() == 0)
-            return;
-        used = processorTime();
-        m_watch->end(used);
-    }
+    m_watch = std::make_unique<loop_watch>(std::move(onHeld), most);
 }
 
 void event_loop::stop() { m_implementation->io.stop(); }
--- a/src/buckthornrail/link/loop_watch.cpp
+++ b/src/buckthornrail/link/loop_watch.cpp
@@ -1,37 +1,22 @@
 /// @file
-/// @brief Turns over their bounds.
+/// @brief Work over its bound.
 #include "buckthornrail/link/loop_watch.hpp"
 
 #include "buckthornrail/link/event_loop.hpp"
 
 namespace buckthornrail::link {
 
-using std::chrono::duration_cast;
-
-void loop_watch::begin(std::chrono::nanoseconds processor)
-{
-    m_processorBefore = processor;
-    m_work = {};
-    m_elapsed = {};
-}
-
-void loop_watch::worked(std::string_view work, std::chrono::nanoseconds elapsed)
+void loop_watch::worked(std::string_view work, steady_time begun, steady_time ended)
 {
-    // A piece within another is named rather than that one where it is most of it.
-    constexpr int parts = 4;
-    if (elapsed * (parts - 1) < m_elapsed * parts)
+    const auto elapsed = ended - begun;
+    if (elapsed < m_most)
         return;
-    m_work = work;
-    m_elapsed = elapsed;
-}
-
-void loop_watch::end(std::chrono::nanoseconds processor)
-{
-    const auto used = processor - m_processorBefore;
-    const bool isNamed = m_elapsed >= m_options.mostElapsed;
-    if (!isNamed && used < m_options.mostProcessor)
+    const bool holdsTold = m_toldBegun >= begun && m_toldBegun < ended;
+    if (holdsTold && m_toldElapsed * 2 > elapsed)
         return;
-    m_onHeld({ m_work, duration_cast<milliseconds>(m_elapsed), duration_cast<milliseconds>(used) });
+    m_toldBegun = begun;
+    m_toldElapsed = elapsed;
+    m_onHeld({ work, std::chrono::duration_cast<milliseconds>(elapsed) });
 }
 
 named_work::named_work(event_loop& loop, std::string_view name)
@@ -44,7 +29,7 @@
 named_work::~named_work()
 {
     if (auto* watch = m_loop.watch())
-        watch->worked(m_name, boot_clock::now() - m_begun);
+        watch->worked(m_name, m_begun, boot_clock::now());
 }
 
 } // namespace buckthornrail::link
