--- a/include/buckthornrail/core/event_code.hpp
+++ b/include/buckthornrail/core/event_code.hpp
@@ -33,6 +33,7 @@
     CrashBlamed = 212,
     TrialDecided = 213,
     RequestCleared = 214,
+    AttemptKept = 215,
     WorkStarted = 300,
     WorkFinished = 301,
     WorkCancelled = 302,
--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -186,6 +186,8 @@
     void goOn(const attempt_end& last, steady_time now);
     /// @brief Goes on elsewhere if it can; else the open attempt stays. @return true when it moved
     bool move(const attempt_end& last, choice_bounds bounds, steady_time now);
+    /// @brief Logs that a stalled attempt stays, once for each cause.
+    void noteKept(const attempt_end& last, const std::string& why);
     void noteLoss(const attempt_end& last, steady_time now);
     [[nodiscard]] std::string whyNoRepeat(const attempt_end& last, steady_time now);
     /// @brief Opens an attempt as soon as the request may run there.
@@ -249,6 +251,7 @@
     steady_time m_askAt {};
     steady_time m_checkAt {};
     std::uint32_t m_vainChecks = 0; ///< since the last event
+    std::string m_keptFor; ///< cause that it was logged for last that the open attempt stays
     milliseconds m_usualGap { 0 }; ///< moving average of the open attempt's gaps
     steady_time m_moveAt {};
     steady_time m_lastEventAt {};
--- a/src/app/gateway/gateway_document.cpp
+++ b/src/app/gateway/gateway_document.cpp
@@ -10,7 +10,7 @@
     const auto unpacked = unpackSlice(slice);
     if (!unpacked)
         return tl::make_unexpected(unpacked.error());
-    const auto taken = m_assembly.take(*unpacked);
+    auto taken = m_assembly.take(*unpacked);
     if (taken || taken.error().code != result_code::InvalidDocument)
         return taken;
     logUnreadable(slice.to, taken.error());
--- a/src/app/gateway/gateway_document_test.cpp
+++ b/src/app/gateway/gateway_document_test.cpp
@@ -32,6 +32,7 @@
 versioned_text manyRoutes(std::uint64_t version, int routes)
 {
     std::vector<json> all;
+    all.reserve(static_cast<std::size_t>(routes));
     for (int at = 0; at < routes; ++at)
         all.push_back(routeOf("r" + std::to_string(at), "s"));
     return { version, documentOf(version, all).dump() };
--- a/src/app/gateway/gateway_session.cpp
+++ b/src/app/gateway/gateway_session.cpp
@@ -215,7 +215,7 @@
 
 void gateway_session::onMessage(link::channel_number channel, const std::string& bytes)
 {
-    const auto message = decodeOrClose(m_hub, channel, bytes);
+    auto message = decodeOrClose(m_hub, channel, bytes);
     if (!message || channel != m_channel)
         return;
     if (std::holds_alternative<link::document_slice>(*message))
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -43,6 +43,9 @@
         "stage, outcome." },
     event_info { event_code::RequestCleared, "request_cleared",
         "A request under which targets ended got a whole answer; fields: request, fingerprint, stage." },
+    event_info { event_code::AttemptKept, "attempt_kept",
+        "A stalled attempt stays where it is; fields: request, attempt, because (what stalls it), reason (why it can't "
+        "move)." },
     event_info { event_code::WorkStarted, "work_started", "A sidecar handed an attempt to its target." },
     event_info { event_code::WorkFinished, "work_finished", "An attempt ended at the target." },
     event_info { event_code::WorkCancelled, "work_cancelled", "An attempt was cancelled at the target." },
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -351,8 +351,10 @@
 bool exchange::move(const attempt_end& last, choice_bounds bounds, steady_time now)
 {
     const auto next = findNext(last, std::move(bounds), now);
-    if (!next.where)
+    if (!next.where) {
+        noteKept(last, next.why);
         return false; // the open attempt may still go on by itself: that it is slow is no reason to end it
+    }
     noteLoss(last, now);
     closeAttempt();
     m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
@@ -360,6 +362,15 @@
     return true;
 }
 
+void exchange::noteKept(const attempt_end& last, const std::string& why)
+{
+    if (std::exchange(m_keptFor, last.reason) == last.reason)
+        return;
+    m_port.note(event_code::AttemptKept,
+        { { "request", m_request.id }, { "attempt", std::to_string(m_tries) }, { "because", last.reason },
+            { "reason", why } });
+}
+
 void exchange::noteLoss(const attempt_end& last, steady_time now)
 {
     m_port.note(event_code::AttemptLost,
@@ -392,6 +403,7 @@
     m_openAsks = 0;
     m_vainAsks = 0;
     m_pacedEvents = 0;
+    m_keptFor.clear();
     m_attemptStart = now;
     ++m_tries;
     m_moveAt = now + m_options.moveUnstartedAfter;
