Cutting a change into slices stands where its one caller is; an unused function goes

Read once more: the function was public and called in its own file alone, entry_changes::isEmpty by nobody, and a comment in onBeat had come to stand above another line. No behaviour changes.

--- a/include/buckthornrail/document/change.hpp
+++ b/include/buckthornrail/document/change.hpp
@@ -10,8 +10,6 @@
 struct entry_changes {
     std::vector<entry_hash> removed;
     std::vector<std::string> added;
-
-    [[nodiscard]] bool isEmpty() const { return removed.empty() && added.empty(); }
 };
 
 /// What a version changes, or a slice of that. An entry whose text differs is one removed and one added.
@@ -31,12 +29,6 @@
     change part;
 };
 
-/// @brief Cuts a change into slices of bounded work for the receiver.
-/// @param from version that it starts from; 0: it makes the whole document
-/// @param digest of the document at `to`
-/// @return at least one slice
-std::vector<change_slice> slicesOf(std::uint64_t from, std::uint64_t to, std::uint64_t digest, const change& made);
-
 /// @brief The whole document as slices.
 std::vector<change_slice> slicesOf(const outline& whole);
 
--- a/src/app/registry/registry_sessions.cpp
+++ b/src/app/registry/registry_sessions.cpp
@@ -36,9 +36,9 @@
         one.quarantineRevision = beat.quarantineRevision;
     }
     one.instance = beat.instance;
+    one.takesSlices = beat.sliceVersion.has_value();
     // What was sent over this channel arrives before anything sent later: a beat that crossed it on the way says less
     // than the gateway will hold.
-    one.takesSlices = beat.sliceVersion.has_value();
     one.documentVersion = std::max(one.documentVersion, beat.sliceVersion.value_or(beat.documentVersion));
     one.targetRevision = std::max(one.targetRevision, beat.targetRevision);
     const registry::gateway_life life { beat.instance, beat.life, beat.repeats, beat.isRepeatsComplete };
--- a/src/buckthornrail/document/change.cpp
+++ b/src/buckthornrail/document/change.cpp
@@ -113,11 +113,11 @@
     std::size_t m_addedBytes = 0;
 };
 
-} // namespace
-
-entry_hash hashOf(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
-
-std::vector<change_slice> slicesOf(std::uint64_t from, std::uint64_t to, std::uint64_t digest, const change& made)
+/// @brief Cuts a change into slices of bounded work for the receiver.
+/// @param from version that it starts from; 0: it makes the whole document
+/// @param digest of the document at `to`
+/// @return at least one slice
+std::vector<change_slice> cutIntoSlices(std::uint64_t from, std::uint64_t to, std::uint64_t digest, const change& made)
 {
     change_slice head;
     head.from = from;
@@ -130,6 +130,10 @@
     return slices.take();
 }
 
+} // namespace
+
+entry_hash hashOf(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+
 std::vector<change_slice> slicesOf(const outline& whole) { return marks().follow(whole); }
 
 std::vector<change_slice> marks::follow(const outline& next)
@@ -147,7 +151,7 @@
     m_routes = routes;
     m_workspaces = workspaces;
     m_rest = rest;
-    return slicesOf(from, m_version, digestOf(m_routes, m_workspaces, m_rest), made);
+    return cutIntoSlices(from, m_version, digestOf(m_routes, m_workspaces, m_rest), made);
 }
 
 } // namespace buckthornrail::document
