Sight: limits that targets name are read and logged, with what was known when a request was sent there

A question to a target names the target that it is meant for, so that another one at that address can't speak for it. Nothing acts on limits yet.

--- a/include/buckthornrail/core/event_code.hpp
+++ b/include/buckthornrail/core/event_code.hpp
@@ -34,6 +34,7 @@
     TrialDecided = 213,
     RequestCleared = 214,
     AttemptKept = 215,
+    TargetPushback = 216,
     WorkStarted = 300,
     WorkFinished = 301,
     WorkCancelled = 302,
--- a/include/buckthornrail/gateway/dialect.hpp
+++ b/include/buckthornrail/gateway/dialect.hpp
@@ -42,8 +42,10 @@
         const http1::request_head& head, const forwarding& added) const = 0;
     [[nodiscard]] virtual target_answer readAnswer(
         const http1::response_head& head, const std::string& requestId) const = 0;
-    /// @brief The question which member of a path holds requests up.
-    [[nodiscard]] virtual http1::request_head writeReportCall() const = 0;
+    /// @brief What a response says on how its target wants to be treated, whatever it answers.
+    [[nodiscard]] virtual target_pushback readPushback(const http1::response_head& head) const = 0;
+    /// @brief The question which member of a path holds requests up. @param targetId any other target there refuses it
+    [[nodiscard]] virtual http1::request_head writeReportCall(const std::string& targetId) const = 0;
     /// @return address of the member that holds that request up, empty for none; MalformedMessage when the report can't
     /// be read
     [[nodiscard]] virtual tl::expected<std::string, failure> readReport(
--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -41,6 +41,7 @@
     bool isOwn = false; ///< echoes the request's id, bears the target's mark, and its body isn't re-coded
     bool isEventStream = false;
     std::string faultyAddress; ///< of the target that the failure is blamed on; empty: the answering one
+    std::optional<target_pushback> pushback = {}; ///< nothing: the response isn't of the target that was asked
 };
 
 /// Why an attempt ended without an answer.
@@ -140,6 +141,10 @@
     /// @brief The connection stands and the request's bytes are on their way.
     void onSent(steady_time now);
     void onHead(const target_answer& answer, steady_time now);
+    /// @brief The open attempt's first target says how it wants to be treated, in an answer to this request or to a
+    /// question. @param namesNone whether it names no limit by saying nothing of one
+    /// @param sentAt when that request or question was sent
+    void onPushback(const target_pushback& said, bool namesNone, steady_time sentAt, steady_time now);
     /// @brief The body of an answer that isn't a stream is whole.
     void onBody(steady_time now);
     void onEvent(std::string_view bytes, std::optional<std::uint64_t> id, steady_time now);
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -38,6 +38,20 @@
     milliseconds eventGapTarget { 0 }; ///< pauses between a stream's events are on time up to it; 0: none
 };
 
+/// What a target says in a response on how it wants to be treated.
+struct target_pushback {
+    std::optional<double> requestsPerSecond; ///< that it takes from all gateways together; nothing: it names no limit
+    std::string unreadable; ///< name and value of a field that can't be read, for logs; empty: none
+    bool operator==(const target_pushback&) const = default;
+};
+
+/// A rate limit of a target that holds in place of another one.
+struct limit_change {
+    std::optional<double> before; ///< requests a second; nothing: no limit
+    std::optional<double> after;
+    milliseconds beforeAge { 0 }; ///< since the one before was heard last
+};
+
 /// What of a stream is timed.
 enum class pace_kind : std::uint8_t {
     FirstEvent, ///< reading the prompt, with all that waits before it
@@ -101,6 +115,11 @@
     void succeeded(const registry::target_incarnation& id, double answerMs);
     /// @brief The target failed an attempt.
     void failed(const registry::target_incarnation& id);
+    /// @brief The target named a limit, or none any more. @param sentAt when the request that it answers was sent
+    /// @param namesNone whether a response without a limit says that there is none
+    /// @return what changes by it, if anything
+    std::optional<limit_change> heard(const registry::target_incarnation& id, const target_pushback& said,
+        bool namesNone, steady_time sentAt, steady_time now);
     /// @brief The target takes nothing just now, or another one says so of it.
     void refused(const registry::target_incarnation& id, steady_time now);
     /// @brief The target is dead or cut off.
@@ -128,8 +147,15 @@
     [[nodiscard]] std::size_t readyCount(const std::string& service) const;
 
 private:
+    /// A rate limit that a target has named.
+    struct named_limit {
+        double perSecond = 0;
+        steady_time heardAt {}; ///< last
+    };
+
     struct pool_target {
         registry::target_record record;
+        std::optional<named_limit> limit;
         std::size_t domain = 0;
         double sequences = 0; ///< attempts of this gateway in flight
         double tokenLayers = 0; ///< key-value memory that they need, in tokens times layers
@@ -179,6 +205,8 @@
     /// @brief Whether a target has room, as far as the others told of their work lately.
     [[nodiscard]] bool hasRoom(const pool_target& target, steady_time now) const;
     [[nodiscard]] double crowdingMs(const pool_target& target, double comfortableMemory) const;
+    /// @brief For logs: what a first target has named, and how long ago; empty for one that names no limit.
+    [[nodiscard]] static std::string describeLimit(const pool_target& first, steady_time now);
     void countChoice(steady_time now);
     /// @brief What a path costs more for each crossing between domains.
     [[nodiscard]] double crossingMs(const layered_engine& engine) const;
--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -222,13 +222,18 @@
     const std::weak_ptr<gateway_call> weak = weak_from_this();
     m_context.metrics.count("reports_asked");
     m_report = net::http_call::start(m_context.loop, m_where.parts.front().address,
-        { m_context.dialect.writeReportCall(), {} }, steadyNow() + reportPatience,
-        [weak, attempt = m_attempt](net::call_outcome outcome, const net::whole_response& response) {
+        { m_context.dialect.writeReportCall(m_where.parts.front().target.id), {} }, steadyNow() + reportPatience,
+        [weak, attempt = m_attempt, asked = steadyNow()](
+            net::call_outcome outcome, const net::whole_response& response) {
             const auto self = weak.lock();
             if (!self || self->m_attempt != attempt)
                 return;
             self->m_report = nullptr;
             const bool answered = outcome == net::call_outcome::Answered;
+            constexpr int ok = 200;
+            if (answered && response.head.status == ok)
+                self->m_exchange->onPushback(
+                    self->m_context.dialect.readPushback(response.head), false, asked, steadyNow());
             const auto read = answered ? self->m_context.dialect.readReport(response.body, self->m_caller.requestId)
                                        : tl::expected<std::string, failure>();
             // One that can't be read names nobody; that it came shows that the target lives.
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -46,6 +46,9 @@
     event_info { event_code::AttemptKept, "attempt_kept",
         "A stalled attempt stays where it is; fields: request, attempt, because (what stalls it), reason (why it can't "
         "move)." },
+    event_info { event_code::TargetPushback, "target_pushback",
+        "A target says something new on how it wants to be treated; fields: request, target, per_second, before, "
+        "before_age_ms, reason (a field that can't be read)." },
     event_info { event_code::WorkStarted, "work_started", "A sidecar handed an attempt to its target." },
     event_info { event_code::WorkFinished, "work_finished", "An attempt ended at the target." },
     event_info { event_code::WorkCancelled, "work_cancelled", "An attempt was cancelled at the target." },
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -121,6 +121,8 @@
     m_answer = answer;
     m_sent = true;
     const auto first = m_where.parts.front().target;
+    if (answer.pushback)
+        onPushback(*answer.pushback, answer.isOwn, m_attemptStart, now);
     if (answer.notRun) {
         registry::target_incarnation faulty = answer.faultyAddress.empty() ? first : m_pool.idAt(answer.faultyAddress);
         if (faulty.empty())
@@ -157,6 +159,20 @@
     }
 }
 
+void exchange::onPushback(const target_pushback& said, bool namesNone, steady_time sentAt, steady_time now)
+{
+    const auto first = m_where.parts.front().target;
+    const auto change = m_pool.heard(first, said, namesNone, sentAt, now);
+    if (!change && said.unreadable.empty())
+        return;
+    const auto shown = [](const std::optional<double>& limit) { return limit ? std::to_string(*limit) : "none"; };
+    m_port.note(event_code::TargetPushback,
+        { { "request", m_request.id }, { "target", text(first) },
+            { "per_second", change ? shown(change->after) : std::string() },
+            { "before", change ? shown(change->before) : std::string() },
+            { "before_age_ms", change ? inMs(change->beforeAge) : std::string() }, { "reason", said.unreadable } });
+}
+
 void exchange::onBody(steady_time now)
 {
     if (!m_attemptOpen || !m_answer)
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -203,7 +203,8 @@
         + "%, loads "
         + (m_loadsAreTold
                 ? std::to_string(std::chrono::duration_cast<milliseconds>(now - m_loadsToldAt).count()) + " ms old"
-                : "not told");
+                : "not told")
+        + describeLimit(*targets[path.front().candidate], now);
     return chosen;
 }
 
@@ -236,10 +237,19 @@
     selection chosen;
     chosen.parts.push_back({ best->record.incarnation(), best->record.address, {}, best->domain });
     chosen.summary = std::to_string(targets.size()) + " usable, expected "
-        + std::to_string(static_cast<int>(std::lround(bestCost))) + " ms";
+        + std::to_string(static_cast<int>(std::lround(bestCost))) + " ms" + describeLimit(*best, now);
     return chosen;
 }
 
+std::string target_pool::describeLimit(const pool_target& first, steady_time now)
+{
+    if (!first.limit)
+        return {};
+    const auto age = std::chrono::duration_cast<milliseconds>(now - first.limit->heardAt).count();
+    return ", first takes " + std::to_string(first.limit->perSecond) + " a second, heard " + std::to_string(age)
+        + " ms ago";
+}
+
 double target_pool::slownessOf(const pool_target& target, std::size_t kind, steady_time now)
 {
     if (target.slowness[kind] <= 1)
@@ -296,6 +306,26 @@
         found->second.failureShare = (1 - newestWeight) * found->second.failureShare + newestWeight;
 }
 
+std::optional<limit_change> target_pool::heard(const registry::target_incarnation& id, const target_pushback& said,
+    bool namesNone, steady_time sentAt, steady_time now)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end() || !said.unreadable.empty())
+        return std::nullopt;
+    auto& limit = found->second.limit;
+    if (!said.requestsPerSecond && (!namesNone || !limit || sentAt <= limit->heardAt))
+        return std::nullopt; // it may have been answered before the limit was named
+    limit_change change { std::nullopt, said.requestsPerSecond, milliseconds(0) };
+    if (limit) {
+        change.before = limit->perSecond;
+        change.beforeAge = std::chrono::duration_cast<milliseconds>(now - limit->heardAt);
+    }
+    limit.reset();
+    if (said.requestsPerSecond)
+        limit = named_limit { *said.requestsPerSecond, now };
+    return change.before == change.after ? std::nullopt : std::optional(change);
+}
+
 void target_pool::refused(const registry::target_incarnation& id, steady_time now)
 {
     const auto found = m_targets.find(id);
