--- /dev/null
+++ b/tests/incident_named_limit_test.cpp
@@ -0,0 +1,215 @@
+/// @file
+/// @brief Incident: a target named how many requests a second it takes, and got several times as many.
+///
+/// Seen: 17 and 103 requests within 4 s at targets that had named 1.7 and 11.5 a second (15 and 74 are allowed).
+/// How: gateways went on as before; the targets served all of it. Cause: nobody read what a target says of itself in
+/// its answers, and nothing held one limit over all gateways. Proof: the cases below fail on the code of that time,
+/// whose log tells of the limit at each gateway while its requests to the target go on.
+#include "support/gateway_world.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <thread>
+
+using namespace test_support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using clock_type = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t gatewayCount = 5;
+constexpr milliseconds callPause { 15 }; ///< of each caller, a gateway each: about 40 requests a second each
+constexpr seconds settling { 3 }; ///< from the first time that a limit is named until it counts
+constexpr seconds window { 4 };
+
+/// What a target may get in a window under a limit.
+double allowed(double perSecond) { return 1.5 * perSecond * static_cast<double>(window.count()) + 5; }
+
+/// @return the most requests that came to a target in one window, from a moment on
+std::size_t mostInWindow(gateway_world& world, std::size_t target, clock_type::time_point from)
+{
+    const auto arrivals = world.fleet().arrivalsAt(target);
+    std::size_t most = 0;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+        if (first->at < from)
+            continue;
+        const auto inside
+            = std::count_if(first, arrivals.end(), [&first](const auto& one) { return one.at < first->at + window; });
+        most = std::max(most, static_cast<std::size_t>(inside));
+    }
+    return most;
+}
+
+std::size_t countSince(gateway_world& world, std::size_t target, clock_type::time_point from)
+{
+    const auto arrivals = world.fleet().arrivalsAt(target);
+    return static_cast<std::size_t>(
+        std::count_if(arrivals.begin(), arrivals.end(), [from](const auto& one) { return one.at >= from; }));
+}
+
+/// A caller at each gateway, each on a thread of its own, until it is stopped.
+class busy_callers {
+public:
+    busy_callers(gateway_world& world, const std::string& method, const std::string& path)
+    {
+        for (const auto& gateway : world.gateways())
+            m_threads.emplace_back([this, &world, gateway, method, path] { run(world, gateway, method, path); });
+    }
+    busy_callers(const busy_callers&) = delete;
+    busy_callers& operator=(const busy_callers&) = delete;
+    ~busy_callers() { stop(); }
+
+    void stop()
+    {
+        m_stops = true;
+        for (auto& thread : m_threads) {
+            if (thread.joinable())
+                thread.join();
+        }
+    }
+    [[nodiscard]] int served() const { return m_served; }
+    [[nodiscard]] int others() const { return m_others; } ///< refused or failed
+    /// @brief Refused without a time to come back.
+    [[nodiscard]] int untimed() const { return m_untimed; }
+
+private:
+    void run(gateway_world& world, const std::string& gateway, const std::string& method, const std::string& path)
+    {
+        static std::atomic<int> number { 0 };
+        while (!m_stops) {
+            const auto answer = world.call(gateway, method, path, "busy-" + std::to_string(++number), seconds(3));
+            ++(answer.status == 200 && answer.isWhole ? m_served : m_others);
+            m_untimed += answer.status == 503 && answer.comeBack.empty() ? 1 : 0;
+            std::this_thread::sleep_for(callPause);
+        }
+    }
+
+    std::atomic<bool> m_stops { false };
+    std::atomic<int> m_served { 0 };
+    std::atomic<int> m_others { 0 };
+    std::atomic<int> m_untimed { 0 };
+    std::vector<std::thread> m_threads;
+};
+
+/// Checks that a target got no more than it takes; leaves the logs otherwise.
+void checkHeld(gateway_world& world, std::size_t target, double perSecond, clock_type::time_point from)
+{
+    const std::size_t most = mostInWindow(world, target, from);
+    CHECK(static_cast<double>(most) <= allowed(perSecond));
+    if (static_cast<double>(most) > allowed(perSecond))
+        WARN("logs: " << world.keepFolder());
+}
+
+/// The engine at which paths that begin in a domain begin most.
+std::size_t busiestFirst(gateway_world& world)
+{
+    std::size_t busiest = world.engines().front();
+    for (const auto target : world.engines()) {
+        if (world.fleet().arrivalsAt(target).size() > world.fleet().arrivalsAt(busiest).size())
+            busiest = target;
+    }
+    return busiest;
+}
+
+} // namespace
+
+// Guards against a limit that no gateway heeds, or that each heeds for itself: five shares of it sum up to five times.
+TEST_CASE("named limit: all gateways together keep to it, and the other targets serve the rest", "[incident]")
+{
+    const double limit = GENERATE(2.0, 0.3);
+    CAPTURE(limit);
+    gateway_world world(gatewayCount);
+    REQUIRE(world.start());
+    const auto target = world.plainTargets().front();
+    busy_callers callers(world, "GET", "/safe/x");
+    std::this_thread::sleep_for(seconds(1));
+    world.fleet().setLimit(target, limit);
+    const auto named = clock_type::now();
+    std::this_thread::sleep_for(settling + seconds(7));
+    callers.stop();
+    checkHeld(world, target, limit, named + settling);
+    CHECK(callers.served() > 200);
+    CHECK(callers.others() == 0);
+}
+
+// Guards against limits that bind plain services alone, or that streams over paths and their repeats pass by.
+TEST_CASE("named limit: streams keep to it at the first target of their paths", "[incident]")
+{
+    gateway_world world(gatewayCount);
+    REQUIRE(world.start());
+    busy_callers callers(world, "POST", "/stream/n3");
+    std::this_thread::sleep_for(seconds(1));
+    const auto target = busiestFirst(world);
+    world.fleet().setLimit(target, 1.5);
+    const auto named = clock_type::now();
+    std::this_thread::sleep_for(settling + seconds(6));
+    callers.stop();
+    checkHeld(world, target, 1.5, named + settling);
+    CHECK(callers.served() > 100);
+    CHECK(callers.others() == 0);
+}
+
+// Guards against a limit that is forgotten, or shared by too few, once gateways start anew and the leader changes.
+TEST_CASE("named limit: it holds while gateways restart and a leader is killed", "[incident]")
+{
+    gateway_world world(gatewayCount);
+    REQUIRE(world.start());
+    const auto target = world.plainTargets().front();
+    busy_callers callers(world, "GET", "/safe/x");
+    std::this_thread::sleep_for(seconds(1));
+    world.fleet().setLimit(target, 2);
+    const auto named = clock_type::now();
+    std::this_thread::sleep_for(settling);
+    for (const std::size_t at : { 0U, 1U }) {
+        world.killHard(world.gateways().at(at));
+        world.startProcess(world.gateways().at(at));
+        std::this_thread::sleep_for(seconds(1));
+    }
+    const auto leader = world.leader();
+    REQUIRE_FALSE(leader.empty());
+    world.killHard(leader);
+    std::this_thread::sleep_for(seconds(2));
+    world.startProcess(leader);
+    std::this_thread::sleep_for(seconds(3));
+    callers.stop();
+    checkHeld(world, target, 2, named + settling);
+}
+
+// Guards against callers that wait, or come back together, where every target has named a limit.
+TEST_CASE("named limit: what no target takes is refused at once, with a time to come back", "[incident]")
+{
+    gateway_world world(gatewayCount);
+    REQUIRE(world.start());
+    busy_callers callers(world, "GET", "/safe/x");
+    std::this_thread::sleep_for(seconds(1));
+    for (const auto target : world.plainTargets())
+        world.fleet().setLimit(target, 2);
+    const auto named = clock_type::now();
+    std::this_thread::sleep_for(settling + seconds(6));
+    callers.stop();
+    for (const auto target : world.plainTargets())
+        checkHeld(world, target, 2, named + settling);
+    CHECK(callers.others() > 0);
+    CHECK(callers.untimed() == 0);
+}
+
+// Guards against limits that hold on after they were withdrawn.
+TEST_CASE("named limit: a target that names none any more gets its part of the work again", "[incident]")
+{
+    gateway_world world(gatewayCount);
+    REQUIRE(world.start());
+    const auto target = world.plainTargets().front();
+    busy_callers callers(world, "GET", "/safe/x");
+    std::this_thread::sleep_for(seconds(1));
+    world.fleet().setLimit(target, 2);
+    std::this_thread::sleep_for(settling);
+    world.fleet().setLimit(target, std::nullopt);
+    std::this_thread::sleep_for(settling);
+    const auto from = clock_type::now();
+    std::this_thread::sleep_for(seconds(2));
+    callers.stop();
+    CHECK(countSince(world, target, from) > 20);
+}
--- a/tests/support/stand_in_fleet.cpp
+++ b/tests/support/stand_in_fleet.cpp
@@ -199,9 +199,31 @@
     m_implementation->ask([&] { m_implementation->targets.at(target)->faults = faults; });
 }
 
+void stand_in_fleet::setLimit(std::size_t target, std::optional<double> perSecond)
+{
+    m_implementation->ask([&] { m_implementation->targets.at(target)->limit = perSecond; });
+}
+
 std::vector<std::string> stand_in_fleet::arrivals() const
 {
-    return m_implementation->ask([this] { return m_implementation->arrivals; });
+    return m_implementation->ask([this] {
+        std::vector<std::string> ids;
+        for (const auto& one : m_implementation->arrivals)
+            ids.push_back(one.requestId);
+        return ids;
+    });
+}
+
+std::vector<fleet_arrival> stand_in_fleet::arrivalsAt(std::size_t target) const
+{
+    return m_implementation->ask([&] {
+        std::vector<fleet_arrival> found;
+        for (const auto& one : m_implementation->arrivals) {
+            if (one.target == m_implementation->targets.at(target)->id)
+                found.push_back(one);
+        }
+        return found;
+    });
 }
 
 std::vector<fleet_run> stand_in_fleet::runs() const
--- a/tests/support/stand_in_fleet.hpp
+++ b/tests/support/stand_in_fleet.hpp
@@ -4,9 +4,11 @@
 
 #include "buckthornrail/net/tcp.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,13 @@
     bool wasWhole = false; ///< its answer went out to the end
 };
 
+/// A request's arrival at a target that takes it first.
+struct fleet_arrival {
+    std::string requestId;
+    std::string target;
+    std::chrono::steady_clock::time_point at;
+};
+
 /// A target's end under a request whose path holds "/crash".
 struct fleet_crash {
     std::string requestId;
@@ -66,6 +75,8 @@
     void setAnnouncing(std::size_t target, bool announces);
     [[nodiscard]] std::string idOf(std::size_t target) const;
     void setFaults(std::size_t target, const target_faults& faults);
+    /// @brief A target names in its answers how many requests a second it takes; it takes more all the same.
+    void setLimit(std::size_t target, std::optional<double> perSecond);
 
     [[nodiscard]] std::vector<fleet_run> runs() const;
     /// @brief Targets that a request has ended so far, in order. A request whose path holds "/crash" ends its target
@@ -73,6 +84,8 @@
     [[nodiscard]] std::vector<fleet_crash> crashes() const;
     /// @brief Ids of the requests that came to targets, once for each arrival, also of those that were refused.
     [[nodiscard]] std::vector<std::string> arrivals() const;
+    /// @brief The same for one target, with times.
+    [[nodiscard]] std::vector<fleet_arrival> arrivalsAt(std::size_t target) const;
     /// @brief Layers held by living engines of a domain, without gap from 0 to the end.
     [[nodiscard]] bool hasChain(const std::string& domain) const;
     /// @brief Targets that a controller has acknowledged as draining.
--- a/tests/support/stand_in_session.hpp
+++ b/tests/support/stand_in_session.hpp
@@ -86,6 +86,7 @@
         bool drainAcknowledged = false;
         bool isBusy = false;
         target_faults faults;
+        std::optional<double> limit; ///< requests a second that it names
         std::unique_ptr<net::tcp_listener> listener;
         std::set<std::shared_ptr<class target_session>> sessions;
         std::map<std::string, std::string> stalled; ///< address at fault by request id
@@ -134,7 +135,7 @@
     std::thread thread;
     std::vector<std::unique_ptr<target>> targets;
     std::vector<fleet_run> runs;
-    std::vector<std::string> arrivals;
+    std::vector<fleet_arrival> arrivals;
     std::vector<fleet_crash> crashes;
     std::mt19937_64 random { 7 };
     std::size_t lives = 0;
@@ -204,7 +205,7 @@
             order(m_parser.takeBody());
             return;
         }
-        m_fleet.arrivals.push_back(m_requestId);
+        m_fleet.arrivals.push_back({ m_requestId, m_target.id, std::chrono::steady_clock::now() });
         if (m_target.isDraining || m_fleet.drawn(m_target.faults.refuseShare)) {
             answer(503, "", { { "X-Buckthornrail-Not-Executed", "1" } });
             return;
@@ -292,6 +293,7 @@
                 m_next = static_cast<std::uint64_t>(std::stoull(std::string(*last))) + 1;
             auto fields = marked();
             fields.push_back({ "Content-Type", "text/event-stream" });
+            addLimit(fields);
             m_channel->write(http1::formatChunkedHead({ 200, "OK", fields }, true));
             nextEvent();
         }
@@ -350,8 +352,15 @@
             { "X-Buckthornrail-Server-Stamp", "stamp." + m_target.id } };
     }
 
+    void addLimit(std::vector<http1::field>& fields) const
+    {
+        if (m_target.limit)
+            fields.push_back({ "Server-Limit", std::to_string(*m_target.limit) });
+    }
+
     void answer(int status, const std::string& body, std::vector<http1::field> fields)
     {
+        addLimit(fields);
         m_channel->write(http1::formatResponse({ status, "Status", std::move(fields) }, body, true));
         m_channel->closeAfterWrite();
         leave();
