Targets that name how many requests a second they take get no more, from all gateways together

Cause: nobody acted on what a target says of itself in its answers; and nothing holds one limit over all gateways. Shown by the failing test's logs: E216 tells of the limit while E200 goes on choosing the target. Ruled out as the cause: limits heeded by each gateway for itself, or by some senders only (no gateway sent less); both would have followed from reading alone, so the mend covers them. Change: the pool decides whether something may be sent to a target (first attempts, repeats, moved streams, questions); gateways tell each other of limits through the registries; each paces its share, by how many they are and which of them it is. New: send_limit (rapidcheck: 1 to 80 gateways, limits 0 to 30), target_limit, limit_board, ordinals, codec.

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -164,6 +164,9 @@
     void onCallerGone(steady_time now);
 
     [[nodiscard]] bool isOver() const { return m_over; }
+    /// @brief Of a request that was refused since its targets take no more now: when one may again. Nothing: refused
+    /// for another reason.
+    [[nodiscard]] std::optional<steady_time> roomExpectedAt() const { return m_roomExpectedAt; }
     /// @brief Whether an event came through a target since a moment: proof that it was alive then.
     [[nodiscard]] bool heardThrough(const registry::target_incarnation& target, steady_time since) const;
     [[nodiscard]] const exchange_request& request() const { return m_request; }
@@ -211,6 +214,8 @@
     [[nodiscard]] steady_time silentSince(steady_time now) const;
     /// @brief Looks after a stream without events. @return true when it moved
     bool leaveSilentPath(steady_time now);
+    /// @brief Asks the first target which member holds the request up, if it takes questions now.
+    void askFirst(steady_time now);
     /// @brief Tries a safe request elsewhere when its answer is late. @return true when it moved
     bool leaveSlowTarget(steady_time now);
     /// @brief Whether the open attempt's first target has surely ended, so that it doesn't count against the route's
@@ -242,6 +247,7 @@
     bool m_mayHaveRun = false; ///< in any attempt
     bool m_hadOwnFailure = false; ///< a target answered that it failed
     bool m_over = false;
+    std::optional<steady_time> m_roomExpectedAt;
     std::uint32_t m_tries = 0;
     std::optional<attempt_end> m_paused; ///< how the last attempt ended, while a begun stream waits for a place
     steady_time m_goOnAt {};
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -4,6 +4,8 @@
 
 #include "buckthornrail/gateway/layer_path.hpp"
 #include "buckthornrail/gateway/route_index.hpp"
+#include "buckthornrail/gateway/send_limit.hpp"
+#include "buckthornrail/registry/limit_board.hpp"
 #include "buckthornrail/registry/load_board.hpp"
 
 #include <array>
@@ -47,11 +49,17 @@
 
 /// A rate limit of a target that holds in place of another one.
 struct limit_change {
+    registry::target_incarnation target;
     std::optional<double> before; ///< requests a second; nothing: no limit
     std::optional<double> after;
     milliseconds beforeAge { 0 }; ///< since the one before was heard last
+    /// @brief Whether anything is another than before.
+    [[nodiscard]] bool isOne() const { return before != after; }
 };
 
+/// @brief For logs: a limit in requests a second, or that there is none.
+std::string text(const std::optional<double>& perSecond);
+
 /// What of a stream is timed.
 enum class pace_kind : std::uint8_t {
     FirstEvent, ///< reading the prompt, with all that waits before it
@@ -120,6 +128,22 @@
     /// @return what changes by it, if anything
     std::optional<limit_change> heard(const registry::target_incarnation& id, const target_pushback& said,
         bool namesNone, steady_time sentAt, steady_time now);
+    /// @brief Other gateways heard of limits. @return what changes by it
+    std::vector<limit_change> toldLimits(std::span<const registry::limit_news> news, steady_time now);
+    /// @brief Limits heard here since the last call, for the other gateways. @param all also those told before
+    std::vector<registry::limit_news> takeLimitNews(bool all, steady_time now);
+    /// @brief Limits are shared among all gateways.
+    void setShare(const gateway_share& share, steady_time now);
+    /// @brief Whether a target may be sent something now, by what it has named: a request as the first of a path, or a
+    /// question. All that is sent to a target asks here, or was selected here.
+    [[nodiscard]] bool maySend(const registry::target_incarnation& id, steady_time now) const;
+    /// @brief Something is being sent to a target.
+    void noteSent(const registry::target_incarnation& id, steady_time now);
+    /// @brief When a service that may be sent nothing now may be sent something, later for some callers than for
+    /// others so that they don't come back together. @return nothing while limits aren't what is in the way
+    std::optional<steady_time> roomExpectedAt(const std::string& service, steady_time now);
+    /// @brief Targets under a limit.
+    [[nodiscard]] std::size_t limitedCount(steady_time now) const;
     /// @brief The target takes nothing just now, or another one says so of it.
     void refused(const registry::target_incarnation& id, steady_time now);
     /// @brief The target is dead or cut off.
@@ -147,10 +171,12 @@
     [[nodiscard]] std::size_t readyCount(const std::string& service) const;
 
 private:
-    /// A rate limit that a target has named.
+    /// What a target has named last.
     struct named_limit {
-        double perSecond = 0;
-        steady_time heardAt {}; ///< last
+        std::optional<send_limit> pacing; ///< nothing: it takes any number
+        steady_time heardAt {}; ///< last, by any gateway
+        bool isNews = false; ///< heard here, and not told to the other gateways
+        steady_time tellAt {}; ///< they are told no sooner that it holds on
     };
 
     struct pool_target {
@@ -205,6 +231,11 @@
     /// @brief Whether a target has room, as far as the others told of their work lately.
     [[nodiscard]] bool hasRoom(const pool_target& target, steady_time now) const;
     [[nodiscard]] double crowdingMs(const pool_target& target, double comfortableMemory) const;
+    limit_change setLimit(const registry::target_incarnation& id, pool_target& target, std::optional<double> perSecond,
+        steady_time heardAt, steady_time now);
+    [[nodiscard]] static bool isLimited(const pool_target& target, steady_time now);
+    [[nodiscard]] static bool maySend(const pool_target& target, steady_time now);
+    [[nodiscard]] static double limitCostMs(const pool_target& target, steady_time now);
     /// @brief For logs: what a first target has named, and how long ago; empty for one that names no limit.
     [[nodiscard]] static std::string describeLimit(const pool_target& first, steady_time now);
     void countChoice(steady_time now);
@@ -234,6 +265,7 @@
         m_unreadOverPipe; ///< tokens of prompts, by domains from and to
     std::map<registry::target_incarnation, pool_target> m_targets;
     std::map<std::string, layered_engine> m_engines;
+    gateway_share m_share;
     /// Times over the expected time of a token, on sound paths; 0: not known.
     std::array<double, paceKinds> m_usualPace {};
     std::vector<registry::target_incarnation> m_newlyDark;
--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -171,6 +171,7 @@
     bool isRepeatsComplete = false; ///< also those of processes before this one; false: it wants to be told of them
     std::uint64_t quarantineRevision = 0; ///< of the standings that it holds
     std::vector<registry::quarantine_batch> quarantine; ///< without a receipt so far
+    std::vector<registry::limit_news> limits; ///< that it heard targets name since the last beat
 };
 
 /// A text, or a change of the table of targets as encodeDelta() gives it, as a patch (see compression/text_patch.hpp).
@@ -205,6 +206,8 @@
     registry::load_row othersLoads; ///< the same by target, once the changes above are applied; empty: not told
     std::vector<registry::quarantine_delta> quarantine; ///< at most one: nothing to change
     std::vector<registry::quarantine_receipt> quarantineReceipts;
+    std::optional<std::uint32_t> ordinal; ///< which one of the sharers of the budget it is; nothing: not known
+    std::vector<registry::limit_news> limits; ///< that it wasn't told in this session
 };
 
 /// A target's heartbeat.
@@ -219,6 +222,7 @@
     registry::member_report sessions; ///< gateways'
     std::vector<target_heard> heard; ///< heartbeats of targets
     std::vector<registry::target_incarnation> darkTargets; ///< that were dead or cut off for a gateway
+    std::vector<registry::limit_news> limits; ///< that gateways heard targets name
 };
 
 using message = std::variant<link_hello, link_welcome, session_announce, session_heartbeat, session_ack,
--- a/include/buckthornrail/registry/gateway_census.hpp
+++ b/include/buckthornrail/registry/gateway_census.hpp
@@ -55,6 +55,8 @@
     void heard(const gateway_life& one, steady_time now);
     /// @brief Gateways heard within the window. @return 0: not known yet
     [[nodiscard]] std::size_t count(steady_time now) const;
+    /// @brief The gateways counted, in order of their ids. The place of each is its number among them.
+    [[nodiscard]] std::vector<std::string> living(steady_time now) const;
     /// @brief What earlier processes of a gateway had spent within the window when the one heard last started.
     /// @return nothing when it isn't known, or `spent` holds it already
     [[nodiscard]] std::optional<repeat_counts> earlierSpent(const std::string& id) const;
--- a/include/buckthornrail/registry/session_board.hpp
+++ b/include/buckthornrail/registry/session_board.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "buckthornrail/registry/gateway_census.hpp"
+#include "buckthornrail/registry/limit_board.hpp"
 #include "buckthornrail/registry/load_board.hpp"
 
 namespace buckthornrail::registry {
@@ -43,18 +44,27 @@
     repeat_counts spent;
 };
 
+/// Which one of the gateways counted a gateway is.
+struct gateway_ordinal {
+    std::string gateway;
+    std::uint32_t ordinal = 0;
+};
+
 /// The leader's answer.
 struct fleet_report {
     std::uint64_t answers = 0; ///< sequence of the report
     session_sums others; ///< all sessions but those of the controller that reported
     std::uint32_t budgetSharers = 0; ///< gateways that may have spent of the budget of repeats; 0: not known yet
     std::vector<earlier_repeats> earlier; ///< for those lives in the report that asked
+    std::vector<gateway_ordinal> ordinals; ///< of all lives in the report, among the sharers
+    std::vector<limit_news> limits; ///< that the controller lacks
 };
 
 /// What one gateway is told of the others.
 struct fleet_summary {
     std::uint32_t gateways = 1; ///< with a session now, itself included
     std::uint32_t budgetSharers = 0; ///< 0: not known, or not known to include it
+    std::optional<std::uint32_t> ordinal; ///< which one of the sharers it is; nothing: not known
     std::optional<repeat_counts> earlier; ///< spent by processes before it; nothing: not known, or not wanted
     std::uint32_t othersOpenAttempts = 0;
     load_row othersLoads; ///< empty: not told
@@ -92,6 +102,7 @@
         bool isNews = false; ///< heard since the last report
         std::uint64_t reportedIn = 0; ///< first report with its life that may have been answered; 0: none yet
         std::optional<repeat_counts> earlier; ///< as the leader answered for that life
+        std::optional<std::uint32_t> ordinal; ///< the same
     };
 
     /// @return sums of the sessions here, without loads
--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -68,6 +68,8 @@
                   m_context.confirmBy = {};
                   resumeWaiting();
               },
+              [this](bool all) { return m_context.pool.takeLimitNews(all, steadyNow()); },
+              [this](const std::vector<registry::limit_news>& news) { onLimits(news); },
           })
     , m_standstillCheck(loop, standstillPeriod, [this] { lookForStandstill(); })
 {
@@ -148,12 +150,24 @@
     if (update.budgetSharers == 0)
         return; // not known there yet: what was told before holds
     m_context.budgets.toldGateways(update.budgetSharers, now);
+    if (update.ordinal)
+        m_context.pool.setShare({ update.budgetSharers, *update.ordinal }, now);
     const std::size_t before = std::exchange(m_context.budgetSharers, update.budgetSharers);
     if (before != update.budgetSharers)
         telemetry::logEvent(event_code::GatewaysCounted,
             { { "gateways", std::to_string(update.budgetSharers) }, { "before", std::to_string(before) } });
 }
 
+void gateway_role::onLimits(const std::vector<registry::limit_news>& news)
+{
+    for (const auto& change : m_context.pool.toldLimits(news, steadyNow())) {
+        telemetry::logEvent(event_code::TargetPushback,
+            { { "target", text(change.target) }, { "per_second", gateway::text(change.after) },
+                { "before", gateway::text(change.before) },
+                { "before_age_ms", std::to_string(change.beforeAge.count()) }, { "source", "controllers" } });
+    }
+}
+
 void gateway_role::onDocument()
 {
     m_context.document = m_document.index();
@@ -309,6 +323,7 @@
 {
     if (request.head.target == "/metrics") {
         m_context.metrics.gauge("quarantined_requests", static_cast<double>(m_context.quarantine.size()));
+        m_context.metrics.gauge("limited_targets", static_cast<double>(m_context.pool.limitedCount(steadyNow())));
         m_context.metrics.gauge("members_dialled", static_cast<double>(m_context.reachability->trials()));
         respond(net::plainResponse(200, m_context.metrics.text(), "text/plain"));
         return;
--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -408,6 +408,8 @@
 
 milliseconds gateway_call::comeBackAfter(result_code code) const
 {
+    if (m_exchange && m_exchange->roomExpectedAt())
+        return std::max(busyPause, between(steadyNow(), *m_exchange->roomExpectedAt()));
     if (code != result_code::ShuttingDown || m_sink->openedAt() < m_context.takesStreamsUntil)
         return usualPause(code);
     // The balancer has long left this gateway out, and still leads new connections here: no other one is there.
--- a/src/app/gateway/gateway_session.cpp
+++ b/src/app/gateway/gateway_session.cpp
@@ -129,7 +129,7 @@
     m_channel = 0;
     m_open = false;
     forgetInbox();
-    m_toldQuarantine = false;
+    m_hasBeaten = false;
     const bool wasServed = std::exchange(m_isServed, false);
     if (wasServed && m_leaveCause != leave_cause::Nearer)
         m_moveAt = steadyNow() + movePause; // the nearest may be the one that was lost, and still be told of
@@ -199,7 +199,9 @@
         m_targets.revision(), m_callbacks.openAttempts(), std::exchange(m_dark, {}), m_callbacks.loads(), m_life, {},
         false };
     m_callbacks.tellRepeats(beat);
-    m_callbacks.tellQuarantine(beat, !std::exchange(m_toldQuarantine, true));
+    const bool isFirst = !std::exchange(m_hasBeaten, true);
+    m_callbacks.tellQuarantine(beat, isFirst);
+    beat.limits = m_callbacks.takeLimitNews(isFirst);
     m_hub.send(m_channel, link::encode(link::message(std::move(beat))));
 }
 
@@ -336,6 +338,8 @@
         m_callbacks.targetsChanged(m_targets);
     }
     m_callbacks.othersLoads(update.othersLoads);
+    if (!update.limits.empty())
+        m_callbacks.limitsTold(update.limits);
     m_callbacks.quarantineTold(update);
     moveNearer();
 }
--- a/src/app/gateway/gateway_session.hpp
+++ b/src/app/gateway/gateway_session.hpp
@@ -33,6 +33,10 @@
     /// Fills in what is to be said of the quarantine. @param isFirst of this session
     std::function<void(link::gateway_beat&, bool isFirst)> tellQuarantine;
     std::function<void(const link::gateway_update&)> quarantineTold;
+    /// Limits of targets that were heard here. @param all also those told in an earlier session
+    std::function<std::vector<registry::limit_news>(bool all)> takeLimitNews
+        = [](bool) { return std::vector<registry::limit_news>(); };
+    std::function<void(const std::vector<registry::limit_news>&)> limitsTold = [](const auto&) {};
 };
 
 /// @brief Lives on the loop thread. What it holds only ever gets newer, and first comes from a controller that a
@@ -100,7 +104,7 @@
     steady_time m_unhurriedUntil {}; ///< slices are taken with pauses until then
     registry::target_view m_targets;
     std::vector<registry::target_incarnation> m_dark; ///< not told yet
-    bool m_toldQuarantine = false; ///< in this session
+    bool m_hasBeaten = false; ///< in this session
     link::link_hub m_hub;
     net::loop_timer m_leaderlessTimer;
     net::loop_timer m_soonTimer;
--- a/src/app/registry/registry.cpp
+++ b/src/app/registry/registry.cpp
@@ -59,6 +59,7 @@
                 m_log->onClosed(channel);
                 m_sessions.erase(channel);
                 m_board.forget(channel);
+                m_memberLimitsTold.erase(channel);
             },
             [this](link::channel_number channel, const std::string& bytes) { onMessage(channel, bytes); },
             [this](link::channel_number channel) { m_log->onProgress(channel); },
@@ -80,6 +81,7 @@
     m_log->leadershipChanged = [this](bool leads) {
         m_watch.forget();
         m_board.begin(leads, steadyNow());
+        m_memberLimitsTold.clear();
         m_quarantineClock.begin();
         if (leads)
             m_orders.begin(m_log->replica().term(), steadyNow());
@@ -227,6 +229,7 @@
         onReport(channel, *report);
     } else if (const auto* answer = std::get_if<registry::fleet_report>(&*message)) {
         m_board.told(*answer, m_state.targets());
+        m_limits.take(answer->limits, registry::limit_source::Leader, m_state.targets(), steadyNow());
         m_answeredAt = steadyNow();
     }
 }
@@ -324,6 +327,9 @@
             + std::string(nameIn(registry::targetStateNames, record.state)) + " " + std::to_string(record.layers.first)
             + "-" + std::to_string(record.layers.end) + "\n";
     }
+    for (const auto& limit : m_limits.limits(steadyNow()))
+        text += "limit " + registry::text(limit.target) + " " + std::to_string(*limit.perSecond) + " per second, heard "
+            + std::to_string(limit.ageMs) + " ms ago\n";
     return net::plainResponse(200, text, "text/plain");
 }
 
--- a/src/app/registry/registry.hpp
+++ b/src/app/registry/registry.hpp
@@ -37,6 +37,7 @@
         std::uint64_t quarantineRevision = 0; ///< of the standings that it was told
         std::uint64_t quarantineBatch = 0; ///< number of its last batch that was taken
         std::uint64_t placesTold = 0; ///< revision of m_places that it was told
+        std::uint64_t limitsTold = 0; ///< revision of m_limits that it was told
         bool isConfirmed = false; ///< a quorum has confirmed this controller since the session began
         steady_time deadline {};
     };
@@ -135,6 +136,10 @@
     std::vector<link::controller_place> m_places; ///< of all members, to be told
     std::uint64_t m_placesRevision = 0; ///< how often they have changed
     registry::session_board m_board; ///< by channel number
+    registry::limit_board m_limits;
+    agreement::member_id m_reportedTo = 0; ///< leader that was told
+    std::uint64_t m_limitsReported = 0; ///< revision of m_limits that it was told
+    std::map<link::channel_number, std::uint64_t> m_memberLimitsTold; ///< at the leader: revision by link to a member
     link::member_report m_unreported; ///< targets, for the leader
     steady_time m_reportAt {};
     steady_time m_answeredAt {}; ///< when the leader last told of all others' sums
--- a/src/app/registry/registry_sessions.cpp
+++ b/src/app/registry/registry_sessions.cpp
@@ -44,6 +44,7 @@
     const registry::gateway_life life { beat.instance, beat.life, beat.repeats, beat.isRepeatsComplete };
     m_board.heard(
         channel, { life, beat.openAttempts, beat.targetRevision, beat.loads }, m_state.targets(), steadyNow());
+    m_limits.take(beat.limits, registry::limit_source::Below, m_state.targets(), steadyNow());
     one.waitingSequence = beat.sequence;
     one.deadline = steadyNow() + sessionLifetime;
     takeQuarantine(channel, one, beat);
@@ -71,7 +72,10 @@
         m_watch.heard(target.id, { target.startedMs, target.sequence });
     for (const auto& target : report.darkTargets)
         m_watch.suspect(target);
-    const auto answer = m_board.answer(channel, report.sessions, m_state.targets(), steadyNow());
+    m_limits.take(report.limits, registry::limit_source::Below, m_state.targets(), steadyNow());
+    auto answer = m_board.answer(channel, report.sessions, m_state.targets(), steadyNow());
+    auto& told = m_memberLimitsTold[channel];
+    answer.limits = m_limits.changesSince(std::exchange(told, m_limits.revision()), steadyNow());
     m_hub->send(channel, link::encode(link::message(answer)));
 }
 
@@ -87,6 +91,9 @@
     m_reportAt = now + reportPeriod;
     auto report = std::exchange(m_unreported, {});
     report.sessions = m_board.report(m_state.targets());
+    if (std::exchange(m_reportedTo, m_log->replica().leader()) != m_log->replica().leader())
+        m_limitsReported = 0;
+    report.limits = m_limits.changesForLeader(std::exchange(m_limitsReported, m_limits.revision()), now);
     m_log->sendToLeader(link::message(std::move(report)));
 }
 
@@ -198,6 +205,8 @@
         update.earlierRepeats.push_back(*fleet.earlier);
     update.othersOpenAttempts = fleet.othersOpenAttempts;
     update.othersLoads = fleet.othersLoads;
+    update.ordinal = fleet.ordinal;
+    update.limits = m_limits.changesSince(std::exchange(one.limitsTold, m_limits.revision()), steadyNow());
     const auto& quarantine = m_state.quarantine();
     const std::uint64_t held = std::exchange(one.quarantineRevision, quarantine.stageRevision());
     if (held != quarantine.stageRevision())
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -61,7 +61,8 @@
 
 dispatch_verdict exchange::askPort(steady_time now)
 {
-    const auto verdict = m_port.mayBegin(*m_next->where);
+    const bool isHeldBack = !m_pool.maySend(m_next->where->parts.front().target, now);
+    const auto verdict = isHeldBack ? dispatch_verdict::Elsewhere : m_port.mayBegin(*m_next->where);
     if (verdict != dispatch_verdict::Elsewhere)
         return verdict;
     auto bounds = m_next->bounds;
@@ -165,12 +166,12 @@
     const auto change = m_pool.heard(first, said, namesNone, sentAt, now);
     if (!change && said.unreadable.empty())
         return;
-    const auto shown = [](const std::optional<double>& limit) { return limit ? std::to_string(*limit) : "none"; };
     m_port.note(event_code::TargetPushback,
         { { "request", m_request.id }, { "target", text(first) },
-            { "per_second", change ? shown(change->after) : std::string() },
-            { "before", change ? shown(change->before) : std::string() },
-            { "before_age_ms", change ? inMs(change->beforeAge) : std::string() }, { "reason", said.unreadable } });
+            { "per_second", change ? text(change->after) : std::string() },
+            { "before", change ? text(change->before) : std::string() },
+            { "before_age_ms", change ? inMs(change->beforeAge) : std::string() }, { "source", "response" },
+            { "reason", said.unreadable } });
 }
 
 void exchange::onBody(steady_time now)
@@ -428,6 +429,7 @@
     m_usualGap = milliseconds(0);
     m_vainChecks = 0;
     m_promptRead = false;
+    m_pool.noteSent(m_where.parts.front().target, now);
     m_pool.began(m_where, m_request.size);
     m_port.note(event_code::RouteChosen,
         { { "request", m_request.id }, { "route", m_request.chosen->name },
@@ -456,11 +458,15 @@
 void exchange::finish(result_code code, ran_state ran, const std::string& reason, steady_time now)
 {
     m_over = true;
+    const bool mayComeBack = code == result_code::Busy || code == result_code::NoTarget;
+    if (mayComeBack)
+        m_roomExpectedAt = m_pool.roomExpectedAt(m_request.service, now);
     m_port.note(m_streamBegun || ran != ran_state::No ? event_code::RequestFinished : event_code::RouteRefused,
         { { "request", m_request.id }, { "route", m_request.chosen->name },
             { "outcome", m_streamBegun ? "broken_off" : "refused" }, { "code", std::to_string(static_cast<int>(code)) },
             { "ran", std::string(nameOf(ran)) }, { "reason", reason }, { "events", std::to_string(m_events) },
             { "attempts", std::to_string(m_tries) }, { "ready", std::to_string(m_pool.readyCount(m_request.service)) },
+            { "room_in_ms", m_roomExpectedAt ? inMs(between(now, *m_roomExpectedAt)) : std::string() },
             { "ms", inMs(between(m_request.arrived, now)) } });
     if (m_streamBegun)
         m_port.breakOff();
--- a/src/buckthornrail/gateway/exchange_watch.cpp
+++ b/src/buckthornrail/gateway/exchange_watch.cpp
@@ -156,12 +156,21 @@
     checkMembersWhenDue(now);
     if (now >= m_askAt) {
         m_askAt = now + m_options.askAgainAfter * (1U << std::min(m_vainAsks, 5U));
-        ++m_openAsks;
-        m_port.askForReport();
+        askFirst(now);
     }
     return false;
 }
 
+void exchange::askFirst(steady_time now)
+{
+    const auto first = m_where.parts.front().target;
+    if (!m_pool.maySend(first, now))
+        return; // a question that wasn't put says nothing of the target
+    m_pool.noteSent(first, now);
+    ++m_openAsks;
+    m_port.askForReport();
+}
+
 bool exchange::leaveSlowTarget(steady_time now)
 {
     if (m_request.chosen->kind != request_kind::Safe || m_answer || now < m_moveAt)
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -174,10 +174,11 @@
     for (const auto* target : targets) {
         const auto pass = passTime(*target, engine);
         const double pace = weights.pace * slownessOf(*target, now) * jitter(m_random);
-        const double extraMs
-            = doubtMs(*target, now) + crowdingMs(*target, weights.comfortableMemory) + pass.sharedMs * pace;
+        const double extraMs = doubtMs(*target, now) + limitCostMs(*target, now)
+            + crowdingMs(*target, weights.comfortableMemory) + pass.sharedMs * pace;
+        const bool isAllowed = bounds.firstOnly.empty() || bounds.firstOnly.contains(target->record.incarnation());
         candidates.push_back({ target->record.layers, target->domain, pass.perLayerMs * pace, extraMs,
-            bounds.firstOnly.empty() || bounds.firstOnly.contains(target->record.incarnation()) });
+            isAllowed && maySend(*target, now) });
     }
     path_costs costs;
     costs.crossingMs = crossingMs(engine);
@@ -215,6 +216,7 @@
     if (!bounds.firstOnly.empty())
         std::erase_if(
             targets, [&bounds](const auto* one) { return !bounds.firstOnly.contains(one->record.incarnation()); });
+    std::erase_if(targets, [now](const auto* one) { return !maySend(*one, now); });
     std::uniform_real_distribution<double> draw(0, 1);
     const bool explores = draw(m_random) < exploreShare;
     const pool_target* best = nullptr;
@@ -226,7 +228,7 @@
             = answerMs * (1 + waiting) * (target->domain == 0 ? 1 : farFactor) * (1 + jitterShare * draw(m_random));
         if (explores)
             cost = draw(m_random);
-        cost += doubtMs(*target, now);
+        cost += doubtMs(*target, now) + limitCostMs(*target, now);
         if (best == nullptr || cost < bestCost) {
             best = target;
             bestCost = cost;
@@ -241,15 +243,6 @@
     return chosen;
 }
 
-std::string target_pool::describeLimit(const pool_target& first, steady_time now)
-{
-    if (!first.limit)
-        return {};
-    const auto age = std::chrono::duration_cast<milliseconds>(now - first.limit->heardAt).count();
-    return ", first takes " + std::to_string(first.limit->perSecond) + " a second, heard " + std::to_string(age)
-        + " ms ago";
-}
-
 double target_pool::slownessOf(const pool_target& target, std::size_t kind, steady_time now)
 {
     if (target.slowness[kind] <= 1)
@@ -306,26 +299,6 @@
         found->second.failureShare = (1 - newestWeight) * found->second.failureShare + newestWeight;
 }
 
-std::optional<limit_change> target_pool::heard(const registry::target_incarnation& id, const target_pushback& said,
-    bool namesNone, steady_time sentAt, steady_time now)
-{
-    const auto found = m_targets.find(id);
-    if (found == m_targets.end() || !said.unreadable.empty())
-        return std::nullopt;
-    auto& limit = found->second.limit;
-    if (!said.requestsPerSecond && (!namesNone || !limit || sentAt <= limit->heardAt))
-        return std::nullopt; // it may have been answered before the limit was named
-    limit_change change { std::nullopt, said.requestsPerSecond, milliseconds(0) };
-    if (limit) {
-        change.before = limit->perSecond;
-        change.beforeAge = std::chrono::duration_cast<milliseconds>(now - limit->heardAt);
-    }
-    limit.reset();
-    if (said.requestsPerSecond)
-        limit = named_limit { *said.requestsPerSecond, now };
-    return change.before == change.after ? std::nullopt : std::optional(change);
-}
-
 void target_pool::refused(const registry::target_incarnation& id, steady_time now)
 {
     const auto found = m_targets.find(id);
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -65,10 +65,48 @@
         in.at(3).get<bool>() };
 }
 
+// As an array, like gateway_life.
+static void to_json(nlohmann::json& out, const limit_news& value)
+{
+    out = nlohmann::json::array({ value.target, nullptr, value.ageMs });
+    if (value.perSecond)
+        out[1] = *value.perSecond;
+}
+static void from_json(const nlohmann::json& in, limit_news& value)
+{
+    in.at(0).get_to(value.target);
+    value.perSecond.reset();
+    if (!in.at(1).is_null())
+        value.perSecond = in.at(1).get<double>();
+    in.at(2).get_to(value.ageMs);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(session_sums, gateways, openAttempts, targetRevision, loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_report, sequence, sums, lives)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(earlier_repeats, gateway, spent)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(fleet_report, answers, others, budgetSharers, earlier)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(gateway_ordinal, gateway, ordinal)
+
+/// A field that the program before doesn't send: an upgrade is rolled while both are at work.
+template <typename Field> void readIfThere(const nlohmann::json& in, const char* name, Field& field)
+{
+    if (const auto found = in.find(name); found != in.end())
+        found->get_to(field);
+}
+
+static void to_json(nlohmann::json& out, const fleet_report& value)
+{
+    out = { { "answers", value.answers }, { "others", value.others }, { "budgetSharers", value.budgetSharers },
+        { "earlier", value.earlier }, { "ordinals", value.ordinals }, { "limits", value.limits } };
+}
+static void from_json(const nlohmann::json& in, fleet_report& value)
+{
+    in.at("answers").get_to(value.answers);
+    in.at("others").get_to(value.others);
+    in.at("budgetSharers").get_to(value.budgetSharers);
+    in.at("earlier").get_to(value.earlier);
+    readIfThere(in, "ordinals", value.ordinals);
+    readIfThere(in, "limits", value.limits);
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_batch, number, change)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(refused_trial, trial, why)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_receipt, number, refused)
@@ -114,12 +152,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_request, member, address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_hello, member, address, initialized, controlAddress, failureDomain)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_place, address, controlAddress, failureDomain)
-/// A field that the program before doesn't send: an upgrade is rolled while both are at work.
-template <typename Field> void readIfThere(const nlohmann::json& in, const char* name, Field& field)
-{
-    if (const auto found = in.find(name); found != in.end())
-        found->get_to(field);
-}
+using registry::readIfThere;
 
 static void to_json(nlohmann::json& out, const gateway_beat& value)
 {
@@ -127,7 +160,8 @@
         { "documentVersion", value.documentVersion }, { "targetRevision", value.targetRevision },
         { "openAttempts", value.openAttempts }, { "darkTargets", value.darkTargets }, { "loads", value.loads },
         { "life", value.life }, { "repeats", value.repeats }, { "isRepeatsComplete", value.isRepeatsComplete },
-        { "quarantineRevision", value.quarantineRevision }, { "quarantine", value.quarantine } };
+        { "quarantineRevision", value.quarantineRevision }, { "quarantine", value.quarantine },
+        { "limits", value.limits } };
     if (value.sliceVersion)
         out["sliceVersion"] = *value.sliceVersion;
 }
@@ -145,6 +179,7 @@
     in.at("isRepeatsComplete").get_to(value.isRepeatsComplete);
     readIfThere(in, "quarantineRevision", value.quarantineRevision);
     readIfThere(in, "quarantine", value.quarantine);
+    readIfThere(in, "limits", value.limits);
     if (const auto found = in.find("sliceVersion"); found != in.end())
         value.sliceVersion = found->get<std::uint64_t>();
 }
@@ -159,7 +194,18 @@
     value = { in.at(0).get<std::string>(), in.at(1).get<std::uint64_t>(), in.at(2).get<std::uint64_t>() };
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_report, sessions, heard, darkTargets)
+static void to_json(nlohmann::json& out, const member_report& value)
+{
+    out = { { "sessions", value.sessions }, { "heard", value.heard }, { "darkTargets", value.darkTargets },
+        { "limits", value.limits } };
+}
+static void from_json(const nlohmann::json& in, member_report& value)
+{
+    in.at("sessions").get_to(value.sessions);
+    in.at("heard").get_to(value.heard);
+    in.at("darkTargets").get_to(value.darkTargets);
+    readIfThere(in, "limits", value.limits);
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(text_update, from, to, patch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(document_slice, from, to, number, count, digest, patch)
 static void to_json(nlohmann::json& out, const gateway_update& value)
@@ -169,7 +215,9 @@
         { "gateways", value.gateways }, { "budgetSharers", value.budgetSharers },
         { "earlierRepeats", value.earlierRepeats }, { "othersOpenAttempts", value.othersOpenAttempts },
         { "othersLoads", value.othersLoads }, { "quarantine", value.quarantine },
-        { "quarantineReceipts", value.quarantineReceipts } };
+        { "quarantineReceipts", value.quarantineReceipts }, { "limits", value.limits } };
+    if (value.ordinal)
+        out["ordinal"] = *value.ordinal;
 }
 static void from_json(const nlohmann::json& in, gateway_update& value)
 {
@@ -186,6 +234,9 @@
     in.at("othersLoads").get_to(value.othersLoads);
     readIfThere(in, "quarantine", value.quarantine);
     readIfThere(in, "quarantineReceipts", value.quarantineReceipts);
+    readIfThere(in, "limits", value.limits);
+    if (const auto found = in.find("ordinal"); found != in.end())
+        value.ordinal = found->get<std::uint32_t>();
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fence, request, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fenced, request, generation)
--- a/src/buckthornrail/link/message_test.cpp
+++ b/src/buckthornrail/link/message_test.cpp
@@ -91,6 +91,34 @@
     CHECK_FALSE(without(message(update), { "gateways" }).has_value());
 }
 
+// Guards against an upgrade that can't be rolled: the program before neither sends nor reads these fields.
+TEST_CASE("codec: limits of targets and a gateway's number come back, and may be missing", "[link]")
+{
+    const std::vector<registry::limit_news> limits { { { "t", 7 }, 2.5, 40 }, { "u", std::nullopt, 0 } };
+    gateway_beat beat;
+    beat.limits = limits;
+    gateway_update update;
+    update.limits = limits;
+    update.ordinal = 3;
+    member_report report;
+    report.limits = limits;
+    registry::fleet_report answer;
+    answer.limits = limits;
+    answer.ordinals = { { "g", 3 } };
+    for (const message& whole : { message(beat), message(update), message(report), message(answer) }) {
+        CHECK(encode(*decode(encode(whole))) == encode(whole));
+        auto envelope = nlohmann::json::from_cbor(encode(whole));
+        for (const std::string name : { "limits", "ordinal", "ordinals" })
+            envelope.at("b").erase(name);
+        std::string shorter;
+        nlohmann::json::to_cbor(envelope, shorter);
+        CHECK(decode(shorter).has_value());
+    }
+    const auto back = decode(encode(message(update)));
+    CHECK(std::get<gateway_update>(*back).limits == limits);
+    CHECK(std::get<gateway_update>(*back).ordinal == 3U);
+}
+
 TEST_CASE("codec: damaged bytes give an error or a message, never anything else", "[link][property]")
 {
     const auto samples = oneOfEach();
--- a/src/buckthornrail/registry/gateway_census.cpp
+++ b/src/buckthornrail/registry/gateway_census.cpp
@@ -61,6 +61,16 @@
         m_gateways.begin(), m_gateways.end(), [now](const auto& item) { return now < item.second.deadline; }));
 }
 
+std::vector<std::string> gateway_census::living(steady_time now) const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, one] : m_gateways) {
+        if (now < one.deadline)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 std::optional<repeat_counts> gateway_census::earlierSpent(const std::string& id) const
 {
     const auto found = m_gateways.find(id);
--- a/src/buckthornrail/registry/session_board.cpp
+++ b/src/buckthornrail/registry/session_board.cpp
@@ -2,6 +2,7 @@
 /// @brief Sums of sessions, and how they travel between leader and members.
 #include "buckthornrail/registry/session_board.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace buckthornrail::registry {
@@ -10,6 +11,13 @@
 /// Stands on the board for what the leader told of all other controllers.
 constexpr session_number elsewhere = 0;
 
+/// @param living sorted, with that gateway
+std::uint32_t ordinalIn(const std::vector<std::string>& living, const std::string& gateway)
+{
+    const auto at = std::lower_bound(living.begin(), living.end(), gateway);
+    return static_cast<std::uint32_t>(at - living.begin());
+}
+
 void add(session_sums& sum, const session_sums& more)
 {
     sum.gateways += more.gateways;
@@ -39,6 +47,7 @@
     if (one.word.life.life != word.life.life || one.word.life.id != word.life.id) {
         one.reportedIn = 0;
         one.earlier.reset();
+        one.ordinal.reset();
     }
     m_openAttempts += word.openAttempts - one.word.openAttempts;
     one.word = word;
@@ -94,8 +103,11 @@
     m_members[member] = report.sums;
     if (report.sums.targetRevision == table.revision())
         m_loads.tell(member, table, report.sums.loads);
-    for (const auto& life : report.lives) {
+    for (const auto& life : report.lives)
         m_census.heard(life, now);
+    const auto living = m_census.living(now);
+    for (const auto& life : report.lives) {
+        made.ordinals.push_back({ life.id, ordinalIn(living, life.id) });
         if (auto spent = m_census.earlierSpent(life.id))
             made.earlier.push_back({ life.id, std::move(*spent) });
     }
@@ -125,6 +137,14 @@
                 one.earlier = earlier.spent;
         }
     }
+    std::map<std::string, std::uint32_t> ordinals;
+    for (const auto& row : answer.ordinals)
+        ordinals[row.gateway] = row.ordinal;
+    for (auto& [number, one] : m_sessions) {
+        const auto row = ordinals.find(one.word.life.id);
+        if (row != ordinals.end())
+            one.ordinal = row->second;
+    }
 }
 
 fleet_summary session_board::summaryFor(session_number session, const target_table& table, steady_time now) const
@@ -143,12 +163,15 @@
     made.othersLoads = m_loads.othersOf(session, table);
     if (m_leads) {
         made.budgetSharers = static_cast<std::uint32_t>(m_census.count(now));
+        made.ordinal = ordinalIn(m_census.living(now), one.word.life.id);
         made.earlier = m_census.earlierSpent(one.word.life.id);
         return made;
     }
     // A number that leaves this gateway out would let all parts sum up to more than the whole.
-    if (isCounted(one))
+    if (isCounted(one)) {
         made.budgetSharers = m_budgetSharers;
+        made.ordinal = one.ordinal;
+    }
     if (!one.word.life.isComplete)
         made.earlier = one.earlier;
     return made;
--- a/src/buckthornrail/registry/session_board_test.cpp
+++ b/src/buckthornrail/registry/session_board_test.cpp
@@ -276,3 +276,22 @@
         }
     });
 }
+
+// Guards against two gateways that take themselves for the same one of those that share a limit.
+TEST_CASE("session board: each gateway counted is told which one of them it is", "[session_board]")
+{
+    two_controllers both;
+    both.leader.heard(1, word("g-1", 11, 0, both.table), both.table, at(2000));
+    both.member.heard(1, word("g-3", 13, 0, both.table), both.table, at(2000));
+    both.member.heard(2, word("g-2", 12, 0, both.table), both.table, at(2000));
+    CHECK_FALSE(both.member.summaryFor(1, both.table, at(2000)).ordinal);
+    both.exchange(2100);
+    std::set<std::uint32_t> ordinals;
+    for (const auto& summary : { both.leader.summaryFor(1, both.table, at(2200)),
+             both.member.summaryFor(1, both.table, at(2200)), both.member.summaryFor(2, both.table, at(2200)) }) {
+        CHECK(summary.budgetSharers == 3);
+        REQUIRE(summary.ordinal);
+        ordinals.insert(*summary.ordinal);
+    }
+    CHECK(ordinals == std::set<std::uint32_t> { 0, 1, 2 });
+}
