--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -233,6 +233,7 @@
     [[nodiscard]] double crowdingMs(const pool_target& target, double comfortableMemory) const;
     limit_change setLimit(const registry::target_incarnation& id, pool_target& target, std::optional<double> perSecond,
         steady_time heardAt, steady_time now);
+    [[nodiscard]] static std::optional<double> perSecondOf(const named_limit& limit);
     [[nodiscard]] static bool isLimited(const pool_target& target, steady_time now);
     [[nodiscard]] static bool maySend(const pool_target& target, steady_time now);
     [[nodiscard]] static double limitCostMs(const pool_target& target, steady_time now);
--- a/src/buckthornrail/gateway/target_pool_limits.cpp
+++ b/src/buckthornrail/gateway/target_pool_limits.cpp
@@ -26,16 +26,21 @@
 
 std::string text(const std::optional<double>& perSecond) { return perSecond ? std::to_string(*perSecond) : "none"; }
 
+std::optional<double> target_pool::perSecondOf(const named_limit& limit)
+{
+    return limit.pacing ? std::optional(limit.pacing->perSecond()) : std::nullopt;
+}
+
 limit_change target_pool::setLimit(const registry::target_incarnation& id, pool_target& target,
     std::optional<double> perSecond, steady_time heardAt, steady_time now)
 {
     auto& limit = target.limit;
     limit_change change { id, std::nullopt, perSecond, milliseconds(0) };
     if (limit) {
-        change.before = limit->pacing ? std::optional(limit->pacing->perSecond()) : std::nullopt;
+        change.before = perSecondOf(*limit);
         change.beforeAge = since(limit->heardAt, now);
     } else {
-        limit.emplace();
+        limit.emplace(named_limit { std::nullopt, heardAt, false, {} });
     }
     limit->heardAt = heardAt;
     if (!perSecond) {
@@ -86,8 +91,7 @@
         auto& limit = target.limit;
         if (!limit || (!limit->isNews && !all) || now >= limit->heardAt + limitsKeep)
             continue;
-        const auto perSecond = limit->pacing ? std::optional(limit->pacing->perSecond()) : std::nullopt;
-        news.push_back({ id, perSecond, static_cast<std::uint32_t>(since(limit->heardAt, now).count()) });
+        news.push_back({ id, perSecondOf(*limit), static_cast<std::uint32_t>(since(limit->heardAt, now).count()) });
         limit->isNews = false;
         limit->tellAt = now + renewal;
     }
