Sight: rest that targets ask for, and their leave, are read and logged

A field that can't be read no longer hides another one of the same response. Nothing acts on either yet.

--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -44,6 +44,8 @@
 struct target_pushback {
     std::optional<double> requestsPerSecond; ///< that it takes from all gateways together; nothing: it names no limit
     std::string unreadable; ///< name and value of a field that can't be read, for logs; empty: none
+    std::optional<milliseconds> rest {}; ///< it wants nothing from this gateway for so long; nothing: it doesn't say
+    bool isLeaving = false; ///< it takes no new work, and ends soon
     bool operator==(const target_pushback&) const = default;
 };
 
--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -230,8 +230,8 @@
                 return;
             self->m_report = nullptr;
             const bool answered = outcome == net::call_outcome::Answered;
-            constexpr int ok = 200;
-            if (answered && response.head.status == ok)
+            constexpr int misdirected = 421; // another target has the address
+            if (answered && response.head.status != misdirected)
                 self->m_exchange->onPushback(
                     self->m_context.dialect.readPushback(response.head), false, asked, steadyNow());
             const auto read = answered ? self->m_context.dialect.readReport(response.body, self->m_caller.requestId)
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -48,7 +48,7 @@
         "move)." },
     event_info { event_code::TargetPushback, "target_pushback",
         "A target says something new on how it wants to be treated; fields: request, target, per_second, before, "
-        "before_age_ms, source (response, controllers), reason (a field that can't be read)." },
+        "before_age_ms, rest_ms, leaving, source (response, controllers), reason (a field that can't be read)." },
     event_info { event_code::WorkStarted, "work_started", "A sidecar handed an attempt to its target." },
     event_info { event_code::WorkFinished, "work_finished", "An attempt ended at the target." },
     event_info { event_code::WorkCancelled, "work_cancelled", "An attempt was cancelled at the target." },
--- a/src/buckthornrail/gateway/target_pool_limits.cpp
+++ b/src/buckthornrail/gateway/target_pool_limits.cpp
@@ -58,10 +58,11 @@
     bool namesNone, steady_time sentAt, steady_time now)
 {
     const auto found = m_targets.find(id);
-    if (found == m_targets.end() || !said.unreadable.empty())
+    if (found == m_targets.end())
         return std::nullopt;
     const auto& limit = found->second.limit;
-    if (!said.requestsPerSecond && (!namesNone || !limit || sentAt <= limit->heardAt))
+    const bool saysNone = namesNone && said.unreadable.empty();
+    if (!said.requestsPerSecond && (!saysNone || !limit || sentAt <= limit->heardAt))
         return std::nullopt; // it may have been answered before the limit was named
     const auto change = setLimit(id, found->second, said.requestsPerSecond, now, now);
     auto& known = *found->second.limit;
