--- a/tests/incident_named_limit_test.cpp
+++ b/tests/incident_named_limit_test.cpp
@@ -5,10 +5,9 @@
 /// How: gateways went on as before; the targets served all of it. Cause: nobody read what a target says of itself in
 /// its answers, and nothing held one limit over all gateways. Proof: the cases below fail on the code of that time,
 /// whose log tells of the limit at each gateway while its requests to the target go on.
-#include "support/gateway_world.hpp"
+#include "support/busy_callers.hpp"
 
 #include <algorithm>
-#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <thread>
@@ -21,7 +20,6 @@
 namespace {
 
 constexpr std::size_t gatewayCount = 5;
-constexpr milliseconds callPause { 15 }; ///< of each caller, a gateway each: about 40 requests a second each
 constexpr seconds settling { 3 }; ///< from the first time that a limit is named until it counts
 constexpr seconds window { 4 };
 
@@ -50,50 +48,6 @@
         std::count_if(arrivals.begin(), arrivals.end(), [from](const auto& one) { return one.at >= from; }));
 }
 
-/// A caller at each gateway, each on a thread of its own, until it is stopped.
-class busy_callers {
-public:
-    busy_callers(gateway_world& world, const std::string& method, const std::string& path)
-    {
-        for (const auto& gateway : world.gateways())
-            m_threads.emplace_back([this, &world, gateway, method, path] { run(world, gateway, method, path); });
-    }
-    busy_callers(const busy_callers&) = delete;
-    busy_callers& operator=(const busy_callers&) = delete;
-    ~busy_callers() { stop(); }
-
-    void stop()
-    {
-        m_stops = true;
-        for (auto& thread : m_threads) {
-            if (thread.joinable())
-                thread.join();
-        }
-    }
-    [[nodiscard]] int served() const { return m_served; }
-    [[nodiscard]] int others() const { return m_others; } ///< refused or failed
-    /// @brief Refused without a time to come back.
-    [[nodiscard]] int untimed() const { return m_untimed; }
-
-private:
-    void run(gateway_world& world, const std::string& gateway, const std::string& method, const std::string& path)
-    {
-        static std::atomic<int> number { 0 };
-        while (!m_stops) {
-            const auto answer = world.call(gateway, method, path, "busy-" + std::to_string(++number), seconds(3));
-            ++(answer.status == 200 && answer.isWhole ? m_served : m_others);
-            m_untimed += answer.status == 503 && answer.comeBack.empty() ? 1 : 0;
-            std::this_thread::sleep_for(callPause);
-        }
-    }
-
-    std::atomic<bool> m_stops { false };
-    std::atomic<int> m_served { 0 };
-    std::atomic<int> m_others { 0 };
-    std::atomic<int> m_untimed { 0 };
-    std::vector<std::thread> m_threads;
-};
-
 /// Checks that a target got no more than it takes; leaves the logs otherwise.
 void checkHeld(gateway_world& world, std::size_t target, double perSecond, clock_type::time_point from)
 {
@@ -103,17 +57,6 @@
         WARN("logs: " << world.keepFolder());
 }
 
-/// The engine at which paths that begin in a domain begin most.
-std::size_t busiestFirst(gateway_world& world)
-{
-    std::size_t busiest = world.engines().front();
-    for (const auto target : world.engines()) {
-        if (world.fleet().arrivalsAt(target).size() > world.fleet().arrivalsAt(busiest).size())
-            busiest = target;
-    }
-    return busiest;
-}
-
 } // namespace
 
 // Guards against a limit that no gateway heeds, or that each heeds for itself: five shares of it sum up to five times.
--- a/tests/support/stand_in_fleet.cpp
+++ b/tests/support/stand_in_fleet.cpp
@@ -199,6 +199,29 @@
     m_implementation->ask([&] { m_implementation->targets.at(target)->faults = faults; });
 }
 
+void stand_in_fleet::setRest(std::size_t target, std::optional<std::chrono::milliseconds> rest)
+{
+    m_implementation->ask([&] {
+        m_implementation->targets.at(target)->rest = rest;
+        m_implementation->targets.at(target)->restAskedAt.reset();
+    });
+}
+
+void stand_in_fleet::setSaysLeaving(std::size_t target, bool says)
+{
+    m_implementation->ask([&] { m_implementation->targets.at(target)->saysLeaving = says; });
+}
+
+std::vector<std::chrono::steady_clock::time_point> stand_in_fleet::callsAt(std::size_t target) const
+{
+    return m_implementation->ask([&] { return m_implementation->targets.at(target)->calls; });
+}
+
+std::optional<std::chrono::steady_clock::time_point> stand_in_fleet::restAskedAt(std::size_t target) const
+{
+    return m_implementation->ask([&] { return m_implementation->targets.at(target)->restAskedAt; });
+}
+
 void stand_in_fleet::setLimit(std::size_t target, std::optional<double> perSecond)
 {
     m_implementation->ask([&] { m_implementation->targets.at(target)->limit = perSecond; });
--- a/tests/support/stand_in_fleet.hpp
+++ b/tests/support/stand_in_fleet.hpp
@@ -75,6 +75,10 @@
     void setAnnouncing(std::size_t target, bool announces);
     [[nodiscard]] std::string idOf(std::size_t target) const;
     void setFaults(std::size_t target, const target_faults& faults);
+    /// @brief A target turns everything away, also questions and orders, and asks for rest for so long each time.
+    void setRest(std::size_t target, std::optional<std::chrono::milliseconds> rest);
+    /// @brief A target says in its answers that it leaves; it announces itself as ready, and serves, all the same.
+    void setSaysLeaving(std::size_t target, bool says);
     /// @brief A target names in its answers how many requests a second it takes; it takes more all the same.
     void setLimit(std::size_t target, std::optional<double> perSecond);
 
@@ -86,6 +90,10 @@
     [[nodiscard]] std::vector<std::string> arrivals() const;
     /// @brief The same for one target, with times.
     [[nodiscard]] std::vector<fleet_arrival> arrivalsAt(std::size_t target) const;
+    /// @brief When questions and orders came to a target.
+    [[nodiscard]] std::vector<std::chrono::steady_clock::time_point> callsAt(std::size_t target) const;
+    /// @brief When a target first turned something away since it rests; nothing: it hasn't.
+    [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> restAskedAt(std::size_t target) const;
     /// @brief Layers held by living engines of a domain, without gap from 0 to the end.
     [[nodiscard]] bool hasChain(const std::string& domain) const;
     /// @brief Targets that a controller has acknowledged as draining.
--- a/tests/support/stand_in_session.hpp
+++ b/tests/support/stand_in_session.hpp
@@ -87,6 +87,10 @@
         bool isBusy = false;
         target_faults faults;
         std::optional<double> limit; ///< requests a second that it names
+        std::optional<milliseconds> rest;
+        std::optional<std::chrono::steady_clock::time_point> restAskedAt;
+        bool saysLeaving = false;
+        std::vector<std::chrono::steady_clock::time_point> calls; ///< questions and orders
         std::unique_ptr<net::tcp_listener> listener;
         std::set<std::shared_ptr<class target_session>> sessions;
         std::map<std::string, std::string> stalled; ///< address at fault by request id
@@ -191,6 +195,13 @@
             return;
         m_begun = true;
         const auto& head = m_parser.head();
+        const bool isCall = head.target == "/report" || head.target == "/order";
+        if (isCall)
+            m_target.calls.push_back(std::chrono::steady_clock::now());
+        if (isCall && m_target.rest) {
+            turnAway();
+            return;
+        }
         if (head.target == "/report") {
             answer(200, report(), {});
             return;
@@ -206,6 +217,10 @@
             return;
         }
         m_fleet.arrivals.push_back({ m_requestId, m_target.id, std::chrono::steady_clock::now() });
+        if (m_target.rest) {
+            turnAway();
+            return;
+        }
         if (m_target.isDraining || m_fleet.drawn(m_target.faults.refuseShare)) {
             answer(503, "", { { "X-Buckthornrail-Not-Executed", "1" } });
             return;
@@ -213,6 +228,16 @@
         serve();
     }
 
+    void turnAway()
+    {
+        if (!m_target.restAskedAt)
+            m_target.restAskedAt = std::chrono::steady_clock::now();
+        constexpr double msPerSecond = 1000;
+        answer(503, "",
+            { { "X-Buckthornrail-Not-Executed", "1" },
+                { "Retry-After", std::to_string(static_cast<double>(m_target.rest->count()) / msPerSecond) } });
+    }
+
     std::string report() const
     {
         json stalled = json::array();
@@ -293,7 +318,7 @@
                 m_next = static_cast<std::uint64_t>(std::stoull(std::string(*last))) + 1;
             auto fields = marked();
             fields.push_back({ "Content-Type", "text/event-stream" });
-            addLimit(fields);
+            addPushback(fields);
             m_channel->write(http1::formatChunkedHead({ 200, "OK", fields }, true));
             nextEvent();
         }
@@ -352,15 +377,17 @@
             { "X-Buckthornrail-Server-Stamp", "stamp." + m_target.id } };
     }
 
-    void addLimit(std::vector<http1::field>& fields) const
+    void addPushback(std::vector<http1::field>& fields) const
     {
         if (m_target.limit)
             fields.push_back({ "Server-Limit", std::to_string(*m_target.limit) });
+        if (m_target.saysLeaving)
+            fields.push_back({ "Server-Leaving", "1" });
     }
 
     void answer(int status, const std::string& body, std::vector<http1::field> fields)
     {
-        addLimit(fields);
+        addPushback(fields);
         m_channel->write(http1::formatResponse({ status, "Status", std::move(fields) }, body, true));
         m_channel->closeAfterWrite();
         leave();
