A target that asks for rest gets none of this gateway's requests, and no registry's orders, until it is over

Callers lost some milliseconds each by requests that were turned away; the target, which was in need, got 5 to 8 requests in its 3 s of rest. Cause: nobody read the time that a refusal names; a guess stood in its place, which a stream that ended well set back to 100 ms, and which was a cost and no bar. Change: a deadline, asked where limits are asked; where all targets rest, callers are refused at once with its end. Tests: gateway 90 of 90, platform 16 of 16, registry_state 22 of 22.

--- a/include/buckthornrail/gateway/dialect.hpp
+++ b/include/buckthornrail/gateway/dialect.hpp
@@ -114,6 +114,8 @@
     [[nodiscard]] virtual std::string writeAnnounceAnswer(const std::string& address) const = 0;
     [[nodiscard]] virtual http1::request_head writeReportCall(const std::string& targetId) const = 0;
     [[nodiscard]] virtual tl::expected<target_report, failure> readReport(const std::string& body) const = 0;
+    /// @brief For how long a target that turns a call away wants none; nothing: it doesn't say.
+    [[nodiscard]] virtual std::optional<milliseconds> readRest(const http1::response_head& head) const = 0;
     /// @brief Head and body of an order.
     [[nodiscard]] virtual std::pair<http1::request_head, std::string> writeOrder(const layer_order& order) const = 0;
 };
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -125,9 +125,10 @@
     void succeeded(const registry::target_incarnation& id, double answerMs);
     /// @brief The target failed an attempt.
     void failed(const registry::target_incarnation& id);
-    /// @brief The target named a limit, or none any more. @param sentAt when the request that it answers was sent
+    /// @brief The target named a limit, or none any more, or asked for rest. @param sentAt when the request that it
+    /// answers was sent
     /// @param namesNone whether a response without a limit says that there is none
-    /// @return what changes by it, if anything
+    /// @return how its limit changes by it, if it does
     std::optional<limit_change> heard(const registry::target_incarnation& id, const target_pushback& said,
         bool namesNone, steady_time sentAt, steady_time now);
     /// @brief Other gateways heard of limits. @return what changes by it
@@ -136,7 +137,7 @@
     std::vector<registry::limit_news> takeLimitNews(bool all, steady_time now);
     /// @brief Limits are shared among all gateways.
     void setShare(const gateway_share& share, steady_time now);
-    /// @brief Whether a target may be sent something now, by what it has named: a request as the first of a path, or a
+    /// @brief Whether a target may be sent something now, by what it has said: a request as the first of a path, or a
     /// question. All that is sent to a target asks here, or was selected here.
     [[nodiscard]] bool maySend(const registry::target_incarnation& id, steady_time now) const;
     /// @brief Something is being sent to a target.
@@ -184,6 +185,7 @@
     struct pool_target {
         registry::target_record record;
         std::optional<named_limit> limit;
+        steady_time restUntil {}; ///< it wants nothing from this gateway before
         std::size_t domain = 0;
         double sequences = 0; ///< attempts of this gateway in flight
         double tokenLayers = 0; ///< key-value memory that they need, in tokens times layers
@@ -237,7 +239,7 @@
         steady_time heardAt, steady_time now);
     [[nodiscard]] static std::optional<double> perSecondOf(const named_limit& limit);
     [[nodiscard]] static bool isLimited(const pool_target& target, steady_time now);
-    [[nodiscard]] static bool maySend(const pool_target& target, steady_time now);
+    [[nodiscard]] static bool takesNow(const pool_target& target, steady_time now);
     [[nodiscard]] static double limitCostMs(const pool_target& target, steady_time now);
     /// @brief For logs: what a first target has named, and how long ago; empty for one that names no limit.
     [[nodiscard]] static std::string describeLimit(const pool_target& first, steady_time now);
--- a/src/app/registry/layer_orders.cpp
+++ b/src/app/registry/layer_orders.cpp
@@ -44,9 +44,10 @@
 
 } // namespace
 
-layer_orders::layer_orders(link::event_loop& loop, const gateway::control_dialect& dialect)
+layer_orders::layer_orders(link::event_loop& loop, const gateway::control_dialect& dialect, target_rests& rests)
     : m_loop(loop)
     , m_dialect(dialect)
+    , m_rests(rests)
 {
 }
 
@@ -100,6 +101,8 @@
         const auto* record = targets.find(id);
         if (record == nullptr || order.isSent || order.call || now < order.nextTry)
             continue;
+        if (m_rests.isResting(order.target, now))
+            continue;
         ask(*record, order, now);
         ++calls;
     }
@@ -184,6 +187,8 @@
         return;
     order->call = nullptr;
     order->nextTry = steadyNow() + retryPause;
+    if (m_rests.heard(order->target, outcome, response, steadyNow()))
+        return;
     if (outcome != net::call_outcome::Answered || response.head.status != 200) {
         telemetry::logEvent(event_code::ReportReceived,
             { { "target", record.id }, { "outcome", "none" }, { "status", std::to_string(response.head.status) } });
@@ -229,6 +234,7 @@
     auto& order = *open;
     order.call = nullptr;
     order.nextTry = steadyNow() + retryPause;
+    (void)m_rests.heard(order.target, outcome, response, steadyNow());
     const bool isTaken = outcome == net::call_outcome::Answered && response.head.status < 300;
     // Without an answer the order may have been taken; the next report tells, and its count guards against a second
     // one.
--- a/src/app/registry/registry.cpp
+++ b/src/app/registry/registry.cpp
@@ -27,8 +27,9 @@
     , m_dialect(dialect)
     , m_metrics(metrics)
     , m_feed(dialect)
-    , m_orders(loop, dialect)
-    , m_watch(loop, dialect, m_state.targets(), milliseconds(settings.targetHeartbeatMs),
+    , m_rests(dialect)
+    , m_orders(loop, dialect, m_rests)
+    , m_watch(loop, dialect, m_state.targets(), m_rests, milliseconds(settings.targetHeartbeatMs),
           target_watch_callbacks {
               [this] { return m_log->isLeader(); },
               [this](const link::target_heard& heard) {
--- a/src/app/registry/target_watch.cpp
+++ b/src/app/registry/target_watch.cpp
@@ -20,10 +20,12 @@
 } // namespace
 
 target_watch::target_watch(link::event_loop& loop, const gateway::control_dialect& dialect,
-    const registry::target_table& targets, milliseconds heartbeatPeriod, target_watch_callbacks callbacks)
+    const registry::target_table& targets, target_rests& rests, milliseconds heartbeatPeriod,
+    target_watch_callbacks callbacks)
     : m_loop(loop)
     , m_dialect(dialect)
     , m_targets(targets)
+    , m_rests(rests)
     , m_heartbeatPeriod(heartbeatPeriod)
     , m_callbacks(std::move(callbacks))
 {
@@ -54,7 +56,7 @@
     const auto* record = m_targets.find(target.id);
     const bool isUp
         = record != nullptr && record->incarnation() == target && record->state == registry::target_state::Ready;
-    if (m_callbacks.isLeader() && isUp && !m_probes.contains(target))
+    if (m_callbacks.isLeader() && isUp && !m_probes.contains(target) && !m_rests.isResting(target, steadyNow()))
         probe(*record);
 }
 
@@ -62,13 +64,14 @@
     const registry::target_record& record, std::function<void(const registry::target_record&)> answered)
 {
     const auto target = record.incarnation();
-    if (m_verifications.contains(target))
+    if (m_verifications.contains(target) || m_rests.isResting(target, steadyNow()))
         return;
     m_verifications[target] = net::http_call::start(m_loop, record.address,
         { m_dialect.writeReportCall(record.id), {} }, steadyNow() + probePatience,
         [this, record, target, answered = std::move(answered)](
             net::call_outcome outcome, const net::whole_response& response) {
             const auto ended = m_verifications.extract(target);
+            (void)m_rests.heard(target, outcome, response, steadyNow());
             const bool isAlive = isAnswerOf(target, outcome, response);
             telemetry::logEvent(event_code::ReportReceived,
                 { { "target", text(target) }, { "reason", "it announces an earlier start than the life that is over" },
@@ -107,7 +110,9 @@
         if (record == nullptr || registry::isOver(*record))
             continue;
         // Announcements may be what is lost, and not the target: it is asked before it counts as lost.
-        if (!m_probes.contains(record->incarnation()))
+        if (m_rests.isResting(record->incarnation(), now))
+            m_leases.renew(id, nextLeaseEnd());
+        else if (!m_probes.contains(record->incarnation()))
             probe(*record);
     }
 }
@@ -135,7 +140,8 @@
     const registry::target_incarnation& asked, net::call_outcome outcome, const net::whole_response& response)
 {
     const auto ended = m_probes.extract(asked);
-    const bool answers = isAnswerOf(asked, outcome, response);
+    const bool asksForRest = m_rests.heard(asked, outcome, response, steadyNow());
+    const bool answers = asksForRest || isAnswerOf(asked, outcome, response);
     telemetry::logEvent(event_code::ReportReceived,
         { { "target", text(asked) }, { "outcome", answers ? "answered" : "none" },
             { "status", std::to_string(response.head.status) } });
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -128,7 +128,9 @@
         registry::target_incarnation faulty = answer.faultyAddress.empty() ? first : m_pool.idAt(answer.faultyAddress);
         if (faulty.empty())
             faulty = first; // it names one that isn't known here any more
-        m_pool.refused(faulty, now);
+        const bool asksForRest = answer.pushback && answer.pushback->rest;
+        if (faulty != first || !asksForRest)
+            m_pool.refused(faulty, now);
         m_bounds.excluded.insert(faulty);
         closeAttempt();
         tryNext(
--- a/src/buckthornrail/gateway/target_limit_test.cpp
+++ b/src/buckthornrail/gateway/target_limit_test.cpp
@@ -198,3 +198,68 @@
     CHECK(bench.port.reports == 0);
     CHECK(bench.port.attempts == 1);
 }
+// Guards against a pause of the gateway's own in place of the time that a target names, and against one that a stream
+// ends which goes on there.
+TEST_CASE("target rest: nothing begins at a target until its rest is over", "[target_limit]")
+{
+    const bool layered = GENERATE(false, true);
+    CAPTURE(layered);
+    exchange_bench bench(request_kind::Safe, false, layered);
+    auto turnedAway = refusal();
+    turnedAway.pushback = target_pushback { {}, {}, milliseconds(3000) };
+    auto call = bench.make();
+    call.start(zero);
+    call.onSent(zero);
+    const auto target = bench.port.target;
+    call.onHead(turnedAway, zero);
+    CHECK(bench.port.attempts == 2); // it goes on elsewhere at once
+    for (int ms = 0; ms < 3000; ms += 50) {
+        bench.pool.succeeded(target, 5); // of an earlier stream
+        const auto chosen = bench.pool.select("s", {}, at(ms));
+        REQUIRE(chosen);
+        CHECK(chosen->parts.front().target != target);
+        CHECK_FALSE(bench.pool.maySend(target, at(ms)));
+    }
+    CHECK(bench.pool.maySend(target, at(3000)));
+    CHECK(bench.pool.takeDark().empty()); // it lives
+}
+
+// Guards against a shorter rest that cuts a longer one off, which was asked for earlier.
+TEST_CASE("target rest: the one that ends last counts", "[target_limit]")
+{
+    exchange_bench bench(request_kind::Safe, false, false);
+    const registry::target_incarnation a0 = "a0";
+    (void)bench.pool.heard(a0, { {}, {}, milliseconds(3000) }, false, at(0), at(0));
+    (void)bench.pool.heard(a0, { {}, {}, milliseconds(200) }, false, at(1000), at(1000));
+    CHECK_FALSE(bench.pool.maySend(a0, at(2999)));
+    CHECK(bench.pool.maySend(a0, at(3000)));
+    bench.startAnew("a0", 500);
+    CHECK(bench.pool.maySend({ "a0", 500 }, at(1500))); // another life has asked for none
+}
+
+TEST_CASE("target rest: where all rest, a request is refused at once until one is over", "[target_limit]")
+{
+    exchange_bench bench(request_kind::Safe, false, false);
+    for (const std::string target : { "a0", "b0", "c0" })
+        (void)bench.pool.heard(target, { {}, {}, milliseconds(target == "b0" ? 2000 : 3000) }, false, zero, zero);
+    auto call = bench.make();
+    call.start(zero);
+    CHECK(bench.port.outcome == "answered");
+    CHECK(bench.port.answerRan == ran_state::No);
+    REQUIRE(call.roomExpectedAt());
+    CHECK(*call.roomExpectedAt() >= at(2000));
+    CHECK(*call.roomExpectedAt() <= at(2500));
+}
+
+// Guards against a path that is given up while nothing but a resting member has the layers.
+TEST_CASE("target rest: a member that rests is passed through only where no other has its layers", "[target_limit]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    (void)bench.pool.heard("a1", { {}, {}, milliseconds(3000) }, false, zero, zero);
+    const auto chosen = bench.pool.select("s", {}, zero);
+    REQUIRE(chosen);
+    CHECK(chosen->parts.back().target != registry::target_incarnation("a1"));
+    bench.end("b1", registry::target_state::Gone);
+    bench.end("c1", registry::target_state::Gone);
+    CHECK(bench.pool.select("s", {}, zero)->parts.back().target == registry::target_incarnation("a1"));
+}
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -147,7 +147,7 @@
     double doubt = failureMs * target.failureShare;
     if (target.record.state == registry::target_state::Lost)
         doubt += lostMs;
-    if (now < target.avoidUntil)
+    if (now < std::max(target.avoidUntil, target.restUntil))
         doubt += avoidedMs;
     return doubt;
 }
@@ -178,7 +178,7 @@
             + crowdingMs(*target, weights.comfortableMemory) + pass.sharedMs * pace;
         const bool isAllowed = bounds.firstOnly.empty() || bounds.firstOnly.contains(target->record.incarnation());
         candidates.push_back({ target->record.layers, target->domain, pass.perLayerMs * pace, extraMs,
-            isAllowed && maySend(*target, now) });
+            isAllowed && takesNow(*target, now) });
     }
     path_costs costs;
     costs.crossingMs = crossingMs(engine);
@@ -216,7 +216,7 @@
     if (!bounds.firstOnly.empty())
         std::erase_if(
             targets, [&bounds](const auto* one) { return !bounds.firstOnly.contains(one->record.incarnation()); });
-    std::erase_if(targets, [now](const auto* one) { return !maySend(*one, now); });
+    std::erase_if(targets, [now](const auto* one) { return !takesNow(*one, now); });
     std::uniform_real_distribution<double> draw(0, 1);
     const bool explores = draw(m_random) < exploreShare;
     const pool_target* best = nullptr;
--- a/src/buckthornrail/gateway/target_pool_limits.cpp
+++ b/src/buckthornrail/gateway/target_pool_limits.cpp
@@ -18,6 +18,9 @@
 /// A target with a limit costs as much as one whose memory is full: it is in need, and is used where others cost more.
 constexpr double limitedMs = 160;
 
+/// Callers that were refused while all targets rest come back over so long a time after the first rest is over.
+constexpr milliseconds restSpread { 500 };
+
 std::uint64_t keyOf(const registry::target_incarnation& id) { return XXH3_64bits(id.id.data(), id.id.size()); }
 
 milliseconds since(steady_time from, steady_time now) { return std::chrono::duration_cast<milliseconds>(now - from); }
@@ -60,6 +63,8 @@
     const auto found = m_targets.find(id);
     if (found == m_targets.end())
         return std::nullopt;
+    if (said.rest)
+        found->second.restUntil = std::max(found->second.restUntil, now + *said.rest);
     const auto& limit = found->second.limit;
     const bool saysNone = namesNone && said.unreadable.empty();
     if (!said.requestsPerSecond && (!saysNone || !limit || sentAt <= limit->heardAt))
@@ -120,15 +125,15 @@
     return target.limit && target.limit->pacing && now < target.limit->heardAt + limitsKeep;
 }
 
-bool target_pool::maySend(const pool_target& target, steady_time now)
+bool target_pool::takesNow(const pool_target& target, steady_time now)
 {
-    return !isLimited(target, now) || target.limit->pacing->maySend(now);
+    return now >= target.restUntil && (!isLimited(target, now) || target.limit->pacing->maySend(now));
 }
 
 bool target_pool::maySend(const registry::target_incarnation& id, steady_time now) const
 {
     const auto found = m_targets.find(id);
-    return found == m_targets.end() || maySend(found->second, now);
+    return found == m_targets.end() || takesNow(found->second, now);
 }
 
 void target_pool::noteSent(const registry::target_incarnation& id, steady_time now)
@@ -150,12 +155,13 @@
     for (const auto* target : usable(service, {})) {
         if (target->record.layers.first > 0)
             continue; // no path begins there
-        if (maySend(*target, now))
+        if (takesNow(*target, now))
             return std::nullopt;
-        const auto at = target->limit->pacing->roomAt(now);
+        const bool limited = isLimited(*target, now);
+        const auto at = std::max(target->restUntil, limited ? target->limit->pacing->roomAt(now) : now);
         if (!soonest || at < *soonest) {
             soonest = at;
-            spread = target->limit->pacing->interval();
+            spread = limited ? target->limit->pacing->interval() : restSpread;
         }
     }
     if (!soonest)
