A target that says in its answers that it leaves gets nothing more, from any gateway

Cause: the same as of rest, what a target says of itself in an answer went nowhere; only its announcement counted, which may be late or lost.

--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -125,8 +125,8 @@
     void succeeded(const registry::target_incarnation& id, double answerMs);
     /// @brief The target failed an attempt.
     void failed(const registry::target_incarnation& id);
-    /// @brief The target named a limit, or none any more, or asked for rest. @param sentAt when the request that it
-    /// answers was sent
+    /// @brief The target named a limit, or none any more, asked for rest, or leaves. @param sentAt when the request
+    /// that it answers was sent
     /// @param namesNone whether a response without a limit says that there is none
     /// @return how its limit changes by it, if it does
     std::optional<limit_change> heard(const registry::target_incarnation& id, const target_pushback& said,
@@ -145,6 +145,8 @@
     /// @brief When a service that may be sent nothing now may be sent something, later for some callers than for
     /// others so that they don't come back together. @return nothing while limits aren't what is in the way
     std::optional<steady_time> roomExpectedAt(const std::string& service, steady_time now);
+    /// @brief Targets that said in a response that they leave, and that the controllers' table doesn't show so.
+    [[nodiscard]] std::vector<registry::target_incarnation> leavingUnknown() const;
     /// @brief Targets under a limit.
     [[nodiscard]] std::size_t limitedCount(steady_time now) const;
     /// @brief The target takes nothing just now, or another one says so of it.
@@ -186,6 +188,7 @@
         registry::target_record record;
         std::optional<named_limit> limit;
         steady_time restUntil {}; ///< it wants nothing from this gateway before
+        bool saysLeaving = false; ///< in its responses; the controllers may not know it yet
         std::size_t domain = 0;
         double sequences = 0; ///< attempts of this gateway in flight
         double tokenLayers = 0; ///< key-value memory that they need, in tokens times layers
@@ -222,6 +225,8 @@
     std::optional<selection> selectOne(const std::string& service, const choice_bounds& bounds, steady_time now);
     std::optional<selection> findSelection(std::span<pool_target* const> targets, const layered_engine& engine,
         const choice_bounds& bounds, const path_weights& weights, steady_time now);
+    /// @brief Whether a target takes new work, as the controllers know.
+    [[nodiscard]] static bool isOpen(const registry::target_record& record);
     [[nodiscard]] std::vector<pool_target*> usable(
         const std::string& service, const std::set<registry::target_incarnation>& excluded);
     /// @brief Load of all gateways over that of this one.
--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -172,6 +172,7 @@
     std::uint64_t quarantineRevision = 0; ///< of the standings that it holds
     std::vector<registry::quarantine_batch> quarantine; ///< without a receipt so far
     std::vector<registry::limit_news> limits; ///< that it heard targets name since the last beat
+    std::vector<registry::target_incarnation> leavingTargets; ///< that told it so, and the table doesn't show it
 };
 
 /// A text, or a change of the table of targets as encodeDelta() gives it, as a patch (see compression/text_patch.hpp).
@@ -223,6 +224,7 @@
     std::vector<target_heard> heard; ///< heartbeats of targets
     std::vector<registry::target_incarnation> darkTargets; ///< that were dead or cut off for a gateway
     std::vector<registry::limit_news> limits; ///< that gateways heard targets name
+    std::vector<registry::target_incarnation> leavingTargets; ///< that told a gateway so
 };
 
 using message = std::variant<link_hello, link_welcome, session_announce, session_heartbeat, session_ack,
--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -70,6 +70,7 @@
               },
               [this](bool all) { return m_context.pool.takeLimitNews(all, steadyNow()); },
               [this](const std::vector<registry::limit_news>& news) { onLimits(news); },
+              [this] { return m_context.pool.leavingUnknown(); },
           })
     , m_standstillCheck(loop, standstillPeriod, [this] { lookForStandstill(); })
 {
--- a/src/app/gateway/gateway_session.cpp
+++ b/src/app/gateway/gateway_session.cpp
@@ -202,6 +202,7 @@
     const bool isFirst = !std::exchange(m_hasBeaten, true);
     m_callbacks.tellQuarantine(beat, isFirst);
     beat.limits = m_callbacks.takeLimitNews(isFirst);
+    beat.leavingTargets = m_callbacks.leavingTargets();
     m_hub.send(m_channel, link::encode(link::message(std::move(beat))));
 }
 
--- a/src/app/gateway/gateway_session.hpp
+++ b/src/app/gateway/gateway_session.hpp
@@ -37,6 +37,9 @@
     std::function<std::vector<registry::limit_news>(bool all)> takeLimitNews
         = [](bool) { return std::vector<registry::limit_news>(); };
     std::function<void(const std::vector<registry::limit_news>&)> limitsTold = [](const auto&) {};
+    /// Targets that said that they leave, and that the table doesn't show so.
+    std::function<std::vector<registry::target_incarnation>()> leavingTargets
+        = [] { return std::vector<registry::target_incarnation>(); };
 };
 
 /// @brief Lives on the loop thread. What it holds only ever gets newer, and first comes from a controller that a
--- a/src/app/registry/registry.hpp
+++ b/src/app/registry/registry.hpp
@@ -68,6 +68,8 @@
     void onAnnounce(const registry::target_record& record, const net::responder& respond);
     /// @brief Puts a ready target's announcement into the log if it says something new.
     void takeAnnouncement(const registry::target_record& record);
+    /// @brief Gateways heard targets say that they leave: they drain from now on, though they didn't announce it.
+    void takeLeaving(const std::vector<registry::target_incarnation>& targets);
     void submitOnce(const registry::target_record& record);
     /// @brief Counts a record that names no target to use, and logs it unless many come.
     /// @param reason its field first, where one is unfit
--- a/src/app/registry/registry_sessions.cpp
+++ b/src/app/registry/registry_sessions.cpp
@@ -54,7 +54,14 @@
         else if (m_unreported.darkTargets.size() < mostUnreported)
             m_unreported.darkTargets.push_back(target);
     }
-    if (!m_unreported.darkTargets.empty())
+    if (m_log->isLeader())
+        takeLeaving(beat.leavingTargets);
+    else
+        m_unreported.leavingTargets.insert(
+            m_unreported.leavingTargets.end(), beat.leavingTargets.begin(), beat.leavingTargets.end());
+    if (m_unreported.leavingTargets.size() > mostUnreported)
+        m_unreported.leavingTargets.resize(mostUnreported); // they are told again with each beat
+    if (!m_unreported.darkTargets.empty() || !m_unreported.leavingTargets.empty())
         m_reportAt = {}; // a lost target is known everywhere 0.3 s after the first gateway met it
     if (m_log->reachesLeader())
         return; // answered after the next confirmation
@@ -72,6 +79,7 @@
         m_watch.heard(target.id, { target.startedMs, target.sequence });
     for (const auto& target : report.darkTargets)
         m_watch.suspect(target);
+    takeLeaving(report.leavingTargets);
     m_limits.take(report.limits, registry::limit_source::Below, m_state.targets(), steadyNow());
     auto answer = m_board.answer(channel, report.sessions, m_state.targets(), steadyNow());
     auto& told = m_memberLimitsTold[channel];
--- a/src/app/registry/registry_targets.cpp
+++ b/src/app/registry/registry_targets.cpp
@@ -96,10 +96,27 @@
             m_watch.verify(record, [this](const registry::target_record& alive) { submitOnce(alive); });
         return;
     }
-    if (registry::differsFrom(*known, record) && registry::orderOf(record) >= registry::orderOf(*known))
+    auto announced = record;
+    if (known->state == registry::target_state::Draining)
+        announced.state = known->state; // it said so in an answer, and leaves whatever it announces
+    if (registry::differsFrom(*known, announced) && registry::orderOf(record) >= registry::orderOf(*known))
         submitOnce(record);
 }
 
+void registry_role::takeLeaving(const std::vector<registry::target_incarnation>& targets)
+{
+    for (const auto& target : targets) {
+        const auto* known = m_state.targets().find(target.id);
+        const bool isOpen = known != nullptr && known->incarnation() == target
+            && (known->state == registry::target_state::Ready || known->state == registry::target_state::Lost);
+        if (!isOpen || m_submitted.contains(target))
+            continue;
+        registry::target_record leaving = *known;
+        leaving.state = registry::target_state::Draining;
+        submitOnce(leaving);
+    }
+}
+
 void registry_role::submitOnce(const registry::target_record& record)
 {
     if (m_submitted.insert(record.incarnation()).second)
--- a/src/buckthornrail/gateway/target_limit_test.cpp
+++ b/src/buckthornrail/gateway/target_limit_test.cpp
@@ -263,3 +263,30 @@
     bench.end("c1", registry::target_state::Gone);
     CHECK(bench.pool.select("s", {}, zero)->parts.back().target == registry::target_incarnation("a1"));
 }
+
+// Guards against work for a target that only its answers call leaving.
+TEST_CASE(
+    "target leave: nothing passes through a target that says that it leaves, and others are told", "[target_limit]")
+{
+    const bool layered = GENERATE(false, true);
+    CAPTURE(layered);
+    exchange_bench bench(request_kind::Stream, true, layered);
+    target_pushback leaves;
+    leaves.isLeaving = true;
+    const registry::target_incarnation a0 = "a0";
+    (void)bench.pool.heard(a0, leaves, true, zero, zero);
+    (void)bench.pool.heard(a0, {}, true, at(50), at(100)); // it doesn't come back
+    CHECK_FALSE(bench.pool.maySend(a0, at(100)));
+    CHECK(bench.pool.isLeaving(a0));
+    for (int ms = 0; ms < 2000; ms += 50) {
+        const auto chosen = bench.pool.select("s", {}, at(ms));
+        REQUIRE(chosen);
+        for (const auto& part : chosen->parts)
+            CHECK(part.target != a0);
+    }
+    CHECK(bench.pool.leavingUnknown() == std::vector<registry::target_incarnation> { a0 });
+    bench.end("a0", registry::target_state::Draining);
+    CHECK(bench.pool.leavingUnknown().empty());
+    bench.startAnew("a0", 500);
+    CHECK(bench.pool.maySend({ "a0", 500 }, at(3000)));
+}
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -129,14 +129,17 @@
     return selectOne(service, bounds, now);
 }
 
+bool target_pool::isOpen(const registry::target_record& record)
+{
+    return record.state == registry::target_state::Ready || record.state == registry::target_state::Lost;
+}
+
 std::vector<target_pool::pool_target*> target_pool::usable(
     const std::string& service, const std::set<registry::target_incarnation>& excluded)
 {
     std::vector<pool_target*> found;
     for (auto& [id, target] : m_targets) {
-        const auto state = target.record.state;
-        const bool isOpen = state == registry::target_state::Ready || state == registry::target_state::Lost;
-        if (isOpen && target.record.service == service && !excluded.contains(id))
+        if (isOpen(target.record) && !target.saysLeaving && target.record.service == service && !excluded.contains(id))
             found.push_back(&target);
     }
     return found;
@@ -364,8 +367,7 @@
     const auto found = m_targets.find(id);
     if (found == m_targets.end())
         return false;
-    const auto state = found->second.record.state;
-    return state == registry::target_state::Draining || state == registry::target_state::Gone;
+    return found->second.saysLeaving || !isOpen(found->second.record);
 }
 
 bool target_pool::wasReplaced(const registry::target_incarnation& id) const
--- a/src/buckthornrail/gateway/target_pool_limits.cpp
+++ b/src/buckthornrail/gateway/target_pool_limits.cpp
@@ -65,6 +65,7 @@
         return std::nullopt;
     if (said.rest)
         found->second.restUntil = std::max(found->second.restUntil, now + *said.rest);
+    found->second.saysLeaving = found->second.saysLeaving || said.isLeaving;
     const auto& limit = found->second.limit;
     const bool saysNone = namesNone && said.unreadable.empty();
     if (!said.requestsPerSecond && (!saysNone || !limit || sentAt <= limit->heardAt))
@@ -114,6 +115,16 @@
     }
 }
 
+std::vector<registry::target_incarnation> target_pool::leavingUnknown() const
+{
+    std::vector<registry::target_incarnation> found;
+    for (const auto& [id, target] : m_targets) {
+        if (target.saysLeaving && isOpen(target.record))
+            found.push_back(id);
+    }
+    return found;
+}
+
 std::size_t target_pool::limitedCount(steady_time now) const
 {
     return static_cast<std::size_t>(std::count_if(
@@ -127,7 +138,8 @@
 
 bool target_pool::takesNow(const pool_target& target, steady_time now)
 {
-    return now >= target.restUntil && (!isLimited(target, now) || target.limit->pacing->maySend(now));
+    return !target.saysLeaving && now >= target.restUntil
+        && (!isLimited(target, now) || target.limit->pacing->maySend(now));
 }
 
 bool target_pool::maySend(const registry::target_incarnation& id, steady_time now) const
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -161,7 +161,7 @@
         { "openAttempts", value.openAttempts }, { "darkTargets", value.darkTargets }, { "loads", value.loads },
         { "life", value.life }, { "repeats", value.repeats }, { "isRepeatsComplete", value.isRepeatsComplete },
         { "quarantineRevision", value.quarantineRevision }, { "quarantine", value.quarantine },
-        { "limits", value.limits } };
+        { "limits", value.limits }, { "leavingTargets", value.leavingTargets } };
     if (value.sliceVersion)
         out["sliceVersion"] = *value.sliceVersion;
 }
@@ -180,6 +180,7 @@
     readIfThere(in, "quarantineRevision", value.quarantineRevision);
     readIfThere(in, "quarantine", value.quarantine);
     readIfThere(in, "limits", value.limits);
+    readIfThere(in, "leavingTargets", value.leavingTargets);
     if (const auto found = in.find("sliceVersion"); found != in.end())
         value.sliceVersion = found->get<std::uint64_t>();
 }
@@ -197,7 +198,7 @@
 static void to_json(nlohmann::json& out, const member_report& value)
 {
     out = { { "sessions", value.sessions }, { "heard", value.heard }, { "darkTargets", value.darkTargets },
-        { "limits", value.limits } };
+        { "limits", value.limits }, { "leavingTargets", value.leavingTargets } };
 }
 static void from_json(const nlohmann::json& in, member_report& value)
 {
@@ -205,6 +206,7 @@
     in.at("heard").get_to(value.heard);
     in.at("darkTargets").get_to(value.darkTargets);
     readIfThere(in, "limits", value.limits);
+    readIfThere(in, "leavingTargets", value.leavingTargets);
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(text_update, from, to, patch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(document_slice, from, to, number, count, digest, patch)
--- a/src/buckthornrail/link/message_test.cpp
+++ b/src/buckthornrail/link/message_test.cpp
@@ -97,23 +97,27 @@
     const std::vector<registry::limit_news> limits { { { "t", 7 }, 2.5, 40 }, { "u", std::nullopt, 0 } };
     gateway_beat beat;
     beat.limits = limits;
+    beat.leavingTargets = { { "t", 7 } };
     gateway_update update;
     update.limits = limits;
     update.ordinal = 3;
     member_report report;
     report.limits = limits;
+    report.leavingTargets = { { "t", 7 } };
     registry::fleet_report answer;
     answer.limits = limits;
     answer.ordinals = { { "g", 3 } };
     for (const message& whole : { message(beat), message(update), message(report), message(answer) }) {
         CHECK(encode(*decode(encode(whole))) == encode(whole));
         auto envelope = nlohmann::json::from_cbor(encode(whole));
-        for (const std::string name : { "limits", "ordinal", "ordinals" })
+        for (const std::string name : { "limits", "ordinal", "ordinals", "leavingTargets" })
             envelope.at("b").erase(name);
         std::string shorter;
         nlohmann::json::to_cbor(envelope, shorter);
         CHECK(decode(shorter).has_value());
     }
+    CHECK(std::get<gateway_beat>(*decode(encode(message(beat)))).leavingTargets == beat.leavingTargets);
+    CHECK(std::get<member_report>(*decode(encode(message(report)))).leavingTargets == report.leavingTargets);
     const auto back = decode(encode(message(update)));
     CHECK(std::get<gateway_update>(*back).limits == limits);
     CHECK(std::get<gateway_update>(*back).ordinal == 3U);
