--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -59,6 +59,15 @@
     [[nodiscard]] bool isOne() const { return before != after; }
 };
 
+/// What a target has said of how it wants to be treated, for operators.
+struct held_target {
+    registry::target_incarnation target;
+    std::optional<double> perSecond; ///< that it takes from all gateways; nothing: no limit
+    milliseconds heardAgo { 0 }; ///< of the limit
+    milliseconds restLeft { 0 };
+    bool isLeaving = false;
+};
+
 /// @brief For logs: a limit in requests a second, or that there is none.
 std::string text(const std::optional<double>& perSecond);
 
@@ -147,6 +156,8 @@
     std::optional<steady_time> roomExpectedAt(const std::string& service, steady_time now);
     /// @brief Targets that said in a response that they leave, and that the controllers' table doesn't show so.
     [[nodiscard]] std::vector<registry::target_incarnation> leavingUnknown() const;
+    /// @brief Targets that are limited, resting or leaving.
+    [[nodiscard]] std::vector<held_target> heldTargets(steady_time now) const;
     /// @brief Targets under a limit.
     [[nodiscard]] std::size_t limitedCount(steady_time now) const;
     /// @brief The target takes nothing just now, or another one says so of it.
--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "app/gateway/gateway.hpp"
 
 #include "app/gateway/caller_channel.hpp"
+#include "app/shared/pushback_page.hpp"
 #include "app/shared/role_runner.hpp"
 
 #include <algorithm>
@@ -329,6 +330,10 @@
         respond(net::plainResponse(200, m_context.metrics.text(), "text/plain"));
         return;
     }
+    if (request.head.target == pushbackPath) {
+        respond(net::plainResponse(200, pushbackPage(m_context.pool.heldTargets(steadyNow()))));
+        return;
+    }
     respond(net::plainResponse(isReady() ? 200 : 503, isReady() ? "ready\n" : "not ready\n", "text/plain"));
 }
 
--- a/src/app/registry/registry.cpp
+++ b/src/app/registry/registry.cpp
@@ -3,6 +3,7 @@
 #include "app/registry/registry.hpp"
 
 #include "app/shared/control_answer.hpp"
+#include "app/shared/pushback_page.hpp"
 #include "app/shared/role_runner.hpp"
 
 #include <algorithm>
@@ -137,6 +138,10 @@
         respond(statusPage());
         return;
     }
+    if (request.head.target == pushbackPath) {
+        respond(net::plainResponse(200, pushbackPage(heldTargets(steadyNow()))));
+        return;
+    }
     if (request.head.target.starts_with(quarantinePath)) {
         onQuarantineCall(request, respond);
         return;
@@ -311,6 +316,28 @@
     return between(m_answeredAt, steadyNow());
 }
 
+std::vector<gateway::held_target> registry_role::heldTargets(steady_time now) const
+{
+    std::map<registry::target_incarnation, gateway::held_target> held;
+    for (const auto& limit : m_limits.limits(now)) {
+        held[limit.target].perSecond = limit.perSecond;
+        held[limit.target].heardAgo = milliseconds(limit.ageMs);
+    }
+    for (const auto& [id, record] : m_state.targets().records()) {
+        const auto target = record.incarnation();
+        if (record.state == registry::target_state::Draining)
+            held[target].isLeaving = true;
+        if (m_rests.isResting(target, now))
+            held[target].restLeft = between(now, m_rests.until(target));
+    }
+    std::vector<gateway::held_target> rows;
+    for (auto& [target, row] : held) {
+        row.target = target;
+        rows.push_back(row);
+    }
+    return rows;
+}
+
 net::whole_response registry_role::statusPage() const
 {
     std::string text = "leader " + m_log->leaderAddress() + "\nterm " + std::to_string(m_log->replica().term())
@@ -328,9 +355,6 @@
             + std::string(nameIn(registry::targetStateNames, record.state)) + " " + std::to_string(record.layers.first)
             + "-" + std::to_string(record.layers.end) + "\n";
     }
-    for (const auto& limit : m_limits.limits(steadyNow()))
-        text += "limit " + registry::text(limit.target) + " " + std::to_string(*limit.perSecond) + " per second, heard "
-            + std::to_string(limit.ageMs) + " ms ago\n";
     return net::plainResponse(200, text, "text/plain");
 }
 
--- a/src/app/registry/target_rests.cpp
+++ b/src/app/registry/target_rests.cpp
@@ -24,10 +24,15 @@
     return true;
 }
 
-bool target_rests::isResting(const registry::target_incarnation& target, steady_time now) const
+steady_time target_rests::until(const registry::target_incarnation& target) const
 {
     const auto found = m_until.find(target);
-    return found != m_until.end() && now < found->second;
+    return found == m_until.end() ? steady_time {} : found->second;
+}
+
+bool target_rests::isResting(const registry::target_incarnation& target, steady_time now) const
+{
+    return now < until(target);
 }
 
 } // namespace buckthornrail::app
--- a/src/app/registry/target_rests.hpp
+++ b/src/app/registry/target_rests.hpp
@@ -20,6 +20,8 @@
     /// @brief Takes over what a target's response says. @return whether it asks for rest, and so lives
     bool heard(const registry::target_incarnation& target, net::call_outcome outcome,
         const net::whole_response& response, steady_time now);
+    /// @return the end of its rest; the clock's beginning when it asked for none
+    [[nodiscard]] steady_time until(const registry::target_incarnation& target) const;
     [[nodiscard]] bool isResting(const registry::target_incarnation& target, steady_time now) const;
 
 private:
--- a/src/app/shell/control_shell.cpp
+++ b/src/app/shell/control_shell.cpp
@@ -234,6 +234,23 @@
     return report(options, answer, text);
 }
 
+int pushbackList(const shell_options& options)
+{
+    const auto answer = callAny(options, "GET", "/pushback");
+    std::string text = "target                        per second  heard ms ago  rest left ms  leaving";
+    for (const auto& row : answer.body.is_object() ? answer.body.value("targets", json::array()) : json::array()) {
+        const auto shown
+            = [&row](const char* name) { return row.contains(name) ? row.at(name).dump() : std::string("-"); };
+        std::ostringstream line;
+        line << "\n"
+             << std::left << std::setw(30) << row.value("target", "") << std::setw(12) << shown("per_second")
+             << std::setw(14) << shown("heard_ms_ago") << std::setw(14) << shown("rest_left_ms")
+             << (row.value("leaving", false) ? "yes" : "no");
+        text += line.str();
+    }
+    return report(options, answer, text);
+}
+
 int quarantineClear(const shell_options& options)
 {
     const auto answer = callAny(options, "DELETE", "/quarantine/" + options.words[2]);
@@ -305,6 +322,7 @@
         { { "order", "INSTANCE", "MODEL", "VERSION" }, order },
         { { "cluster", "init" }, initialize },
         { { "explain", "REQUEST" }, explain },
+        { { "pushback", "list" }, pushbackList },
         { { "quarantine", "list" }, quarantineList },
         { { "quarantine", "clear", "FINGERPRINT" }, quarantineClear },
     };
--- a/src/buckthornrail/gateway/target_limit_test.cpp
+++ b/src/buckthornrail/gateway/target_limit_test.cpp
@@ -290,3 +290,21 @@
     bench.startAnew("a0", 500);
     CHECK(bench.pool.maySend({ "a0", 500 }, at(3000)));
 }
+
+// Guards against an operator who can't see why a target gets nothing.
+TEST_CASE("target pushback: who is limited, resting or leaving is listed, and until when", "[target_limit]")
+{
+    exchange_bench bench(request_kind::Safe, false, false);
+    tell(bench.pool, "a0", 1.5, 0);
+    (void)bench.pool.heard("b0", { {}, {}, milliseconds(3000) }, false, zero, zero);
+    target_pushback leaves;
+    leaves.isLeaving = true;
+    (void)bench.pool.heard("c0", leaves, false, zero, zero);
+    const auto held = bench.pool.heldTargets(at(1000));
+    REQUIRE(held.size() == 3);
+    CHECK(held[0].perSecond == 1.5);
+    CHECK(held[0].heardAgo == milliseconds(1000));
+    CHECK(held[1].restLeft == milliseconds(2000));
+    CHECK(held[2].isLeaving);
+    CHECK(bench.pool.heldTargets(at(3000)).size() == 2);
+}
--- a/src/buckthornrail/gateway/target_pool_limits.cpp
+++ b/src/buckthornrail/gateway/target_pool_limits.cpp
@@ -125,6 +125,23 @@
     return found;
 }
 
+std::vector<held_target> target_pool::heldTargets(steady_time now) const
+{
+    std::vector<held_target> found;
+    for (const auto& [id, target] : m_targets) {
+        held_target held { id, std::nullopt, milliseconds(0), milliseconds(0), false };
+        if (isLimited(target, now)) {
+            held.perSecond = target.limit->pacing->perSecond();
+            held.heardAgo = since(target.limit->heardAt, now);
+        }
+        held.restLeft = std::max(milliseconds(0), since(now, target.restUntil));
+        held.isLeaving = target.saysLeaving || target.record.state == registry::target_state::Draining;
+        if (held.perSecond || held.isLeaving || held.restLeft > milliseconds(0))
+            found.push_back(held);
+    }
+    return found;
+}
+
 std::size_t target_pool::limitedCount(steady_time now) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/tests/incident_named_limit_test.cpp
+++ b/tests/incident_named_limit_test.cpp
@@ -133,8 +133,12 @@
     const auto named = clock_type::now();
     std::this_thread::sleep_for(settling + seconds(6));
     callers.stop();
-    for (const auto target : world.plainTargets())
+    // An operator asks any registry who is limited.
+    const auto listed = world.control(world.registries().back(), "GET", "/pushback").body;
+    for (const auto target : world.plainTargets()) {
         checkHeld(world, target, 2, named + settling);
+        CHECK(listed.find("\"" + world.fleet().idOf(target) + "\"") != std::string::npos);
+    }
     CHECK(callers.others() > 0);
     CHECK(callers.untimed() == 0);
 }
