--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -9,6 +9,6 @@
 seconds=${3:-15}
 at_once=${4:-4}
 seq "$first" $((first + count - 1)) | xargs -P "$at_once" -I{} bash -c \
-  '"$1"/tests/soak --seed "$2" --seconds "$3" >"/tmp/soak-$2.log" 2>&1 || { grep -E "BROKEN|logs:" "/tmp/soak-$2.log"; exit 1; }' \
+  '"$1"/tests/soak --seed "$2" --seconds "$3" --pushback >"/tmp/soak-$2.log" 2>&1 || { grep -E "BROKEN|logs:" "/tmp/soak-$2.log"; exit 1; }' \
   _ "$build" {} "$seconds"
 echo "soak: $count seeds from $first held"
--- a/tests/incident_named_limit_test.cpp
+++ b/tests/incident_named_limit_test.cpp
@@ -6,6 +6,7 @@
 /// its answers, and nothing held one limit over all gateways. Proof: the cases below fail on the code of that time,
 /// whose log tells of the limit at each gateway while its requests to the target go on.
 #include "support/busy_callers.hpp"
+#include "support/limit_promise.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -20,26 +21,6 @@
 namespace {
 
 constexpr std::size_t gatewayCount = 5;
-constexpr seconds settling { 3 }; ///< from the first time that a limit is named until it counts
-constexpr seconds window { 4 };
-
-/// What a target may get in a window under a limit.
-double allowed(double perSecond) { return 1.5 * perSecond * static_cast<double>(window.count()) + 5; }
-
-/// @return the most requests that came to a target in one window, from a moment on
-std::size_t mostInWindow(gateway_world& world, std::size_t target, clock_type::time_point from)
-{
-    const auto arrivals = world.fleet().arrivalsAt(target);
-    std::size_t most = 0;
-    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-        if (first->at < from)
-            continue;
-        const auto inside
-            = std::count_if(first, arrivals.end(), [&first](const auto& one) { return one.at < first->at + window; });
-        most = std::max(most, static_cast<std::size_t>(inside));
-    }
-    return most;
-}
 
 std::size_t countSince(gateway_world& world, std::size_t target, clock_type::time_point from)
 {
@@ -51,9 +32,9 @@
 /// Checks that a target got no more than it takes; leaves the logs otherwise.
 void checkHeld(gateway_world& world, std::size_t target, double perSecond, clock_type::time_point from)
 {
-    const std::size_t most = mostInWindow(world, target, from);
-    CHECK(static_cast<double>(most) <= allowed(perSecond));
-    if (static_cast<double>(most) > allowed(perSecond))
+    const auto most = mostInWindow(world.fleet().arrivalsAt(target), from);
+    CHECK(static_cast<double>(most) <= allowedUnder(perSecond));
+    if (static_cast<double>(most) > allowedUnder(perSecond))
         WARN("logs: " << world.keepFolder());
 }
 
@@ -71,9 +52,9 @@
     std::this_thread::sleep_for(seconds(1));
     world.fleet().setLimit(target, limit);
     const auto named = clock_type::now();
-    std::this_thread::sleep_for(settling + seconds(7));
+    std::this_thread::sleep_for(limitSettling + seconds(7));
     callers.stop();
-    checkHeld(world, target, limit, named + settling);
+    checkHeld(world, target, limit, named + limitSettling);
     CHECK(callers.served() > 200);
     CHECK(callers.others() == 0);
 }
@@ -88,9 +69,9 @@
     const auto target = busiestFirst(world);
     world.fleet().setLimit(target, 1.5);
     const auto named = clock_type::now();
-    std::this_thread::sleep_for(settling + seconds(6));
+    std::this_thread::sleep_for(limitSettling + seconds(6));
     callers.stop();
-    checkHeld(world, target, 1.5, named + settling);
+    checkHeld(world, target, 1.5, named + limitSettling);
     CHECK(callers.served() > 100);
     CHECK(callers.others() == 0);
 }
@@ -105,7 +86,7 @@
     std::this_thread::sleep_for(seconds(1));
     world.fleet().setLimit(target, 2);
     const auto named = clock_type::now();
-    std::this_thread::sleep_for(settling);
+    std::this_thread::sleep_for(limitSettling);
     for (const std::size_t at : { 0U, 1U }) {
         world.killHard(world.gateways().at(at));
         world.startProcess(world.gateways().at(at));
@@ -118,7 +99,7 @@
     world.startProcess(leader);
     std::this_thread::sleep_for(seconds(3));
     callers.stop();
-    checkHeld(world, target, 2, named + settling);
+    checkHeld(world, target, 2, named + limitSettling);
 }
 
 // Guards against callers that wait, or come back together, where every target has named a limit.
@@ -131,12 +112,12 @@
     for (const auto target : world.plainTargets())
         world.fleet().setLimit(target, 2);
     const auto named = clock_type::now();
-    std::this_thread::sleep_for(settling + seconds(6));
+    std::this_thread::sleep_for(limitSettling + seconds(6));
     callers.stop();
     // An operator asks any registry who is limited.
     const auto listed = world.control(world.registries().back(), "GET", "/pushback").body;
     for (const auto target : world.plainTargets()) {
-        checkHeld(world, target, 2, named + settling);
+        checkHeld(world, target, 2, named + limitSettling);
         CHECK(listed.find("\"" + world.fleet().idOf(target) + "\"") != std::string::npos);
     }
     CHECK(callers.others() > 0);
@@ -152,9 +133,9 @@
     busy_callers callers(world, "GET", "/safe/x");
     std::this_thread::sleep_for(seconds(1));
     world.fleet().setLimit(target, 2);
-    std::this_thread::sleep_for(settling);
+    std::this_thread::sleep_for(limitSettling);
     world.fleet().setLimit(target, std::nullopt);
-    std::this_thread::sleep_for(settling);
+    std::this_thread::sleep_for(limitSettling);
     const auto from = clock_type::now();
     std::this_thread::sleep_for(seconds(2));
     callers.stop();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,9 +2,10 @@
 /// @brief A randomized soak over real processes: faults from outside in series that overlap, promises checked
 /// meanwhile.
 ///
-/// soak --seed N [--seconds S] [--gateways G] [--engines E]. Ends 0 when every promise held; else it prints what broke
-/// and leaves the logs.
-#include "soak/callers.hpp"
+/// soak --seed N [--seconds S] [--gateways G] [--engines E] [--pushback]. Ends 0 when every promise held; else it
+/// prints what broke and leaves the logs.
+#include "soak/judge_call.hpp"
+#include "support/limit_promise.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -30,28 +31,6 @@
 constexpr seconds quorumReturnTime { 3 };
 constexpr std::uint64_t slowLinkRate = 150'000; ///< bytes a second: a large document takes a second or two
 
-/// What is found to be wrong, told once each.
-class verdict {
-public:
-    void broken(const std::string& what)
-    {
-        const std::scoped_lock lock(m_mutex);
-        m_broken.push_back(what);
-        std::cout << "BROKEN " << what << std::endl;
-    }
-    [[nodiscard]] std::size_t count() const
-    {
-        const std::scoped_lock lock(m_mutex);
-        return m_broken.size();
-    }
-
-private:
-    mutable std::mutex m_mutex;
-    std::vector<std::string> m_broken;
-};
-
-std::uint64_t eventsOf(const std::string& path) { return std::stoull(path.substr(path.rfind('n') + 1)); }
-
 /// A fault that is under way, and how it ends.
 struct open_fault {
     clock_type::time_point end;
@@ -61,8 +40,10 @@
 
 class soak_run {
 public:
-    soak_run(std::uint64_t seed, seconds length, std::size_t gateways, std::size_t enginesPerDomain)
+    soak_run(std::uint64_t seed, seconds length, std::size_t gateways, std::size_t enginesPerDomain, bool withPushback)
         : m_random(seed)
+        , m_pushbackRandom(seed + 1)
+        , m_withPushback(withPushback)
         , m_seed(seed)
         , m_length(length)
         , m_world(gateways, enginesPerDomain)
@@ -81,6 +62,8 @@
         const auto end = clock_type::now() + m_length;
         while (clock_type::now() < end) {
             disturb();
+            if (m_withPushback)
+                pushBack();
             endDue(clock_type::now());
             noteQuorum();
             operate();
@@ -280,6 +263,53 @@
         });
     }
 
+    /// Targets ask to be treated otherwise. Draws of its own: the other faults of a seed stay as they are without it.
+    void pushBack()
+    {
+        if (m_pushbackRandom() % 4 != 0)
+            return;
+        const auto& engines = m_world.engines();
+        const auto& plain = m_world.plainTargets();
+        const std::size_t target = m_pushbackRandom() % 2 == 0 ? plain[m_pushbackRandom() % plain.size()]
+                                                               : engines[m_pushbackRandom() % engines.size()];
+        if (!claim("pushback" + std::to_string(target)))
+            return;
+        if (m_pushbackRandom() % 3 == 0)
+            rest(target);
+        else
+            limit(target);
+    }
+
+    void rest(std::size_t target)
+    {
+        m_world.fleet().setRest(target, milliseconds(500 + m_pushbackRandom() % 1500));
+        begin("target " + std::to_string(target) + " asks for rest", milliseconds(2000), [this, target] {
+            m_world.fleet().setRest(target, std::nullopt);
+            m_claimed.erase("pushback" + std::to_string(target));
+        });
+    }
+
+    void limit(std::size_t target)
+    {
+        const double perSecond = static_cast<double>(1 + m_pushbackRandom() % 50) / 10;
+        m_world.fleet().setLimit(target, perSecond);
+        begin("target " + std::to_string(target) + " takes " + std::to_string(perSecond) + " a second",
+            limitSettling + milliseconds(2000 + m_pushbackRandom() % 6000),
+            [this, target, perSecond, from = clock_type::now() + limitSettling] {
+                checkLimit(target, perSecond, from);
+                m_world.fleet().setLimit(target, std::nullopt);
+                m_claimed.erase("pushback" + std::to_string(target));
+            });
+    }
+
+    void checkLimit(std::size_t target, double perSecond, clock_type::time_point from)
+    {
+        const auto most = mostInWindow(m_world.fleet().arrivalsAt(target), from);
+        if (static_cast<double>(most) > allowedUnder(perSecond))
+            m_verdict.broken("target " + std::to_string(target) + " takes " + std::to_string(perSecond)
+                + " a second and got " + std::to_string(most) + " in 4 s");
+    }
+
     void harmLink()
     {
         static constexpr std::array modes { relay_mode::Silent, relay_mode::OutwardOnly, relay_mode::InwardOnly,
@@ -407,7 +437,7 @@
         std::size_t withoutDocument = 0;
         for (const auto& record : records) {
             ++statuses[record.answer.status];
-            judgeOne(record, runs[record.requestId]);
+            judgeCall(record, runs[record.requestId], m_verdict);
             if (!lacksDocument(record))
                 continue;
             ++withoutDocument;
@@ -423,31 +453,9 @@
             m_verdict.broken("less than a quarter of the calls were served");
     }
 
-    void judgeOne(const call_record& record, std::size_t runs)
-    {
-        const auto& answer = record.answer;
-        const std::string what
-            = record.requestId + " (" + record.path + ", status " + std::to_string(answer.status) + ")";
-        if (record.path.starts_with("/unsafe/")) {
-            if (runs > 1)
-                m_verdict.broken(what + " ran " + std::to_string(runs) + " times");
-            const bool saysNotRun = answer.status == 503 || answer.status == 429 || answer.status == 408;
-            if (saysNotRun && runs > 0)
-                m_verdict.broken(what + " was told not to have run, and ran");
-        }
-        if (answer.status != 200)
-            return;
-        if (answer.stamp.empty())
-            m_verdict.broken(what + " bears no target's mark");
-        const std::string expected = record.path.starts_with("/stream/")
-            ? gateway_world::streamBody(record.path, eventsOf(record.path))
-            : stand_in_fleet::plainBody(record.path);
-        const bool isRight = answer.isWhole ? answer.body == expected : expected.starts_with(answer.body);
-        if (!isRight)
-            m_verdict.broken(what + (answer.isWhole ? " looks whole and isn't its own" : " begins with other bytes"));
-    }
-
     std::mt19937_64 m_random;
+    std::mt19937_64 m_pushbackRandom;
+    bool m_withPushback;
     std::uint64_t m_seed;
     seconds m_length;
     gateway_world m_world;
@@ -471,10 +479,12 @@
         TCLAP::ValueArg<unsigned> length("", "seconds", "Time with faults", false, 15, "number", line);
         TCLAP::ValueArg<unsigned> gateways("", "gateways", "How many", false, 3, "number", line);
         TCLAP::ValueArg<unsigned> engines("", "engines", "Layered targets in each domain", false, 4, "number", line);
+        TCLAP::SwitchArg pushback("", "pushback", "Targets also name limits and ask for rest", line);
         line.parse(argc, argv);
         std::cout << "soak: seed " << seed.getValue() << std::endl;
-        const bool held
-            = soak_run(seed.getValue(), seconds(length.getValue()), gateways.getValue(), engines.getValue()).run();
+        const bool held = soak_run(
+            seed.getValue(), seconds(length.getValue()), gateways.getValue(), engines.getValue(), pushback.getValue())
+                              .run();
         std::cout << "soak: seed " << seed.getValue() << (held ? " held" : " BROKEN") << std::endl;
         return held ? 0 : 1;
     } catch (const std::exception& fault) {
