--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -193,6 +193,7 @@
         steady_time heardAt {}; ///< last, by any gateway
         bool isNews = false; ///< heard here, and not told to the other gateways
         steady_time tellAt {}; ///< they are told no sooner that it holds on
+        std::uint32_t answersWithout = 0; ///< in a row, to requests that were sent since it was heard
     };
 
     struct pool_target {
--- a/src/buckthornrail/gateway/target_pool_limits.cpp
+++ b/src/buckthornrail/gateway/target_pool_limits.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds limitsKeep { 60000 };
 /// Other gateways are told of a limit that is heard again at most so often.
 constexpr milliseconds renewal { 1000 };
+/// So many answers in a row without a limit tell that it is over: a target in need isn't flooded for one that lacks it.
+constexpr std::uint32_t answersToEnd = 2;
 /// A limit that wasn't heard again for so long makes its target no dearer: it is tried again, at the pace that it
 /// named, as only an answer tells that the limit is over.
 constexpr milliseconds freshTime { 5000 };
@@ -43,9 +45,10 @@
         change.before = perSecondOf(*limit);
         change.beforeAge = since(limit->heardAt, now);
     } else {
-        limit.emplace(named_limit { std::nullopt, heardAt, false, {} });
+        limit.emplace(named_limit { std::nullopt, heardAt, false, {}, 0 });
     }
     limit->heardAt = heardAt;
+    limit->answersWithout = 0;
     if (!perSecond) {
         limit->pacing.reset();
     } else if (!limit->pacing) {
@@ -66,10 +69,13 @@
     if (said.rest)
         found->second.restUntil = std::max(found->second.restUntil, now + *said.rest);
     found->second.saysLeaving = found->second.saysLeaving || said.isLeaving;
-    const auto& limit = found->second.limit;
-    const bool saysNone = namesNone && said.unreadable.empty();
-    if (!said.requestsPerSecond && (!saysNone || !limit || sentAt <= limit->heardAt))
-        return std::nullopt; // it may have been answered before the limit was named
+    auto& limit = found->second.limit;
+    if (!said.requestsPerSecond) {
+        const bool saysNone = namesNone && said.unreadable.empty() && isLimited(found->second, now);
+        // What was sent before it was heard may have been answered before it was named.
+        if (!saysNone || sentAt <= limit->heardAt || ++limit->answersWithout < answersToEnd)
+            return std::nullopt;
+    }
     const auto change = setLimit(id, found->second, said.requestsPerSecond, now, now);
     auto& known = *found->second.limit;
     known.isNews = known.isNews || change.isOne() || (said.requestsPerSecond && now >= known.tellAt);
