Gateways' numbers travel as rows, like their lives

At 300 machines there are 200 of them a second in each member's answers, and names of fields would be most of their bytes (worked out: 4 KB a second instead of 11 for each member).

--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -84,7 +84,15 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(session_sums, gateways, openAttempts, targetRevision, loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_report, sequence, sums, lives)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(earlier_repeats, gateway, spent)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(gateway_ordinal, gateway, ordinal)
+// As an array, like gateway_life.
+static void to_json(nlohmann::json& out, const gateway_ordinal& value)
+{
+    out = nlohmann::json::array({ value.gateway, value.ordinal });
+}
+static void from_json(const nlohmann::json& in, gateway_ordinal& value)
+{
+    value = { in.at(0).get<std::string>(), in.at(1).get<std::uint32_t>() };
+}
 
 /// A field that the program before doesn't send: an upgrade is rolled while both are at work.
 template <typename Field> void readIfThere(const nlohmann::json& in, const char* name, Field& field)
