--- a/src/app/registry/registry_sessions.cpp
+++ b/src/app/registry/registry_sessions.cpp
@@ -54,13 +54,11 @@
         else if (m_unreported.darkTargets.size() < mostUnreported)
             m_unreported.darkTargets.push_back(target);
     }
+    auto& leaving = m_unreported.leavingTargets;
     if (m_log->isLeader())
         takeLeaving(beat.leavingTargets);
-    else
-        m_unreported.leavingTargets.insert(
-            m_unreported.leavingTargets.end(), beat.leavingTargets.begin(), beat.leavingTargets.end());
-    if (m_unreported.leavingTargets.size() > mostUnreported)
-        m_unreported.leavingTargets.resize(mostUnreported); // they are told again with each beat
+    else if (leaving.size() < mostUnreported) // the others are told again with the next beat
+        leaving.insert(leaving.end(), beat.leavingTargets.begin(), beat.leavingTargets.end());
     if (!m_unreported.darkTargets.empty() || !m_unreported.leavingTargets.empty())
         m_reportAt = {}; // a lost target is known everywhere 0.3 s after the first gateway met it
     if (m_log->reachesLeader())
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -162,21 +162,6 @@
     }
 }
 
-void exchange::onPushback(const target_pushback& said, bool namesNone, steady_time sentAt, steady_time now)
-{
-    const auto first = m_where.parts.front().target;
-    const auto change = m_pool.heard(first, said, namesNone, sentAt, now);
-    if (!change && !said.rest && !said.isLeaving && said.unreadable.empty())
-        return;
-    m_port.note(event_code::TargetPushback,
-        { { "request", m_request.id }, { "target", text(first) },
-            { "per_second", change ? text(change->after) : std::string() },
-            { "before", change ? text(change->before) : std::string() },
-            { "before_age_ms", change ? inMs(change->beforeAge) : std::string() },
-            { "rest_ms", said.rest ? inMs(*said.rest) : std::string() }, { "leaving", said.isLeaving ? "yes" : "no" },
-            { "source", "response" }, { "reason", said.unreadable } });
-}
-
 void exchange::onBody(steady_time now)
 {
     if (!m_attemptOpen || !m_answer)
--- a/src/buckthornrail/gateway/target_limit_test.cpp
+++ b/src/buckthornrail/gateway/target_limit_test.cpp
@@ -93,6 +93,18 @@
     CHECK(times.size() == 10);
 }
 
+// Guards against a time to come back that is lost for a target which is loading, and can't begin a path.
+TEST_CASE("target limit: targets at which no path begins don't count as room", "[target_limit]")
+{
+    exchange_bench bench(request_kind::Stream, true, true);
+    for (const std::string target : { "a0", "b0" })
+        (void)bench.pool.heard(target, { {}, {}, milliseconds(3000) }, false, zero, zero);
+    bench.place("c0", {});
+    const auto room = bench.pool.roomExpectedAt("s", zero);
+    REQUIRE(room);
+    CHECK(*room >= at(3000));
+}
+
 TEST_CASE("target limit: a refusal for another reason names no such time", "[target_limit]")
 {
     exchange_bench bench(request_kind::Safe, false, false);
--- a/src/buckthornrail/gateway/target_pool_limits.cpp
+++ b/src/buckthornrail/gateway/target_pool_limits.cpp
@@ -185,10 +185,13 @@
 
 std::optional<steady_time> target_pool::roomExpectedAt(const std::string& service, steady_time now)
 {
+    const auto engine = m_engines.find(service);
+    const bool isLayered = engine != m_engines.end() && engine->second.layers > 0;
     std::optional<steady_time> soonest;
     steady_time::duration spread {};
     for (const auto* target : usable(service, {})) {
-        if (target->record.layers.first > 0)
+        const auto& layers = target->record.layers;
+        if (isLayered && (layers.isEmpty() || layers.first > 0))
             continue; // no path begins there
         if (takesNow(*target, now))
             return std::nullopt;
--- a/src/buckthornrail/registry/limit_board_test.cpp
+++ b/src/buckthornrail/registry/limit_board_test.cpp
@@ -2,28 +2,18 @@
 /// @brief Limits that targets have named, as they travel between gateways and controllers.
 #include "buckthornrail/registry/limit_board.hpp"
 
+#include "support/target_tables.hpp"
+
 #include <catch2/catch.hpp>
 
 using namespace buckthornrail;
 using namespace buckthornrail::registry;
+using test_support::tableOf;
 
 namespace {
 
 steady_time at(int ms) { return steady_time {} + std::chrono::hours(1) + milliseconds(ms); }
 
-target_table tableOf(const std::vector<std::string>& ids)
-{
-    target_table table;
-    for (const auto& id : ids) {
-        target_record one;
-        one.id = id;
-        one.service = "s";
-        one.address = id + ":1";
-        table.apply(one);
-    }
-    return table;
-}
-
 /// A leader, and two controllers that follow, each with a gateway's session.
 struct three_controllers {
     target_table table = tableOf({ "a", "b" });
--- a/src/buckthornrail/registry/session_board_test.cpp
+++ b/src/buckthornrail/registry/session_board_test.cpp
@@ -2,30 +2,20 @@
 /// @brief What gateways are told of each other, with their sessions spread over controllers.
 #include "buckthornrail/registry/session_board.hpp"
 
+#include "support/target_tables.hpp"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 #include <set>
 
 using namespace buckthornrail;
 using namespace buckthornrail::registry;
+using test_support::tableOf;
 
 namespace {
 
 constexpr session_number memberLink = 900;
 
-target_table tableOf(const std::vector<std::string>& ids)
-{
-    target_table table;
-    for (const auto& id : ids) {
-        target_record one;
-        one.id = id;
-        one.service = "s";
-        one.address = id + ":1";
-        table.apply(one);
-    }
-    return table;
-}
-
 gateway_word word(const std::string& gateway, std::uint64_t life, std::uint32_t open, const target_table& table,
     load_row loads = {}, bool isComplete = true)
 {
--- /dev/null
+++ b/tests/support/target_tables.hpp
@@ -0,0 +1,23 @@
+/// @file
+/// @brief Tables of targets for tests.
+#pragma once
+
+#include "buckthornrail/registry/target_record.hpp"
+
+namespace test_support {
+
+/// @brief A table of ready targets of one service.
+inline buckthornrail::registry::target_table tableOf(const std::vector<std::string>& ids)
+{
+    buckthornrail::registry::target_table table;
+    for (const auto& id : ids) {
+        buckthornrail::registry::target_record one;
+        one.id = id;
+        one.service = "s";
+        one.address = id + ":1";
+        table.apply(one);
+    }
+    return table;
+}
+
+} // namespace test_support
