--- a/src/buckthornrail/gateway/target_pool_limits.cpp
+++ b/src/buckthornrail/gateway/target_pool_limits.cpp
@@ -19,14 +19,11 @@
 constexpr milliseconds freshTime { 5000 };
 /// A target with a limit costs as much as one whose memory is full: it is in need, and is used where others cost more.
 constexpr double limitedMs = 160;
-
 /// Callers that were refused while all targets rest come back over so long a time after the first rest is over.
 constexpr milliseconds restSpread { 500 };
 
 std::uint64_t keyOf(const registry::target_incarnation& id) { return XXH3_64bits(id.id.data(), id.id.size()); }
 
-milliseconds since(steady_time from, steady_time now) { return std::chrono::duration_cast<milliseconds>(now - from); }
-
 } // namespace
 
 std::string text(const std::optional<double>& perSecond) { return perSecond ? std::to_string(*perSecond) : "none"; }
@@ -43,7 +40,7 @@
     limit_change change { id, std::nullopt, perSecond, milliseconds(0) };
     if (limit) {
         change.before = perSecondOf(*limit);
-        change.beforeAge = since(limit->heardAt, now);
+        change.beforeAge = between(limit->heardAt, now);
     } else {
         limit.emplace(named_limit { std::nullopt, heardAt, false, {}, 0 });
     }
@@ -104,7 +101,7 @@
         auto& limit = target.limit;
         if (!limit || (!limit->isNews && !all) || now >= limit->heardAt + limitsKeep)
             continue;
-        news.push_back({ id, perSecondOf(*limit), static_cast<std::uint32_t>(since(limit->heardAt, now).count()) });
+        news.push_back({ id, perSecondOf(*limit), static_cast<std::uint32_t>(between(limit->heardAt, now).count()) });
         limit->isNews = false;
         limit->tellAt = now + renewal;
     }
@@ -138,9 +135,9 @@
         held_target held { id, std::nullopt, milliseconds(0), milliseconds(0), false };
         if (isLimited(target, now)) {
             held.perSecond = target.limit->pacing->perSecond();
-            held.heardAgo = since(target.limit->heardAt, now);
+            held.heardAgo = between(target.limit->heardAt, now);
         }
-        held.restLeft = std::max(milliseconds(0), since(now, target.restUntil));
+        held.restLeft = std::max(milliseconds(0), between(now, target.restUntil));
         held.isLeaving = target.saysLeaving || target.record.state == registry::target_state::Draining;
         if (held.perSecond || held.isLeaving || held.restLeft > milliseconds(0))
             found.push_back(held);
@@ -213,7 +210,7 @@
     if (!isLimited(first, now))
         return {};
     return ", first takes " + std::to_string(first.limit->pacing->perSecond()) + " a second, heard "
-        + std::to_string(since(first.limit->heardAt, now).count()) + " ms ago";
+        + std::to_string(between(first.limit->heardAt, now).count()) + " ms ago";
 }
 
 } // namespace buckthornrail::gateway
--- a/src/buckthornrail/registry/limit_board.cpp
+++ b/src/buckthornrail/registry/limit_board.cpp
@@ -37,8 +37,7 @@
     for (const auto& [target, one] : m_entries) {
         if (!isWanted(one) || now >= one.heardAt + m_options.keep)
             continue;
-        const auto age = std::chrono::duration_cast<milliseconds>(now - one.heardAt).count();
-        found.push_back({ target, one.perSecond, static_cast<std::uint32_t>(age) });
+        found.push_back({ target, one.perSecond, static_cast<std::uint32_t>(between(one.heardAt, now).count()) });
     }
     return found;
 }
