Requests of ranked services ask for admission before their first attempt

Cause: no decision looked at priorities, and a request found capacity at once or was refused. Change: priority_table numbers the priorities of services whose routes differ; admission_control combines reservations, queue and return times; the exchange starts, waits or refuses as it says; the gateway serves the queue when attempts end, when load reports arrive and every 25 ms; targets get the priority in the platform's header.

--- a/include/buckthornrail/core/event_code.hpp
+++ b/include/buckthornrail/core/event_code.hpp
@@ -35,6 +35,8 @@
     RequestCleared = 214,
     AttemptKept = 215,
     TargetPushback = 216,
+    RequestQueued = 217,
+    QueueLeft = 218,
     WorkStarted = 300,
     WorkFinished = 301,
     WorkCancelled = 302,
--- a/include/buckthornrail/gateway/dialect.hpp
+++ b/include/buckthornrail/gateway/dialect.hpp
@@ -26,6 +26,7 @@
     milliseconds timeLeft { 0 };
     std::optional<std::uint64_t> lastEventId;
     std::vector<selected_part> path; ///< empty for a target without layers
+    std::optional<std::uint32_t> priority; ///< 0 to lowestPriority; empty: the service isn't ranked
 };
 
 /// @brief Translates the requests and responses of a platform's callers and targets.
--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -8,6 +8,7 @@
 #include "buckthornrail/core/event_code.hpp"
 #include "buckthornrail/core/log_field.hpp"
 #include "buckthornrail/core/request_fingerprint.hpp"
+#include "buckthornrail/gateway/admission_control.hpp"
 #include "buckthornrail/gateway/quarantine_gate.hpp"
 #include "buckthornrail/gateway/shared_retry_budget.hpp"
 #include "buckthornrail/gateway/target_pool.hpp"
@@ -27,6 +28,11 @@
     steady_time deadline {}; ///< of the final response: the caller's or the route's, whichever is sooner
     std::optional<std::uint64_t> lastEventId; ///< last event of the stream that the caller has received
     request_size size;
+    std::uint64_t call = 0; ///< number at this gateway, see admission_ticket::call
+    std::size_t bytes = 0; ///< of the body
+    std::optional<std::uint32_t> priority; ///< see priority_table; empty: the service isn't ranked
+    milliseconds waitedBefore { 0 }; ///< since the caller's first attempt, if it was refused before
+    bool isCounted = false; ///< it was counted for the retry budget before it was routed again
 
     [[nodiscard]] bool isRetryable() const
     {
@@ -144,7 +150,16 @@
     exchange(exchange_request request, exchange_port& port, target_pool& pool, shared_retry_budget& budget,
         const exchange_options& options = {});
 
+    /// @brief Subjects the request to admission by priority. To be called before start().
+    /// @param control must outlive the exchange
+    void useAdmission(admission_control& control);
     void start(steady_time now);
+    /// @brief Capacity may have become free: decides about a queued request again. @return whether it is queued no more
+    bool retryAdmission(steady_time now);
+    /// @brief Refuses a queued request. @param reason for logs
+    void refuseQueued(const std::string& reason, steady_time now);
+    /// @brief Whether the request waits in the admission queue. Nothing of it was sent then.
+    [[nodiscard]] bool isQueued() const { return m_isQueued; }
     /// @brief The connection is established and the request is being written.
     void onSent(steady_time now);
     /// @brief The head of the response has arrived.
@@ -180,6 +195,10 @@
     /// @return for a request refused because limits or backoffs block all targets, when one may be sent a request
     /// again; empty: refused for another reason
     [[nodiscard]] std::optional<steady_time> earliestSendAt() const { return m_earliestSendAt; }
+    /// @return for a request that admission refused, when its caller is to return
+    [[nodiscard]] std::optional<steady_time> returnAt() const { return m_returnAt; }
+    /// @return whether admission refused the request and no return before its deadline is of use
+    [[nodiscard]] bool mustNotReturn() const { return m_mustNotReturn; }
     /// @return whether an event has arrived through a target since a time, which proves that it was alive then
     [[nodiscard]] bool hadEventThrough(const registry::target_incarnation& target, steady_time since) const;
     [[nodiscard]] const exchange_request& request() const { return m_request; }
@@ -221,7 +240,14 @@
     /// @return verdict on the pending attempt, at another target if its own is taken
     dispatch_verdict requestDispatch(steady_time now);
     void startAttempt(const selection& selected, steady_time now);
-    void closeAttempt();
+    void closeAttempt(steady_time now);
+    /// @brief Starts the first attempt, queues the request or refuses it.
+    void requestAdmission(steady_time now);
+    void applyAdmission(const admission_decision& decision, selection selected, steady_time now);
+    void refuseAdmission(const std::string& reason, steady_time now);
+    void logAdmission(event_code event, const admission_decision& decision, steady_time now);
+    /// @brief Counts the open attempt's tokens for its priority, or stops to.
+    void countRunning(bool isRunning, steady_time now);
     void giveUp(const std::string& reason, steady_time now);
     void finish(result_code code, ran_state ran, const std::string& reason, steady_time now);
     void scheduleTimer(steady_time now);
@@ -269,6 +295,12 @@
     bool m_hadServerError = false; ///< a target responded with a server error
     bool m_over = false;
     std::optional<steady_time> m_earliestSendAt;
+    admission_control* m_admission = nullptr; ///< null: the service isn't ranked
+    admission_ticket m_ticket;
+    bool m_isQueued = false;
+    bool m_isRunning = false; ///< counted as running by the admission
+    std::optional<steady_time> m_returnAt;
+    bool m_mustNotReturn = false;
     std::uint32_t m_attempts = 0;
     std::optional<attempt_end>
         m_pendingRetry; ///< outcome of the last attempt, while a started stream waits for a target
--- a/include/buckthornrail/gateway/route_index.hpp
+++ b/include/buckthornrail/gateway/route_index.hpp
@@ -59,6 +59,11 @@
     /// @brief Finds the workspace of a key. @return null for an unknown key
     [[nodiscard]] workspace_pointer findWorkspace(std::string_view key) const;
 
+    /// @brief Calls a function with each route.
+    void forEachRoute(const std::function<void(const route&)>& visit) const;
+    /// @brief Calls a function with the workspace of each key.
+    void forEachWorkspace(const std::function<void(const workspace_keys&)>& visit) const;
+
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     [[nodiscard]] const std::shared_ptr<const document_rest>& rest() const { return m_rest; }
     [[nodiscard]] std::size_t routeCount() const { return m_routes.size(); }
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -9,6 +9,7 @@
 #include "buckthornrail/registry/load_table.hpp"
 
 #include <array>
+#include <limits>
 #include <map>
 #include <random>
 #include <set>
@@ -31,6 +32,8 @@
     double expectedPassMs = 0; ///< expected time between two events at the present load; 0: not a path over layers
     /// Whether every part has memory for its open attempts, or will have before the first event is due.
     bool hasCapacity = true;
+    double memoryUse = 0; ///< highest share of a part's memory that open attempts need
+    double memoryLimit = std::numeric_limits<double>::infinity(); ///< highest use with capacity; infinite: not known
     std::string summary; ///< for logs: number of usable targets and expected cost
 };
 
@@ -197,6 +200,10 @@
     [[nodiscard]] bool hasReleased(const registry::target_incarnation& id, const registry::layer_range& layers) const;
     /// @brief Number of targets of a service in the state Ready.
     [[nodiscard]] std::size_t readyCount(const std::string& service) const;
+    /// @brief Tokens that a request is expected to hold in memory: its prompt and its expected output.
+    [[nodiscard]] double expectedTokens(const std::string& service, const request_size& size) const;
+    /// @brief Tokens that a service's targets have memory for over all layers.
+    [[nodiscard]] double memoryTokens(const std::string& service) const;
 
 private:
     /// The rate limit that a target named last.
@@ -266,8 +273,9 @@
     [[nodiscard]] double gatewaysPerDomain() const;
     /// @brief Memory that all open attempts need at a target, as a share of what it has.
     [[nodiscard]] double memoryUse(const pool_target& target) const;
-    /// @brief Whether a target has memory for its open attempts; true while the others' loads are unknown or outdated.
-    [[nodiscard]] bool hasCapacity(const pool_target& target, steady_time now) const;
+    /// @brief Memory use up to which a target accepts attempts; infinite while the others' loads are unknown or
+    /// outdated.
+    [[nodiscard]] double memoryLimit(steady_time now) const;
     [[nodiscard]] double congestionMs(const pool_target& target, double memoryThreshold) const;
     limit_change setLimit(const registry::target_incarnation& id, pool_target& target, std::optional<double> perSecond,
         steady_time confirmedAt, steady_time now);
@@ -291,7 +299,6 @@
     [[nodiscard]] static double slowdownOf(const pool_target& target, std::size_t kind, steady_time now);
     [[nodiscard]] std::size_t domainIndex(const std::string& name);
     void applyEngineModel(pool_target& target) const;
-    [[nodiscard]] double expectedTokens(const pool_target& target, const request_size& size) const;
 
     pool_options m_options;
     std::mt19937_64 m_random;
--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -57,8 +57,11 @@
               [this](const registry::target_view& targets) { onTargets(targets); },
               [this] { return static_cast<std::uint32_t>(m_context.pool.openAttempts()); },
               [this] { return m_context.pool.loads(); },
-              [this](
-                  const registry::target_loads& others) { m_context.pool.setOtherGatewayLoads(others, steadyNow()); },
+              [this](const registry::target_loads& others) {
+                  m_context.pool.setOtherGatewayLoads(others, steadyNow());
+                  if (!m_context.queuedCalls.empty())
+                      m_context.capacityFreed();
+              },
               [this](const link::gateway_update& update) { onSessionUpdate(update); },
               [this] { return m_context.pool.takeUnreachable(); },
               [this](link::gateway_heartbeat& heartbeat) {
@@ -74,7 +77,10 @@
               [this](bool all) { return m_context.pool.takeLimitReports(all, steadyNow()); },
               [this](const std::vector<registry::limit_report>& reports) { onRemoteLimits(reports); },
               [this] { return m_context.pool.unreportedLeaving(); },
+              [this] { return m_context.admission.report(steadyNow()); },
+              [this](const registry::demand_report& others) { m_context.admission.setOthers(others, steadyNow()); },
           })
+    , m_queueTimer(loop)
     , m_stallCheck(loop, stallCheckPeriod, [this] { checkForStall(); })
 {
     m_context.reachability
@@ -86,6 +92,8 @@
           });
     m_context.checkForStall = [this] { checkForStall(); };
     m_context.requestHeartbeat = [this] { m_session.sendHeartbeatSoon(); };
+    m_context.capacityFreed = [this] { scheduleQueue(steadyNow()); };
+    m_context.callQueued = [this] { onCallQueued(); };
 }
 
 gateway_role::~gateway_role()
@@ -127,6 +135,7 @@
         const auto connections = m_connections;
         for (const auto& connection : connections)
             connection->closeIfIdle();
+        refuseQueued("the gateway shuts down before the request could finish");
     }
     const bool isDone = now >= m_earliestStop && m_context.openCalls.empty();
     if ((isDone || now >= m_context.stopDeadline) && m_onStopped)
@@ -149,6 +158,7 @@
 {
     const auto now = steadyNow();
     m_context.pool.setOtherGateways(std::max<std::size_t>(update.gateways, 1), update.othersOpenAttempts);
+    m_context.admission.setGatewayCount(std::max<std::size_t>(update.gateways, 1));
     if (!update.earlierRepeats.empty() && !m_context.budgets.isComplete(now))
         m_context.budgets.restoreSpent(update.earlierRepeats.front(), now);
     if (update.budgetSharers == 0)
@@ -177,6 +187,7 @@
     m_context.document = m_document.index();
     if (std::exchange(m_services, m_context.document->rest()) != m_context.document->rest())
         updateEngines();
+    updatePriorities();
     telemetry::logEvent(event_code::ConfigurationApplied,
         { { "version", std::to_string(m_context.document->version()) },
             { "routes", std::to_string(m_context.document->routeCount()) } });
@@ -203,6 +214,7 @@
         m_context.reachability->forget(address);
         recordCrashes(address, m_context.pool.idAt(address));
     }
+    updateCapacity();
     for (const auto& call : openCalls())
         call->targetsChanged();
     m_context.metrics.gauge("target_revision", static_cast<double>(targets.revision()));
--- a/src/app/gateway/gateway.hpp
+++ b/src/app/gateway/gateway.hpp
@@ -47,6 +47,22 @@
     void onRemoteLimits(const std::vector<registry::limit_report>& reports);
     /// @brief Another version of the document has become active.
     void onDocument();
+    /// @brief Applies the document's priorities, and routes queued calls again that the document concerns.
+    void updatePriorities();
+    /// @brief Updates the capacity of the ranked services.
+    void updateCapacity();
+    /// @brief Starts queued calls for which there is free capacity.
+    void serveQueue();
+    /// @brief Starts queued calls of one service.
+    void serveQueue(const std::string& service);
+    /// @brief Refuses calls that lost their place in the queue.
+    void refuseDisplaced();
+    /// @brief Refuses all queued calls. @param reason for logs
+    void refuseQueued(const std::string& reason);
+    /// @brief Reports the waiting call to the other gateways and schedules the next serveQueue().
+    void onCallQueued();
+    /// @brief Schedules the next serveQueue().
+    void scheduleQueue(steady_time when);
     /// @brief Detects that the process has stalled. State received before may be stale then, so new calls wait until a
     /// controller has confirmed it.
     void checkForStall();
@@ -91,6 +107,8 @@
     steady_time m_earliestStop {}; ///< the load balancer still routes callers here until then
     bool m_hasClosedIdle = false;
     std::unique_ptr<periodic_task> m_stopCheck;
+    net::loop_timer m_queueTimer;
+    steady_time m_nextQueueRunAt = steady_time::max(); ///< when the queue timer expires
     stall_watch m_stallWatch;
     periodic_task m_stallCheck;
 };
--- /dev/null
+++ b/src/app/gateway/gateway_admission.cpp
@@ -0,0 +1,168 @@
+/// @file
+/// @brief Admission of requests to ranked services: the queue of a gateway and its calls.
+#include "app/gateway/gateway.hpp"
+
+#include <algorithm>
+
+namespace buckthornrail::app {
+namespace {
+
+/// Capacity also becomes free through attempts of other gateways, which this one learns from load reports only; its own
+/// estimate of them changes as time passes.
+constexpr milliseconds queuePollInterval { 25 };
+/// Queued calls that start in one run. Each one costs a path search, and streams are served between two runs.
+constexpr std::size_t maxStartsPerRun = 8;
+/// A caller that states a time this much shorter than its route's timeout has waited for an earlier attempt. Less is
+/// rounding and time on the network.
+constexpr milliseconds minWaitedBefore { 100 };
+
+} // namespace
+
+void gateway_call::addAdmission(gateway::exchange_request& request, const gateway::workspace_keys* workspace) const
+{
+    request.priority = m_context.priorities.priorityOf(request.service, *request.route, workspace);
+    if (!request.priority)
+        return;
+    request.call = m_number;
+    request.bytes = m_body.size();
+    const auto waited = request.route->timeout - m_caller.timeout.value_or(request.route->timeout);
+    if (waited >= minWaitedBefore)
+        request.waitedBefore = waited;
+}
+
+void gateway_call::updateQueued()
+{
+    if (m_exchange && m_exchange->isQueued())
+        m_context.queuedCalls[m_number] = this;
+    else
+        m_context.queuedCalls.erase(m_number);
+    if (m_exchange && m_exchange->isQueued())
+        m_context.callQueued();
+}
+
+bool gateway_call::retryAdmission()
+{
+    const auto self = shared_from_this();
+    const bool isDone = m_exchange->retryAdmission(steadyNow());
+    updateQueued();
+    return isDone;
+}
+
+void gateway_call::refuseQueued(const std::string& reason)
+{
+    const auto self = shared_from_this();
+    m_exchange->refuseQueued(reason, steadyNow());
+    updateQueued();
+}
+
+void gateway_call::documentChanged()
+{
+    const auto self = shared_from_this();
+    if (!m_exchange || !m_exchange->isQueued())
+        return;
+    const auto& index = *m_context.document;
+    const auto& request = m_exchange->request();
+    const auto route = index.find(http1::valueOf(m_head.fields, "Host").value_or(""), m_head.target);
+    const auto workspace = m_caller.key.empty() ? nullptr : index.findWorkspace(m_caller.key);
+    const std::string workspaceName = workspace == nullptr ? "" : workspace->workspace;
+    const bool isSame = route == request.route && workspaceName == m_workspace
+        && m_context.priorities.priorityOf(request.service, *request.route, workspace.get()) == request.priority;
+    if (isSame)
+        return;
+    m_context.admission.remove(m_number);
+    m_context.queuedCalls.erase(m_number);
+    m_exchange.reset();
+    m_workspace.clear();
+    m_timer.cancel();
+    this->route();
+}
+
+void gateway_role::updatePriorities()
+{
+    m_context.priorities = gateway::priority_table(*m_context.document);
+    m_context.admission.setRankedServices(m_context.priorities.priorities(), steadyNow());
+    updateCapacity();
+    const auto queued = m_context.queuedCalls;
+    for (const auto& [number, call] : queued) {
+        if (m_context.queuedCalls.contains(number))
+            call->documentChanged();
+    }
+}
+
+void gateway_role::updateCapacity()
+{
+    if (!m_context.admission.isActive())
+        return;
+    for (const auto& [service, priorities] : m_context.priorities.priorities())
+        m_context.admission.setCapacity(service, m_context.pool.memoryTokens(service));
+}
+
+void gateway_role::onCallQueued()
+{
+    scheduleQueue(steadyNow() + queuePollInterval);
+    m_session.sendHeartbeatWhileWaiting();
+}
+
+void gateway_role::scheduleQueue(steady_time when)
+{
+    if (when >= m_nextQueueRunAt)
+        return;
+    m_nextQueueRunAt = when;
+    m_queueTimer.set(when, [this] {
+        m_nextQueueRunAt = steady_time::max();
+        serveQueue();
+    });
+}
+
+void gateway_role::serveQueue()
+{
+    refuseDisplaced();
+    if (m_context.queuedCalls.empty())
+        return;
+    const auto now = steadyNow();
+    if (now >= m_context.confirmationDeadline) {
+        for (const auto& service : m_context.admission.waitingServices())
+            serveQueue(service);
+    }
+    m_context.metrics.gauge("admission_waiting", static_cast<double>(m_context.admission.queue().size()));
+    if (!m_context.queuedCalls.empty())
+        scheduleQueue(now + queuePollInterval);
+}
+
+void gateway_role::serveQueue(const std::string& service)
+{
+    for (std::size_t started = 0; started < maxStartsPerRun; ++started) {
+        const auto first = m_context.admission.queue().next(service);
+        if (!first)
+            return;
+        const auto call = m_context.queuedCalls.find(first->call);
+        if (call == m_context.queuedCalls.end()) {
+            m_context.admission.remove(first->call);
+            continue;
+        }
+        // Without capacity for the first one, there is none for those behind it.
+        if (!call->second->retryAdmission())
+            return;
+    }
+    scheduleQueue(steadyNow());
+}
+
+void gateway_role::refuseDisplaced()
+{
+    for (const auto number : m_context.admission.takeDisplaced()) {
+        const auto call = m_context.queuedCalls.find(number);
+        if (call != m_context.queuedCalls.end())
+            call->second->refuseQueued("displaced from the full queue by a request of a higher priority");
+    }
+}
+
+void gateway_role::refuseQueued(const std::string& reason)
+{
+    const auto queued = m_context.queuedCalls;
+    for (const auto& [number, call] : queued) {
+        if (m_context.queuedCalls.contains(number))
+            call->refuseQueued(reason);
+    }
+}
+
+} // namespace buckthornrail::app
--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -63,6 +63,8 @@
     cancelAttempt();
     m_context.quarantine.endTrial(m_number);
     m_context.openCalls.erase(this);
+    m_context.queuedCalls.erase(m_number);
+    m_context.admission.remove(m_number);
 }
 
 void gateway_call::start(steady_time arrivedAt)
@@ -123,10 +125,17 @@
     request.deadline = m_arrivedAt + std::min(route->timeout, m_caller.timeout.value_or(route->timeout));
     request.lastEventId = m_caller.lastEventId;
     request.size = m_caller.size;
+    request.isCounted = std::exchange(m_isCounted, true);
+    addAdmission(request, workspace.get());
     auto& budget = m_context.budgets.forService(request.service);
+    const bool isRanked = request.priority.has_value();
     m_exchange
         = std::make_unique<gateway::exchange>(std::move(request), *this, m_context.pool, budget, exchangeOptions);
+    if (isRanked)
+        m_exchange->useAdmission(m_context.admission);
+    const auto self = shared_from_this();
     m_exchange->start(steadyNow());
+    updateQueued();
 }
 
 bool gateway_call::outlastsShutdown(const gateway::route& route) const
@@ -143,6 +152,7 @@
     m_sink = nullptr;
     if (m_exchange)
         m_exchange->onCallerDisconnected(steadyNow());
+    m_context.queuedCalls.erase(m_number);
     cancelAttempt();
     m_timer.cancel();
     countResponse("caller_left");
@@ -171,6 +181,7 @@
     added.timeLeft
         = std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(m_exchange->request().deadline - now));
     added.lastEventId = lastEventId;
+    added.priority = m_exchange->request().priority;
     if (!selected.parts.front().layers.isEmpty())
         added.path = selected.parts;
     const std::weak_ptr<gateway_call> weak = weak_from_this();
@@ -214,6 +225,8 @@
         std::exchange(m_reportCall, nullptr)->cancel();
     if (m_connection)
         std::exchange(m_connection, nullptr)->abort(false);
+    if (!m_context.queuedCalls.empty())
+        m_context.capacityFreed();
 }
 
 void gateway_call::requestReport()
@@ -411,6 +424,8 @@
 
 milliseconds gateway_call::retryDelay(result_code code) const
 {
+    if (m_exchange && m_exchange->returnAt())
+        return between(steadyNow(), *m_exchange->returnAt());
     if (m_exchange && m_exchange->earliestSendAt())
         return std::max(busyRetryDelay, between(steadyNow(), *m_exchange->earliestSendAt()));
     if (code != result_code::ShuttingDown || m_sink->openedAt() < m_context.acceptStreamsUntil)
@@ -429,7 +444,8 @@
     auto response = net::plainResponse(info.httpStatus,
         "{\"code\":" + std::to_string(static_cast<int>(code)) + ",\"name\":\"" + std::string(info.name)
             + "\",\"ran\":\"" + std::string(nameOf(ran)) + "\"}");
-    if (ran == ran_state::No && info.retryAfterSeconds > 0)
+    const bool mayReturn = !m_exchange || !m_exchange->mustNotReturn();
+    if (ran == ran_state::No && info.retryAfterSeconds > 0 && mayReturn)
         response.head.fields.push_back(m_context.dialect.writeRetryAfter(retryDelay(code)));
     m_sink->write(http1::formatResponse(response.head, response.body, m_sink->keepsAlive()));
     countResponse(std::string(info.name));
@@ -458,10 +474,12 @@
         const auto self = weak.lock();
         if (!self || self->m_sink == nullptr)
             return;
-        if (self->m_exchange)
-            self->m_exchange->onTimer(steadyNow());
-        else
+        if (!self->m_exchange) {
             self->resume();
+            return;
+        }
+        self->m_exchange->onTimer(steadyNow());
+        self->updateQueued();
     });
 }
 
--- a/src/app/gateway/gateway_call.hpp
+++ b/src/app/gateway/gateway_call.hpp
@@ -4,6 +4,7 @@
 
 #include "app/shared/process.hpp"
 #include "buckthornrail/gateway/dialect.hpp"
+#include "buckthornrail/gateway/priority_table.hpp"
 #include "buckthornrail/http1/event_stream.hpp"
 #include "buckthornrail/http1/message_parser.hpp"
 #include "buckthornrail/net/http_service.hpp"
@@ -36,6 +37,11 @@
     std::unique_ptr<net::reachability_prober> reachability;
     gateway::crash_watch crashes = gateway::crash_watch();
     gateway::quarantine_gate quarantine { random() };
+    gateway::priority_table priorities; ///< of the active document
+    gateway::admission_control admission { random() };
+    std::map<gateway::call_number, class gateway_call*> queuedCalls; ///< in the admission's queue
+    std::function<void()> capacityFreed; ///< an attempt has ended while calls are queued
+    std::function<void()> callQueued; ///< a call was added to the admission queue, or stays there
     std::function<void()> requestHeartbeat; ///< sends one within milliseconds, to report changes of the quarantine
     gateway::call_number lastCallNumber = 0;
 };
@@ -102,6 +108,12 @@
     void targetUnreachable(const registry::target_incarnation& target);
     /// @brief The table of targets has changed.
     void targetsChanged();
+    /// @brief Capacity may have become free. @return whether the call is no longer in the admission queue
+    bool retryAdmission();
+    /// @brief Refuses a queued call. @param reason for logs
+    void refuseQueued(const std::string& reason);
+    /// @brief The document has changed: a queued call whose route, workspace or priority changed is routed again.
+    void documentChanged();
     /// @brief The quarantine has changed, or a target that may have crashed was found alive.
     void quarantineChanged();
     [[nodiscard]] gateway::call_number number() const { return m_number; }
@@ -109,6 +121,10 @@
 private:
     /// @brief Finds the route and starts the exchange, or refuses the request.
     void route();
+    /// @brief Sets what admission needs to know of the request, if its service is ranked.
+    void addAdmission(gateway::exchange_request& request, const gateway::workspace_keys* workspace) const;
+    /// @brief Adds the call to the queued ones, or removes it, as its exchange says.
+    void updateQueued();
     /// @brief Whether the request might not finish before this process exits.
     [[nodiscard]] bool outlastsShutdown(const gateway::route& route) const;
     /// @brief Logs the reason and responds with an error of the gateway.
@@ -137,6 +153,7 @@
     std::string m_body;
     gateway::caller_head m_caller;
     std::string m_workspace;
+    bool m_isCounted = false; ///< for the retry budget
     std::optional<request_fingerprint> m_fingerprint; ///< empty: not computed yet
     gateway::dispatch_verdict m_verdict = gateway::dispatch_verdict::Go; ///< as last logged
     std::unique_ptr<gateway::exchange> m_exchange;
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -57,6 +57,12 @@
         "A target changed the rate or backoff that it asks for, or is leaving; fields: request, target, per_second, "
         "before, before_age_ms, rest_ms, leaving, source (response, controllers), reason (a field that can't be "
         "parsed)." },
+    event_info { event_code::RequestQueued, "request_queued",
+        "A request of a ranked service waits for free capacity; fields: request, service, priority, returning (refused "
+        "before), reserved_percent (of the capacity), tokens_ahead, tokens_per_s (released), others_age_ms (of the "
+        "other gateways' demand), waited_ms." },
+    event_info { event_code::QueueLeft, "queue_left",
+        "A queued request starts or is refused; fields: as of request_queued, and verdict." },
     event_info { event_code::WorkStarted, "work_started", "A sidecar passed an attempt to its target." },
     event_info { event_code::WorkFinished, "work_finished", "An attempt ended at the target." },
     event_info { event_code::WorkCancelled, "work_cancelled", "An attempt was cancelled at the target." },
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -39,7 +39,13 @@
 
 void exchange::start(steady_time now)
 {
-    m_budget.countRequest(now);
+    if (!m_request.isCounted)
+        m_budget.countRequest(now);
+    if (m_admission != nullptr) {
+        m_admission->countArrival(m_ticket, now);
+        requestAdmission(now);
+        return;
+    }
     const auto selected = m_pool.select(m_request.service, m_constraints, now);
     if (!selected) {
         finish(result_code::NoTarget, ran_state::No, "no usable target or path", now);
@@ -135,7 +141,7 @@
         if (faulty != first || !asksForBackoff)
             m_pool.refused(faulty, now);
         m_constraints.excluded.insert(faulty);
-        closeAttempt();
+        closeAttempt(now);
         retry(
             { ran_state::No, false, "refused with status " + std::to_string(response.status) + " by " + text(faulty) },
             now);
@@ -143,7 +149,7 @@
     }
     if (!response.isAuthentic) {
         avoid(first, false, now);
-        closeAttempt();
+        closeAttempt(now);
         retry({ ran_state::Unknown, false,
                   "response of status " + std::to_string(response.status) + " does not belong to this request" },
             now);
@@ -160,7 +166,7 @@
     // request: of 27 such requests in a simulated day the second target served 11, and later targets none.
     const bool isFirstServerError = isServerError && !std::exchange(m_hadServerError, true);
     if (impliesNotExecuted(response.status) || (isFirstServerError && whyNotRetryable(end, now).empty())) {
-        closeAttempt();
+        closeAttempt(now);
         retry(end, now);
     }
 }
@@ -175,7 +181,7 @@
         onAttemptFailed(attempt_failure::ConnectionLost, now);
         return;
     }
-    closeAttempt();
+    closeAttempt(now);
     if (status < firstServerErrorStatus)
         m_pool.succeeded(first, static_cast<double>(between(m_attemptStart, now).count()));
     m_port.forwardResponse();
@@ -194,7 +200,7 @@
         return; // the caller has received it
     if (id && m_lastEventId && *id != *m_lastEventId + 1) {
         avoidFirst(now);
-        closeAttempt();
+        closeAttempt(now);
         retry({ ran_state::Yes, false,
                   "event gap: received " + std::to_string(*id) + " after " + std::to_string(*m_lastEventId) },
             now);
@@ -246,7 +252,7 @@
     }
     for (const auto& part : m_selection.parts)
         m_pool.succeeded(part.target, static_cast<double>(between(m_attemptStart, now).count()));
-    closeAttempt();
+    closeAttempt(now);
     m_port.endStream();
     m_over = true;
     m_port.logEvent(event_code::RequestFinished,
@@ -270,7 +276,7 @@
         m_pool.failed(first);
     else
         avoid(first, isUnsent, now);
-    closeAttempt();
+    closeAttempt(now);
     if (isUnsent) {
         m_countedTargets.erase(first); // ended or unreachable: no longer counted
         retry({ ran_state::No, true, "no connection to " + text(first) }, now);
@@ -287,7 +293,9 @@
     if (m_over)
         return;
     if (m_attemptOpen)
-        closeAttempt();
+        closeAttempt(now);
+    if (std::exchange(m_isQueued, false))
+        m_admission->remove(m_ticket.call);
     m_pendingAttempt.reset();
     m_over = true;
     m_port.logEvent(event_code::RequestFinished,
@@ -369,7 +377,7 @@
         return false; // the open attempt may still recover: being slow is no reason to end it
     }
     logAttemptLost(last, now);
-    closeAttempt();
+    closeAttempt(now);
     m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
     scheduleAttempt(next, now);
     return true;
@@ -427,6 +435,7 @@
     m_hasFirstEvent = false;
     m_pool.recordSent(m_selection.parts.front().target, now);
     m_pool.attemptStarted(m_selection, m_request.size);
+    countRunning(true, now);
     m_port.logEvent(event_code::RouteChosen,
         { { "request", m_request.id }, { "route", m_request.route->name },
             { "version", std::to_string(m_request.documentVersion) }, { "attempt", std::to_string(m_attempts) },
@@ -436,10 +445,11 @@
     m_port.openAttempt(m_attempts, m_selection, m_lastEventId);
 }
 
-void exchange::closeAttempt()
+void exchange::closeAttempt(steady_time now)
 {
     m_attemptOpen = false;
     m_pool.attemptEnded(m_selection, m_request.size, m_hasFirstEvent);
+    countRunning(false, now);
     m_port.cancelAttempt();
 }
 
--- /dev/null
+++ b/src/buckthornrail/gateway/exchange_admission.cpp
@@ -0,0 +1,119 @@
+/// @file
+/// @brief Admission of a request by priority before its first attempt.
+#include "buckthornrail/gateway/exchange.hpp"
+
+#include <cmath>
+#include <utility>
+
+namespace buckthornrail::gateway {
+namespace {
+
+constexpr double percent = 100;
+
+std::string rounded(double value) { return std::to_string(std::lround(value)); }
+
+} // namespace
+
+void exchange::useAdmission(admission_control& control)
+{
+    m_admission = &control;
+    m_ticket.call = m_request.call;
+    m_ticket.service = m_request.service;
+    m_ticket.priority = m_request.priority.value_or(0);
+    m_ticket.isReturning = m_request.waitedBefore > milliseconds(0);
+    m_ticket.tokens = m_pool.expectedTokens(m_request.service, m_request.size);
+    m_ticket.bytes = m_request.bytes;
+    m_ticket.arrivedAt = m_request.arrivedAt;
+    m_ticket.firstEventDeadline = m_request.arrivedAt + m_request.route->latencyTarget - m_request.waitedBefore;
+    m_ticket.latencyTarget = m_request.route->latencyTarget;
+    m_ticket.callerDeadline = m_request.deadline;
+}
+
+void exchange::requestAdmission(steady_time now)
+{
+    // A request that must queue doesn't need a path yet. The infinite use keeps it from starting.
+    selection selected;
+    selected.memoryUse = std::numeric_limits<double>::infinity();
+    selected.memoryLimit = 0;
+    if (!m_admission->mustQueue(m_ticket, now)) {
+        auto path = m_pool.select(m_request.service, m_constraints, now);
+        if (!path) {
+            m_isQueued = false;
+            m_admission->remove(m_ticket.call);
+            finish(result_code::NoTarget, ran_state::No, "no usable target or path", now);
+            return;
+        }
+        selected = std::move(*path);
+    }
+    const auto decision = m_admission->decide(m_ticket, selected, now);
+    applyAdmission(decision, std::move(selected), now);
+}
+
+void exchange::applyAdmission(const admission_decision& decision, selection selected, steady_time now)
+{
+    switch (decision.verdict) {
+    case admission_verdict::Start:
+        if (std::exchange(m_isQueued, false))
+            logAdmission(event_code::QueueLeft, decision, now);
+        scheduleAttempt({ std::move(selected), {}, {}, m_constraints }, now);
+        return;
+    case admission_verdict::Wait:
+        if (!std::exchange(m_isQueued, true))
+            logAdmission(event_code::RequestQueued, decision, now);
+        scheduleTimer(now);
+        return;
+    case admission_verdict::Refuse:
+        if (std::exchange(m_isQueued, false))
+            logAdmission(event_code::QueueLeft, decision, now);
+        refuseAdmission(decision.reason + (selected.summary.empty() ? "" : "; " + selected.summary), now);
+        return;
+    }
+}
+
+bool exchange::retryAdmission(steady_time now)
+{
+    if (!m_isQueued || m_over)
+        return true;
+    requestAdmission(now);
+    return !m_isQueued;
+}
+
+void exchange::refuseQueued(const std::string& reason, steady_time now)
+{
+    if (!std::exchange(m_isQueued, false))
+        return;
+    m_admission->remove(m_ticket.call);
+    refuseAdmission(reason, now);
+}
+
+void exchange::refuseAdmission(const std::string& reason, steady_time now)
+{
+    m_returnAt = m_admission->promiseReturn(m_ticket, now);
+    m_mustNotReturn = !m_returnAt;
+    finish(result_code::Busy, ran_state::No, reason, now);
+}
+
+void exchange::logAdmission(event_code event, const admission_decision& decision, steady_time now)
+{
+    const auto othersAge = m_admission->othersAge(now);
+    m_port.logEvent(event,
+        { { "request", m_request.id }, { "service", m_request.service },
+            { "priority", std::to_string(m_ticket.priority) }, { "returning", m_ticket.isReturning ? "yes" : "no" },
+            { "verdict", std::string(nameIn(admissionVerdictNames, decision.verdict)) },
+            { "reserved_percent", rounded(decision.reservedShare * percent) },
+            { "tokens_ahead", rounded(decision.tokensAhead) }, { "tokens_per_s", rounded(decision.tokensPerSecond) },
+            { "others_age_ms", othersAge ? std::to_string(othersAge->count()) : "" },
+            { "waited_ms", std::to_string(between(m_request.arrivedAt, now).count()) } });
+}
+
+void exchange::countRunning(bool isRunning, steady_time now)
+{
+    if (m_admission == nullptr || std::exchange(m_isRunning, isRunning) == isRunning)
+        return;
+    if (isRunning)
+        m_admission->attemptStarted(m_ticket.service, m_ticket.priority, m_ticket.tokens, now);
+    else
+        m_admission->attemptEnded(m_ticket.service, m_ticket.priority, m_ticket.tokens, now);
+}
+
+} // namespace buckthornrail::gateway
--- a/src/buckthornrail/gateway/exchange_watch.cpp
+++ b/src/buckthornrail/gateway/exchange_watch.cpp
@@ -67,7 +67,7 @@
 {
     // If the machine was disconnected meanwhile, the connection may never be closed; no response will arrive on it.
     const std::string reason = "interrupted: " + text(m_selection.parts.front().target) + " has restarted";
-    closeAttempt();
+    closeAttempt(now);
     retry({ ran_state::Unknown, true, reason }, now);
 }
 
@@ -82,7 +82,7 @@
     const bool mayCancel = m_attemptOpen && !m_hasFirstEvent && !m_response && m_request.isRetryable();
     if (!mayCancel || !m_port.mustCancel())
         return;
-    closeAttempt();
+    closeAttempt(now);
     retry({ ran_state::Unknown, false, "cancelled: targets crashed when they executed the same request" }, now);
 }
 
@@ -119,9 +119,13 @@
 {
     if (m_over)
         return;
+    if (m_isQueued && now >= m_admission->latestStart(m_ticket)) {
+        (void)retryAdmission(now); // the last chance: it is refused without free capacity
+        return;
+    }
     if (now >= m_request.deadline) {
         if (m_attemptOpen)
-            closeAttempt();
+            closeAttempt(now);
         const bool mayHaveRun = m_mayHaveRun || m_sent;
         finish(mayHaveRun ? result_code::OutcomeUnknown : result_code::DeadlinePassed,
             mayHaveRun ? ran_state::Unknown : ran_state::No, "no time left", now);
@@ -187,6 +191,8 @@
 void exchange::scheduleTimer(steady_time now)
 {
     steady_time when = m_request.deadline;
+    if (m_isQueued)
+        when = std::min(when, m_admission->latestStart(m_ticket));
     if (m_pendingRetry || m_pendingAttempt)
         when = std::min(when, m_retryAt);
     if (m_attemptOpen && m_sent && hasPath())
--- a/src/buckthornrail/gateway/route_index.cpp
+++ b/src/buckthornrail/gateway/route_index.cpp
@@ -175,4 +175,18 @@
     return known == m_byKey.end() ? nullptr : known->second;
 }
 
+void route_index::forEachRoute(const std::function<void(const route&)>& visit) const
+{
+    for (const auto& [name, host] : m_byHost) {
+        for (const auto& [prefix, entry] : host.byPrefix)
+            visit(*entry);
+    }
+}
+
+void route_index::forEachWorkspace(const std::function<void(const workspace_keys&)>& visit) const
+{
+    for (const auto& [key, entry] : m_byKey)
+        visit(*entry);
+}
+
 } // namespace buckthornrail::gateway
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -193,8 +193,8 @@
     if (path.empty())
         return std::nullopt;
     selection selected;
+    selected.memoryLimit = memoryLimit(now);
     std::size_t penalized = 0;
-    double highestMemoryUse = 0;
     for (const auto& part : path) {
         const auto& record = targets[part.candidate]->record;
         const auto& target = *targets[part.candidate];
@@ -202,12 +202,12 @@
         const auto pass = passTime(target, engine);
         selected.expectedPassMs += path_costs().perPartMs + pass.sharedMs + pass.perLayerMs * part.layers.size();
         penalized += failurePenaltyMs(target, now) + congestionMs(target, weights.memoryThreshold) > 0 ? 1 : 0;
-        selected.hasCapacity = selected.hasCapacity && hasCapacity(target, now);
-        highestMemoryUse = std::max(highestMemoryUse, memoryUse(target));
+        selected.memoryUse = std::max(selected.memoryUse, memoryUse(target));
     }
+    selected.hasCapacity = selected.memoryUse <= selected.memoryLimit;
     selected.summary = std::to_string(targets.size()) + " usable, " + std::to_string(path.size()) + " parts, "
         + std::to_string(penalized) + " penalized, highest memory use "
-        + std::to_string(std::lround(highestMemoryUse * percent)) + "%, loads "
+        + std::to_string(std::lround(selected.memoryUse * percent)) + "%, loads "
         + (m_hasOtherGatewayLoads
                 ? std::to_string(std::chrono::duration_cast<milliseconds>(now - m_otherGatewayLoadsAt).count())
                     + " ms old"
--- a/src/buckthornrail/gateway/target_pool_load.cpp
+++ b/src/buckthornrail/gateway/target_pool_load.cpp
@@ -64,10 +64,23 @@
     return target.memoryTokenLayers > 0 ? totalTokenLayers(target) / target.memoryTokenLayers : 1;
 }
 
-bool target_pool::hasCapacity(const pool_target& target, steady_time now) const
+double target_pool::memoryLimit(steady_time now) const
 {
     const bool isKnown = m_hasOtherGatewayLoads && now <= m_otherGatewayLoadsAt + loadLifetime;
-    return !isKnown || memoryUse(target) <= 1 + memoryOvercommit / gatewaysPerDomain();
+    return isKnown ? 1 + memoryOvercommit / gatewaysPerDomain() : std::numeric_limits<double>::infinity();
+}
+
+double target_pool::memoryTokens(const std::string& service) const
+{
+    const auto engine = m_engines.find(service);
+    if (engine == m_engines.end() || engine->second.layers == 0)
+        return 0;
+    double tokenLayers = 0;
+    for (const auto& [id, target] : m_targets) {
+        if (target.record.service == service && acceptsWork(target.record) && !target.record.layers.isEmpty())
+            tokenLayers += target.memoryTokenLayers;
+    }
+    return tokenLayers / engine->second.layers;
 }
 
 double target_pool::congestionMs(const pool_target& target, double memoryThreshold) const
@@ -110,9 +123,9 @@
 }
 
 /// The caller names an upper bound that few outputs come near, so the service's usual output length caps it.
-double target_pool::expectedTokens(const pool_target& target, const request_size& size) const
+double target_pool::expectedTokens(const std::string& service, const request_size& size) const
 {
-    const auto engine = m_engines.find(target.record.service);
+    const auto engine = m_engines.find(service);
     const bool isKnown = engine != m_engines.end() && engine->second.usualOutputTokens > 0;
     const double outputTokens
         = isKnown ? std::min(size.maxOutputTokens, engine->second.usualOutputTokens) : size.maxOutputTokens;
@@ -177,7 +190,7 @@
         if (found == m_targets.end())
             continue;
         found->second.sequences += 1;
-        found->second.tokenLayers += expectedTokens(found->second, size) * part.layers.size();
+        found->second.tokenLayers += expectedTokens(found->second.record.service, size) * part.layers.size();
     }
 }
 
@@ -197,7 +210,8 @@
             continue;
         auto& target = found->second;
         target.sequences = std::max(0.0, target.sequences - 1);
-        target.tokenLayers = std::max(0.0, target.tokenLayers - expectedTokens(target, size) * part.layers.size());
+        target.tokenLayers
+            = std::max(0.0, target.tokenLayers - expectedTokens(target.record.service, size) * part.layers.size());
     }
 }
 
