Return times of refused callers, spaced by the spare rate

Cause: refused callers all returned after the same 120 ms, into the burst that they had been refused in. Change: return_schedule promises a time by the tokens ahead and the spare rate, in slots of this gateway's part of it; without a spare rate, in the upper half of the caller's range, where this gateway has promised the fewest tokens. Sums of promised and due tokens by service and priority.

--- a/include/buckthornrail/gateway/return_schedule.hpp
+++ b/include/buckthornrail/gateway/return_schedule.hpp
@@ -62,7 +62,7 @@
     /// Promises of one priority of a service.
     struct rank_promises {
         std::map<steady_time, promise_sum> byTime; ///< by time, rounded up to milliseconds
-        std::map<steady_time, double> tokensByInterval; ///< by start of the interval; see promiseWithoutSpareRate()
+        std::map<steady_time, double> tokensByInterval; ///< by start of the interval
         promise_sum total; ///< of byTime
         steady_time lastSlotAt {}; ///< start of the last promise's slot
         double lastSlotTokens = 0;
@@ -74,17 +74,31 @@
     };
 
     [[nodiscard]] const rank_promises* find(std::string_view service, std::uint32_t priority) const;
+    /// @return sum of the promises whose time is after `now`
+    [[nodiscard]] promise_sum promisedAfter(std::string_view service, std::uint32_t priority, steady_time now) const;
     /// @brief Finds or creates the promises of a priority, and drops those that are no longer due.
     rank_promises& rankOf(std::string_view service, std::uint32_t priority, steady_time now);
     [[nodiscard]] return_range rangeOf(const return_request& request, steady_time now) const;
-    /// @brief Takes the next slot at the gateway's part of the spare rate.
-    steady_time promiseSlot(rank_promises& rank, const return_request& request, steady_time now);
-    /// @brief Draws a time in the upper half of the range, where this gateway has promised the fewest tokens.
-    steady_time promiseWithoutSpareRate(rank_promises& rank, const return_range& range);
+    /// @brief Takes the next slot at this gateway's part of the spare rate, unless it starts after the range.
+    /// @param expectedAt earliest start of the slot
+    /// @return random time within the slot and the range
+    steady_time promiseSlot(
+        rank_promises& rank, const return_request& request, const return_range& range, steady_time expectedAt);
+    /// @return random time in the upper half of the range, where this gateway has promised few tokens
+    steady_time promiseWithoutSpareRate(const rank_promises& rank, const return_range& range);
+    void record(rank_promises& rank, steady_time time, double tokens) const;
+    /// @return start of the interval of rank_promises::tokensByInterval that contains the time
+    [[nodiscard]] steady_time intervalOf(steady_time time) const;
+    /// @brief Drops promises that are no longer due.
     void dropPast(rank_promises& rank, steady_time now) const;
+    /// @brief Drops priorities and services without promises that are still due.
+    void dropPastRanks(steady_time now);
 
     return_schedule_options m_options;
     std::mt19937_64 m_random;
+    /// Random start of the intervals of rank_promises::tokensByInterval: with equal ones, all gateways would fill the
+    /// start of an interval at the same time.
+    steady_time::duration m_intervalPhase;
     std::map<std::string, std::map<std::uint32_t, rank_promises>, std::less<>> m_services;
 };
 
