Benchmarks of the admission queue and the return schedule

Cause: a decision must take under 5 us, and a queue of 10,000 entries must work. Change: cases in bench_core; it links the gateway layer. A test no longer grows a vector in a loop (clang-tidy).

--- a/src/buckthornrail/gateway/return_schedule_test.cpp
+++ b/src/buckthornrail/gateway/return_schedule_test.cpp
@@ -224,9 +224,9 @@
 {
     return_schedule schedule({}, 1);
     const double spare = GENERATE(0.0, -500.0, std::numeric_limits<double>::quiet_NaN());
-    std::vector<double> seconds;
-    for (int caller = 0; caller < 400; ++caller)
-        seconds.push_back(secondsOf(schedule.promise("s", makeRequest(spare, 1e6), start) - start));
+    std::vector<double> seconds(400);
+    for (auto& second : seconds)
+        second = secondsOf(schedule.promise("s", makeRequest(spare, 1e6), start) - start);
     std::sort(seconds.begin(), seconds.end());
     const double limit = 20.0 / 3;
     CHECK(seconds.front() >= (0.12 + limit) / 2);
--- a/tools/bench_core.cpp
+++ b/tools/bench_core.cpp
@@ -1,10 +1,13 @@
 /// @file
-/// @brief Benchmarks of routing decisions, gate, configuration store, codecs and replicated log at growing sizes.
+/// @brief Benchmarks of routing decisions, gate, admission queue, return schedule, configuration store, codecs and
+/// replicated log at growing sizes.
 ///
 /// The global operator new is replaced to count allocations per iteration.
 #include "buckthornrail/agreement/replica.hpp"
 #include "buckthornrail/configuration/configuration_store.hpp"
 #include "buckthornrail/dispatch/target_gate.hpp"
+#include "buckthornrail/gateway/admission_queue.hpp"
+#include "buckthornrail/gateway/return_schedule.hpp"
 #include "buckthornrail/link/message.hpp"
 #include "buckthornrail/routing/route_table.hpp"
 
@@ -114,6 +117,94 @@
     reportAllocations(state, before);
 }
 
+gateway::queued_request makeQueuedRequest(std::int64_t number)
+{
+    gateway::queued_request request;
+    request.call = static_cast<std::uint64_t>(number);
+    request.service = "model-service";
+    request.priority = static_cast<std::uint32_t>(number % 3);
+    request.isReturning = number % 7 == 0;
+    request.deadline = begin + milliseconds(number * 7919 % 20'000);
+    request.enqueuedAt = begin + milliseconds(number);
+    request.tokens = 1000;
+    request.bytes = 4000;
+    return request;
+}
+
+/// Adds a request to a queue that holds range(0) requests, and takes the first one.
+void queueAddAndTake(benchmark::State& state)
+{
+    const auto size = static_cast<std::size_t>(state.range(0));
+    gateway::admission_queue queue({ size + 1, (size + 1) * 4000 });
+    std::int64_t number = 0;
+    while (queue.size() < size)
+        queue.add(makeQueuedRequest(number++));
+    const std::uint64_t before = allocationCount;
+    for (auto step : state) {
+        benchmark::DoNotOptimize(queue.add(makeQueuedRequest(number++)));
+        queue.remove(queue.next("model-service")->call);
+    }
+    reportAllocations(state, before);
+}
+
+/// Adds a request of the highest priority to a full queue, which displaces one of a lower priority.
+void queueDisplace(benchmark::State& state)
+{
+    const auto size = static_cast<std::size_t>(state.range(0));
+    gateway::admission_queue queue({ size, size * 4000 });
+    std::int64_t number = 0;
+    while (queue.size() < size)
+        queue.add(makeQueuedRequest(number++));
+    for (auto step : state) {
+        auto request = makeQueuedRequest(number++);
+        request.priority = 0;
+        benchmark::DoNotOptimize(queue.add(request));
+        state.PauseTiming();
+        for (const auto call : queue.takeDisplaced()) { // restores the lower priority
+            queue.remove(request.call);
+            request.call = call;
+            request.priority = 2;
+            queue.add(request);
+        }
+        state.ResumeTiming();
+    }
+}
+
+/// One refusal per millisecond at a gateway. range(0): spare rate in tokens per second; 0: none
+void returnPromise(benchmark::State& state)
+{
+    gateway::return_schedule schedule({}, 1);
+    gateway::return_request request;
+    request.tokens = 1000;
+    request.spareTokensPerSecond = static_cast<double>(state.range(0));
+    request.gateways = 28;
+    steady_time now = begin;
+    for (auto step : state) {
+        now += milliseconds(1);
+        request.callerDeadline = now + std::chrono::seconds(20);
+        benchmark::DoNotOptimize(schedule.promise("model-service", request, now));
+    }
+    state.counters["promises"] = static_cast<double>(schedule.promisedCount("model-service", 0, now));
+}
+
+/// The sums of promised and due tokens after returnPromise() at 1 refusal per millisecond.
+void returnSums(benchmark::State& state)
+{
+    gateway::return_schedule schedule({}, 1);
+    gateway::return_request request;
+    request.tokens = 1000;
+    steady_time now = begin;
+    for (int refusal = 0; refusal < 10'000; ++refusal) {
+        now += milliseconds(1);
+        request.callerDeadline = now + std::chrono::seconds(20);
+        schedule.promise("model-service", request, now);
+    }
+    for (auto step : state) {
+        benchmark::DoNotOptimize(schedule.promisedTokens("model-service", 0, now));
+        benchmark::DoNotOptimize(schedule.dueTokens("model-service", 0, now));
+    }
+}
+
 void configurationChange(benchmark::State& state)
 {
     configuration::configuration_store store;
@@ -226,6 +317,10 @@
 BENCHMARK(tableDecode)->Arg(30)->Arg(300)->Arg(3000)->Unit(benchmark::kMillisecond);
 BENCHMARK(routeDecision)->Arg(26)->Arg(260)->Arg(2600);
 BENCHMARK(gateOfferAndFinish)->Arg(1000)->Arg(600'000);
+BENCHMARK(queueAddAndTake)->Arg(0)->Arg(256)->Arg(10'000);
+BENCHMARK(queueDisplace)->Arg(256)->Arg(10'000);
+BENCHMARK(returnPromise)->Arg(0)->Arg(100'000'000);
+BENCHMARK(returnSums);
 BENCHMARK(configurationChange)->Arg(75)->Arg(750)->Arg(7500)->Unit(benchmark::kMillisecond);
 BENCHMARK(configurationDelta)->Arg(75)->Arg(750)->Arg(7500)->Unit(benchmark::kMillisecond)->Iterations(20);
 BENCHMARK(frameCodec);
