Test the bytes of gateway messages before demand is exchanged

Cause: optional fields are to be added to heartbeats, updates and reports; messages must not grow where they are empty. The test lists all fields of the present version. It passes on this version, before the fields are added.

--- a/src/buckthornrail/link/message_test.cpp
+++ b/src/buckthornrail/link/message_test.cpp
@@ -124,6 +124,43 @@
     CHECK(std::get<gateway_update>(*decoded).ordinal == 3U);
 }
 
+// Guards against larger messages, and against fields that earlier versions don't know, where no service is ranked. The
+// texts list all fields of the version before demand was exchanged.
+TEST_CASE("codec: without demand, messages have the same bytes as before demand was exchanged", "[link]")
+{
+    const auto bytesOf = [](const message& value, const std::string& body) {
+        const nlohmann::json envelope { { "v", protocolVersion }, { "t", value.index() },
+            { "b", nlohmann::json::parse(body) } };
+        std::string bytes;
+        nlohmann::json::to_cbor(envelope, bytes);
+        return bytes;
+    };
+    gateway_heartbeat heartbeat;
+    heartbeat.instance = "g";
+    heartbeat.openAttempts = 2;
+    heartbeat.loads = { 3, 0 };
+    CHECK(encode(message(heartbeat)) == bytesOf(message(heartbeat), R"({"instance":"g","sequence":0,
+        "documentVersion":0,"targetRevision":0,"openAttempts":2,"darkTargets":[],"loads":[3,0],"life":0,"repeats":[],
+        "isRepeatsComplete":false,"quarantineRevision":0,"quarantine":[],"limits":[],"leavingTargets":[]})"));
+    gateway_update update;
+    update.isServed = true;
+    update.othersLoads = { 3, 0 };
+    CHECK(encode(message(update)) == bytesOf(message(update), R"({"sequence":0,"isServed":true,
+        "waitsForQuorum":false,"document":[],"targets":[],"controllers":[],"gateways":1,"budgetSharers":0,
+        "earlierRepeats":[],"othersOpenAttempts":0,"othersLoads":[3,0],"quarantine":[],"quarantineReceipts":[],
+        "limits":[]})"));
+    member_report report;
+    report.sessions.sums.gateways = 2;
+    CHECK(encode(message(report)) == bytesOf(message(report), R"({"sessions":{"sequence":0,
+        "sums":{"gateways":2,"openAttempts":0,"targetRevision":0,"loads":[]},"lives":[]},"heard":[],"darkTargets":[],
+        "limits":[],"leavingTargets":[]})"));
+    registry::fleet_report response;
+    response.others.gateways = 2;
+    CHECK(encode(message(response)) == bytesOf(message(response), R"({"answers":0,
+        "others":{"gateways":2,"openAttempts":0,"targetRevision":0,"loads":[]},"budgetSharers":0,"earlier":[],
+        "ordinals":[],"limits":[]})"));
+}
+
 TEST_CASE("codec: corrupted bytes are either rejected or decoded, without a crash", "[link][property]")
 {
     const auto samples = defaultMessages();
