Controllers exchange sums of demand by priority

Cause: a gateway has to know the demand of all others, whichever controller they have their sessions with. gateway_sessions keeps the demand of its sessions, followers report sums to the leader and get the sum of all others, as for loads. Reports expire, so report() and applyLeaderResponse() get the current time. The leader now ignores the sums of a report that arrives after a later one; links deliver in order, so this changes nothing for loads. The changed calls in gateway_sessions_test only pass the time; its checks are the same.

--- a/include/buckthornrail/registry/gateway_sessions.hpp
+++ b/include/buckthornrail/registry/gateway_sessions.hpp
@@ -1,10 +1,11 @@
 /// @file
-/// @brief Exchange of load and retry usage between gateways whose sessions are spread over all controllers.
+/// @brief Exchange of load, demand and retry usage between gateways whose sessions are spread over all controllers.
 ///
 /// Followers report the totals of their sessions to the leader, which responds with the totals of all other
 /// controllers. A gateway's heartbeat is thus processed only by the controller that has its session.
 #pragma once
 
+#include "buckthornrail/registry/demand_table.hpp"
 #include "buckthornrail/registry/gateway_table.hpp"
 #include "buckthornrail/registry/limit_table.hpp"
 #include "buckthornrail/registry/load_table.hpp"
@@ -14,12 +15,13 @@
 /// Identifies a gateway's session, or a link to another controller, at one controller. Never 0.
 using session_number = std::uint64_t;
 
-/// A gateway's load and use of the retry budget, from its heartbeat.
+/// A gateway's load, demand and use of the retry budget, from its heartbeat.
 struct gateway_activity {
     gateway_usage usage;
     std::uint32_t openAttempts = 0; ///< in flight at targets
     std::uint64_t targetRevision = 0; ///< of the target table that `loads` refers to
     target_loads loads;
+    demand_report demand;
 };
 
 /// Totals over a set of sessions.
@@ -28,6 +30,7 @@
     std::uint32_t openAttempts = 0; ///< in flight at targets
     std::uint64_t targetRevision = 0; ///< of the target table that `loads` refers to
     target_loads loads; ///< empty: unknown
+    demand_report demand; ///< empty: none, or unknown
 };
 
 /// A follower's report to the leader.
@@ -69,6 +72,7 @@
     std::optional<retry_counts> earlier; ///< retries that its earlier processes spent; nothing: unknown or not needed
     std::uint32_t othersOpenAttempts = 0; ///< in flight at targets
     target_loads othersLoads; ///< empty: unknown
+    demand_report othersDemand; ///< empty: none, or unknown
 };
 
 /// @brief A controller's gateway sessions and its knowledge of the other controllers' sessions, from heartbeats and
@@ -92,13 +96,13 @@
     void remove(session_number session);
 
     /// @brief At a follower: makes the next report to the leader.
-    [[nodiscard]] member_report report(const target_table& table);
+    [[nodiscard]] member_report report(const target_table& table, steady_time now);
     /// @brief At the leader: records a member's report. @return the response, without limits
     /// @param member number of the link that the report came over
     [[nodiscard]] fleet_report respondTo(
         session_number member, const member_report& report, const target_table& table, steady_time now);
     /// @brief At a follower: applies the leader's response. Outdated responses are ignored.
-    void applyLeaderResponse(const fleet_report& response, const target_table& table);
+    void applyLeaderResponse(const fleet_report& response, const target_table& table, steady_time now);
 
     /// @brief Makes the summary for the gateway of a session.
     /// @param session one with a recorded heartbeat; a default summary is returned otherwise
@@ -114,7 +118,14 @@
         std::optional<std::uint32_t> ordinal; ///< from the leader's response for this incarnation
     };
 
-    /// @return totals of this controller's sessions, without loads
+    struct member_entry {
+        std::uint64_t sequence = 0; ///< of the report with these totals
+        session_totals totals;
+    };
+
+    /// @brief At the leader: records a member's sums, unless they are older than those already recorded.
+    void recordSums(session_number member, const member_report& report, const target_table& table, steady_time now);
+    /// @return totals of this controller's sessions, without loads and demand
     [[nodiscard]] session_totals ownTotals() const;
     /// @brief Whether the leader has responded to a report with this gateway's incarnation, and so counts it.
     [[nodiscard]] bool isCounted(const gateway_entry& entry) const;
@@ -122,12 +133,14 @@
     bool m_isLeader = false;
     std::map<session_number, gateway_entry> m_sessions;
     std::uint32_t m_openAttempts = 0; ///< total of m_sessions
-    std::map<session_number, session_totals> m_members; ///< at the leader, by link; their loads are in m_loads
+    /// At the leader, by link; their loads are in m_loads and their demand in m_demand.
+    std::map<session_number, member_entry> m_members;
     session_totals m_otherControllers; ///< at a follower: all other controllers' sessions, from the last response
     std::uint32_t m_budgetSharers = 0; ///< at a follower, from the last response
     std::uint64_t m_reportSequence = 0; ///< sequence of the last report
     std::uint64_t m_acknowledgedSequence = 0; ///< highest sequence that the leader responded to
     load_table m_loads; ///< by session, by member link, and at a follower under `otherControllers`
+    demand_table m_demand; ///< by the same numbers as m_loads
     gateway_table m_gatewayTable; ///< used at the leader
 };
 
--- a/src/app/registry/registry.cpp
+++ b/src/app/registry/registry.cpp
@@ -236,7 +236,7 @@
     } else if (const auto* report = std::get_if<link::member_report>(&*message)) {
         onReport(linkNumber, *report);
     } else if (const auto* response = std::get_if<registry::fleet_report>(&*message)) {
-        m_gatewaySessions.applyLeaderResponse(*response, m_state.targets());
+        m_gatewaySessions.applyLeaderResponse(*response, m_state.targets(), steadyNow());
         m_limits.merge(response->limits, registry::limit_source::Leader, m_state.targets(), steadyNow());
         m_totalsReceivedAt = steadyNow();
     }
--- a/src/app/registry/registry_sessions.cpp
+++ b/src/app/registry/registry_sessions.cpp
@@ -99,7 +99,7 @@
         return;
     m_nextReportAt = now + reportPeriod;
     auto report = std::exchange(m_pendingReport, {});
-    report.sessions = m_gatewaySessions.report(m_state.targets());
+    report.sessions = m_gatewaySessions.report(m_state.targets(), now);
     if (std::exchange(m_lastReportedLeader, m_log->replica().leader()) != m_log->replica().leader())
         m_limitsRevisionReported = 0;
     report.limits = m_limits.changesForLeader(std::exchange(m_limitsRevisionReported, m_limits.revision()), now);
--- a/src/buckthornrail/registry/gateway_sessions.cpp
+++ b/src/buckthornrail/registry/gateway_sessions.cpp
@@ -8,7 +8,7 @@
 namespace buckthornrail::registry {
 namespace {
 
-/// Key in the load table of the other controllers' loads, as the leader reported them.
+/// Key in the load and demand tables of the other controllers' sums, as the leader reported them.
 constexpr session_number otherControllers = 0;
 
 /// @return a gateway's index among the live gateways
@@ -31,10 +31,13 @@
 {
     m_isLeader = isLeader;
     m_gatewayTable.reset(now);
-    for (const auto& [member, totals] : m_members)
+    for (const auto& [member, entry] : m_members) {
         m_loads.remove(member);
+        m_demand.remove(member);
+    }
     m_members.clear();
     m_loads.remove(otherControllers);
+    m_demand.remove(otherControllers);
     m_otherControllers = {};
     m_budgetSharers = 0;
     m_acknowledgedSequence = m_reportSequence; // responses to reports in flight come from an earlier leader
@@ -57,6 +60,7 @@
     entry.isUnreported = true;
     if (activity.targetRevision == table.revision())
         m_loads.update(session, table, activity.loads);
+    m_demand.update(session, activity.demand, now);
     if (m_isLeader)
         m_gatewayTable.recordHeartbeat(activity.usage, now);
 }
@@ -67,11 +71,12 @@
         m_openAttempts -= known.mapped().activity.openAttempts;
     m_members.erase(session);
     m_loads.remove(session);
+    m_demand.remove(session);
 }
 
 session_totals gateway_sessions::ownTotals() const
 {
-    return { static_cast<std::uint32_t>(m_sessions.size()), m_openAttempts, 0, {} };
+    return { static_cast<std::uint32_t>(m_sessions.size()), m_openAttempts, 0, {}, {} };
 }
 
 bool gateway_sessions::isCounted(const gateway_entry& entry) const
@@ -79,13 +84,14 @@
     return entry.reportedIn != 0 && entry.reportedIn <= m_acknowledgedSequence;
 }
 
-member_report gateway_sessions::report(const target_table& table)
+member_report gateway_sessions::report(const target_table& table, steady_time now)
 {
     member_report report;
     report.sequence = ++m_reportSequence;
     report.sums = ownTotals();
     report.sums.targetRevision = table.revision();
     report.sums.loads = m_loads.othersOf(otherControllers, table);
+    report.sums.demand = m_demand.othersOf(otherControllers, now);
     for (auto& [number, entry] : m_sessions) {
         const bool wasCounted = isCounted(entry);
         if (!std::exchange(entry.isUnreported, false) && wasCounted)
@@ -98,14 +104,24 @@
     return report;
 }
 
+void gateway_sessions::recordSums(
+    session_number member, const member_report& report, const target_table& table, steady_time now)
+{
+    auto& entry = m_members[member];
+    if (report.sequence < entry.sequence)
+        return;
+    entry = { report.sequence, report.sums };
+    if (report.sums.targetRevision == table.revision())
+        m_loads.update(member, table, report.sums.loads);
+    m_demand.update(member, report.sums.demand, now);
+}
+
 fleet_report gateway_sessions::respondTo(
     session_number member, const member_report& report, const target_table& table, steady_time now)
 {
     fleet_report response;
     response.reportSequence = report.sequence;
-    m_members[member] = report.sums;
-    if (report.sums.targetRevision == table.revision())
-        m_loads.update(member, table, report.sums.loads);
+    recordSums(member, report, table, now);
     for (const auto& usage : report.lives)
         m_gatewayTable.recordHeartbeat(usage, now);
     const auto liveIds = m_gatewayTable.liveGateways(now);
@@ -115,17 +131,18 @@
             response.earlier.push_back({ usage.id, std::move(*spent) });
     }
     response.others = ownTotals();
-    for (const auto& [number, totals] : m_members) {
+    for (const auto& [number, entry] : m_members) {
         if (number != member)
-            add(response.others, totals);
+            add(response.others, entry.totals);
     }
     response.others.targetRevision = table.revision();
     response.others.loads = m_loads.othersOf(member, table);
+    response.others.demand = m_demand.othersOf(member, now);
     response.budgetSharers = static_cast<std::uint32_t>(m_gatewayTable.count(now));
     return response;
 }
 
-void gateway_sessions::applyLeaderResponse(const fleet_report& response, const target_table& table)
+void gateway_sessions::applyLeaderResponse(const fleet_report& response, const target_table& table, steady_time now)
 {
     if (m_isLeader || response.reportSequence <= m_acknowledgedSequence || response.reportSequence > m_reportSequence)
         return; // from an earlier leader, or older than one already applied
@@ -134,6 +151,7 @@
     m_budgetSharers = response.budgetSharers;
     if (response.others.targetRevision == table.revision())
         m_loads.update(otherControllers, table, response.others.loads);
+    m_demand.update(otherControllers, response.others.demand, now);
     for (const auto& earlier : response.earlier) {
         for (auto& [number, entry] : m_sessions) {
             if (entry.activity.usage.id == earlier.gateway && isCounted(entry))
@@ -159,11 +177,12 @@
     const auto& entry = found->second;
     session_totals all = ownTotals();
     add(all, m_otherControllers);
-    for (const auto& [number, totals] : m_members)
-        add(all, totals);
+    for (const auto& [number, member] : m_members)
+        add(all, member.totals);
     summary.gateways = all.gateways;
     summary.othersOpenAttempts = all.openAttempts - entry.activity.openAttempts;
     summary.othersLoads = m_loads.othersOf(session, table);
+    summary.othersDemand = m_demand.othersOf(session, now);
     if (m_isLeader) {
         summary.budgetSharers = static_cast<std::uint32_t>(m_gatewayTable.count(now));
         summary.ordinal = ordinalIn(m_gatewayTable.liveGateways(now), entry.activity.usage.id);
--- a/src/buckthornrail/registry/gateway_sessions_test.cpp
+++ b/src/buckthornrail/registry/gateway_sessions_test.cpp
@@ -19,7 +19,7 @@
 gateway_activity activityOf(const std::string& gateway, std::uint64_t incarnation, std::uint32_t open,
     const target_table& table, target_loads loads = {}, bool isComplete = true)
 {
-    return { { gateway, incarnation, {}, isComplete }, open, table.revision(), std::move(loads) };
+    return { { gateway, incarnation, {}, isComplete }, open, table.revision(), std::move(loads), {} };
 }
 
 steady_time timeAt(int ms) { return steady_time {} + milliseconds(ms); }
@@ -33,7 +33,8 @@
     two_controllers() { leader.reset(true, timeAt(0)); }
     void exchange(int ms)
     {
-        member.applyLeaderResponse(leader.respondTo(memberLink, member.report(table), table, timeAt(ms)), table);
+        const auto report = member.report(table, timeAt(ms));
+        member.applyLeaderResponse(leader.respondTo(memberLink, report, table, timeAt(ms)), table, timeAt(ms));
     }
 };
 
@@ -74,16 +75,17 @@
     CHECK(both.member.summaryFor(2, both.table, timeAt(2200)).budgetSharers == 0);
     SECTION("the report with its incarnation is lost, the response to a later one arrives")
     {
-        (void)both.member.report(both.table);
+        (void)both.member.report(both.table, timeAt(2300));
         CHECK(both.member.summaryFor(2, both.table, timeAt(2300)).budgetSharers == 0);
         both.exchange(2400);
         CHECK(both.member.summaryFor(2, both.table, timeAt(2450)).budgetSharers == 3);
     }
     SECTION("a late response to an earlier report")
     {
-        const auto early = both.member.report(both.table);
-        (void)both.member.report(both.table);
-        both.member.applyLeaderResponse(both.leader.respondTo(memberLink, early, both.table, timeAt(2400)), both.table);
+        const auto early = both.member.report(both.table, timeAt(2400));
+        (void)both.member.report(both.table, timeAt(2400));
+        both.member.applyLeaderResponse(
+            both.leader.respondTo(memberLink, early, both.table, timeAt(2400)), both.table, timeAt(2400));
         CHECK(both.member.summaryFor(2, both.table, timeAt(2450)).budgetSharers == 0);
     }
     SECTION("a new process of a gateway that was counted")
@@ -117,18 +119,19 @@
     both.leader.recordHeartbeat(1, activityOf("g-1", 11, 5, both.table, { 10, 0 }), both.table, timeAt(2000));
     both.member.recordHeartbeat(1, activityOf("g-2", 12, 3, both.table, { 1, 2 }), both.table, timeAt(2000));
     both.exchange(2100);
-    const auto inFlight = both.member.report(both.table);
+    const auto inFlight = both.member.report(both.table, timeAt(2200));
     const auto late = both.leader.respondTo(memberLink, inFlight, both.table, timeAt(2200));
     both.leader.reset(false, timeAt(3000));
     both.member.reset(true, timeAt(3000));
-    both.member.applyLeaderResponse(late, both.table);
+    both.member.applyLeaderResponse(late, both.table, timeAt(3000));
     const auto summary = both.member.summaryFor(1, both.table, timeAt(3100));
     CHECK(summary.budgetSharers == 0); // the settling period isn't over
     CHECK(summary.othersOpenAttempts == 0);
     CHECK(summary.othersLoads == target_loads { 0, 0 });
     // The former leader reports now.
     both.leader.applyLeaderResponse(
-        both.member.respondTo(memberLink, both.leader.report(both.table), both.table, timeAt(3200)), both.table);
+        both.member.respondTo(memberLink, both.leader.report(both.table, timeAt(3200)), both.table, timeAt(3200)),
+        both.table, timeAt(3200));
     CHECK(both.member.summaryFor(1, both.table, timeAt(3300)).othersOpenAttempts == 5);
     CHECK(both.leader.summaryFor(1, both.table, timeAt(3300)).othersOpenAttempts == 3);
 }
@@ -140,8 +143,9 @@
     both.table = tableOf({ "a", "b", "c" });
     both.member.recordHeartbeat(1, activityOf("g-2", 12, 3, older, { 1, 2 }), older, timeAt(2000));
     both.leader.recordHeartbeat(1, activityOf("g-1", 11, 5, both.table, { 1, 1, 1 }), both.table, timeAt(2000));
-    const auto report = both.member.report(older);
-    both.member.applyLeaderResponse(both.leader.respondTo(memberLink, report, both.table, timeAt(2100)), older);
+    const auto report = both.member.report(older, timeAt(2100));
+    both.member.applyLeaderResponse(
+        both.leader.respondTo(memberLink, report, both.table, timeAt(2100)), older, timeAt(2100));
     CHECK(both.leader.summaryFor(1, both.table, timeAt(2100)).othersLoads == target_loads { 0, 0, 0 });
     CHECK(both.member.summaryFor(1, older, timeAt(2100)).othersLoads == target_loads { 0, 0 });
 }
@@ -235,7 +239,7 @@
     {
         if (controller == m_leader)
             return;
-        const auto report = m_controllers[controller].report(m_table);
+        const auto report = m_controllers[controller].report(m_table, timeAt(m_ms));
         if (*rc::gen::inRange(0, 4) == 0)
             return; // lost
         for (const auto& usage : report.lives)
@@ -245,7 +249,7 @@
         if (*rc::gen::inRange(0, 4) == 0)
             return; // delayed
         for (const auto& [to, received] : std::exchange(m_responses, {}))
-            m_controllers[to].applyLeaderResponse(received, m_table);
+            m_controllers[to].applyLeaderResponse(received, m_table, timeAt(m_ms));
     }
 
     target_table m_table = tableOf({ "a", "b" });
