Optional demand fields in heartbeats, updates and session totals

Cause: the sums are to travel in the messages that carry loads, also between processes of different versions. The fields are omitted while empty, rows are arrays, and a received report is put in order and cut to the limits.

--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -176,6 +176,7 @@
     std::vector<registry::quarantine_batch> quarantine; ///< changes without a receipt so far
     std::vector<registry::limit_report> limits; ///< rate limits from targets since the last heartbeat
     std::vector<registry::target_incarnation> leavingTargets; ///< announced to it, and not yet in the target table
+    registry::demand_report demand; ///< of its requests for ranked services
 };
 
 /// A text, or a change of the target table as encoded by encodeDelta(), as a patch (see compression/text_patch.hpp).
@@ -212,6 +213,7 @@
     std::vector<registry::quarantine_receipt> quarantineReceipts;
     std::optional<std::uint32_t> ordinal; ///< its index among the gateways that share the budget; empty: unknown
     std::vector<registry::limit_report> limits; ///< not yet sent in this session
+    registry::demand_report othersDemand; ///< of all other gateways; empty: none, or unknown
 };
 
 /// A target's heartbeat, forwarded to the leader.
--- a/src/app/registry/registry_sessions.cpp
+++ b/src/app/registry/registry_sessions.cpp
@@ -46,7 +46,8 @@
     const registry::gateway_usage usage { heartbeat.instance, heartbeat.life, heartbeat.repeats,
         heartbeat.isRepeatsComplete };
     m_gatewaySessions.recordHeartbeat(linkNumber,
-        { usage, heartbeat.openAttempts, heartbeat.targetRevision, heartbeat.loads }, m_state.targets(), steadyNow());
+        { usage, heartbeat.openAttempts, heartbeat.targetRevision, heartbeat.loads, heartbeat.demand },
+        m_state.targets(), steadyNow());
     m_limits.merge(heartbeat.limits, registry::limit_source::Downstream, m_state.targets(), steadyNow());
     gatewaySession.pendingSequence = heartbeat.sequence;
     gatewaySession.deadline = steadyNow() + sessionLifetime;
@@ -214,6 +215,7 @@
         update.earlierRepeats.push_back(*summary.earlier);
     update.othersOpenAttempts = summary.othersOpenAttempts;
     update.othersLoads = summary.othersLoads;
+    update.othersDemand = summary.othersDemand;
     update.ordinal = summary.ordinal;
     update.limits
         = m_limits.changesSince(std::exchange(gatewaySession.limitsRevisionSent, m_limits.revision()), steadyNow());
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -3,6 +3,7 @@
 #include "buckthornrail/link/message.hpp"
 
 #include "buckthornrail/link/agreement_json.hpp"
+#include "buckthornrail/link/demand_json.hpp"
 #include "buckthornrail/link/state_json.hpp"
 
 #include <array>
@@ -81,7 +82,27 @@
     in.at(2).get_to(value.ageMs);
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(session_totals, gateways, openAttempts, targetRevision, loads)
+/// Reads a field that earlier versions don't send: during a rolling upgrade both versions run.
+template <typename Field> void readOptional(const nlohmann::json& in, const char* name, Field& field)
+{
+    if (const auto found = in.find(name); found != in.end())
+        found->get_to(field);
+}
+
+static void to_json(nlohmann::json& out, const session_totals& value)
+{
+    out = { { "gateways", value.gateways }, { "openAttempts", value.openAttempts },
+        { "targetRevision", value.targetRevision }, { "loads", value.loads } };
+    link::writeDemand(out, "demand", value.demand);
+}
+static void from_json(const nlohmann::json& in, session_totals& value)
+{
+    in.at("gateways").get_to(value.gateways);
+    in.at("openAttempts").get_to(value.openAttempts);
+    in.at("targetRevision").get_to(value.targetRevision);
+    in.at("loads").get_to(value.loads);
+    link::readDemand(in, "demand", value.demand);
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_report, sequence, sums, lives)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(earlier_retries, gateway, spent)
 // As an array, like gateway_usage.
@@ -94,13 +115,6 @@
     value = { in.at(0).get<std::string>(), in.at(1).get<std::uint32_t>() };
 }
 
-/// Reads a field that earlier versions don't send: during a rolling upgrade both versions run.
-template <typename Field> void readOptional(const nlohmann::json& in, const char* name, Field& field)
-{
-    if (const auto found = in.find(name); found != in.end())
-        found->get_to(field);
-}
-
 static void to_json(nlohmann::json& out, const fleet_report& value)
 {
     out = { { "answers", value.reportSequence }, { "others", value.others }, { "budgetSharers", value.budgetSharers },
@@ -172,6 +186,7 @@
         { "limits", value.limits }, { "leavingTargets", value.leavingTargets } };
     if (value.sliceVersion)
         out["sliceVersion"] = *value.sliceVersion;
+    writeDemand(out, "demand", value.demand);
 }
 static void from_json(const nlohmann::json& in, gateway_heartbeat& value)
 {
@@ -191,6 +206,7 @@
     readOptional(in, "leavingTargets", value.leavingTargets);
     if (const auto found = in.find("sliceVersion"); found != in.end())
         value.sliceVersion = found->get<std::uint64_t>();
+    readDemand(in, "demand", value.demand);
 }
 
 // As an array, like registry::gateway_usage.
@@ -228,6 +244,7 @@
         { "quarantineReceipts", value.quarantineReceipts }, { "limits", value.limits } };
     if (value.ordinal)
         out["ordinal"] = *value.ordinal;
+    writeDemand(out, "othersDemand", value.othersDemand);
 }
 static void from_json(const nlohmann::json& in, gateway_update& value)
 {
@@ -247,6 +264,7 @@
     readOptional(in, "limits", value.limits);
     if (const auto found = in.find("ordinal"); found != in.end())
         value.ordinal = found->get<std::uint32_t>();
+    readDemand(in, "othersDemand", value.othersDemand);
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fence, request, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stage_fenced, request, generation)
--- a/src/buckthornrail/link/message_test.cpp
+++ b/src/buckthornrail/link/message_test.cpp
@@ -161,6 +161,68 @@
         "ordinals":[],"limits":[]})"));
 }
 
+// Guards against a broken rolling upgrade: earlier versions neither send nor read the demand.
+TEST_CASE("codec: the demand by priority is decoded unchanged, and is optional", "[link]")
+{
+    const registry::demand_report demand { { "s", 9, { { 0, 1, 2, 3, 4, 5 }, { 2, 4'000'000'000, 0, 0, 0, 0 } } },
+        { "t", 0, {} } };
+    gateway_heartbeat heartbeat;
+    heartbeat.demand = demand;
+    gateway_update update;
+    update.othersDemand = demand;
+    member_report report;
+    report.sessions.sums.demand = demand;
+    registry::fleet_report response;
+    response.others.demand = demand;
+    const auto demandIn = [](const message& value) {
+        if (const auto* read = std::get_if<gateway_heartbeat>(&value))
+            return read->demand;
+        if (const auto* read = std::get_if<gateway_update>(&value))
+            return read->othersDemand;
+        if (const auto* read = std::get_if<member_report>(&value))
+            return read->sessions.sums.demand;
+        return std::get<registry::fleet_report>(value).others.demand;
+    };
+    const auto recoded = [](const nlohmann::json& envelope) {
+        std::string bytes;
+        nlohmann::json::to_cbor(envelope, bytes);
+        return decode(bytes);
+    };
+    const std::vector<std::tuple<message, std::string, std::string>> places { { heartbeat, "/b", "demand" },
+        { update, "/b", "othersDemand" }, { report, "/b/sessions/sums", "demand" },
+        { response, "/b/others", "demand" } };
+    for (const auto& [whole, parent, name] : places) {
+        CHECK(demandIn(*decode(encode(whole))) == demand);
+        CHECK(encode(*decode(encode(whole))) == encode(whole));
+        auto envelope = nlohmann::json::from_cbor(encode(whole));
+        auto& fields = envelope.at(nlohmann::json::json_pointer(parent));
+        // A process of this version ignores fields that it doesn't know, as earlier versions ignore the demand.
+        fields["unknown"] = fields.at(name);
+        REQUIRE(recoded(envelope));
+        CHECK(demandIn(*recoded(envelope)) == demand);
+        fields.erase(name);
+        REQUIRE(recoded(envelope));
+        CHECK(demandIn(*recoded(envelope)).empty());
+        for (const auto* malformed : { R"("s")", R"(["s"])", R"([["s",1]])", R"([["s",1,[[0,1,2,3,4]]]])" }) {
+            fields[name] = nlohmann::json::parse(malformed);
+            CHECK_FALSE(recoded(envelope).has_value());
+        }
+    }
+}
+
+// Guards against a faulty process whose report is larger than the limits, or not in order, which sums rely on.
+TEST_CASE("codec: a received demand report is put in order and cut to its limits", "[link]")
+{
+    gateway_heartbeat heartbeat;
+    for (char name = 'z'; name >= 'a'; --name)
+        heartbeat.demand.push_back({ std::string(1, name), 1, { { 3, 1, 0, 0, 0, 0 }, { 1, 2, 0, 0, 0, 0 } } });
+    const auto decoded = decode(encode(message(heartbeat)));
+    REQUIRE(decoded);
+    const auto& demand = std::get<gateway_heartbeat>(*decoded).demand;
+    REQUIRE(demand.size() == registry::maxServicesInDemand);
+    CHECK(demand.front() == registry::service_demand { "a", 1, { { 1, 2, 0, 0, 0, 0 }, { 3, 1, 0, 0, 0, 0 } } });
+}
+
 TEST_CASE("codec: corrupted bytes are either rejected or decoded, without a crash", "[link][property]")
 {
     const auto samples = defaultMessages();
