--- a/src/app/gateway/gateway_session.cpp
+++ b/src/app/gateway/gateway_session.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds moveBackoff { 10000 };
 /// Urgent heartbeats are delayed to batch the reports that arrive meanwhile.
 constexpr milliseconds heartbeatDelay { 3 };
+/// Least time from a heartbeat to the next one that reports queued requests. The controllers confirm sessions and
+/// exchange reports every 100 ms, so more heartbeats would reach the other gateways no sooner.
+constexpr milliseconds waitingHeartbeatPeriod { 100 };
 /// Time in which slices of a change are followed by pauses; later ones are not, as a change must become active within
 /// two seconds.
 constexpr milliseconds slicePauseTime { 800 };
@@ -68,6 +71,7 @@
     , m_leaderlessTimer(loop)
     , m_heartbeatTimer(loop)
     , m_inboxTimer(loop)
+    , m_waitingTimer(loop)
     , m_heartbeats(loop, milliseconds(settings.heartbeatMs), [this] { sendHeartbeat(); })
 {
     loop.post([this] { connect(); });
@@ -132,6 +136,7 @@
     m_isOpen = false;
     clearInbox();
     m_hasSentHeartbeat = false;
+    cancelWaitingHeartbeat();
     const bool wasServed = std::exchange(m_isServed, false);
     if (wasServed && m_disconnectCause != disconnect_cause::Nearer)
         m_nextMoveAt = steadyNow() + moveBackoff; // the nearest may be the lost one, and still be reported by others
@@ -206,6 +211,9 @@
     m_callbacks.fillQuarantine(heartbeat, isFirst);
     heartbeat.limits = m_callbacks.takeLimitReports(isFirst);
     heartbeat.leavingTargets = m_callbacks.leavingTargets();
+    registry::add(heartbeat.demand, m_callbacks.demand());
+    cancelWaitingHeartbeat(); // this one reports the queued requests
+    m_nextWaitingAt = steadyNow() + waitingHeartbeatPeriod;
     m_hub.send(m_link, link::encode(link::message(std::move(heartbeat))));
 }
 
@@ -219,6 +227,22 @@
     });
 }
 
+void gateway_session::sendHeartbeatWhileWaiting()
+{
+    if (!m_isOpen || std::exchange(m_isWaitingScheduled, true))
+        return;
+    m_waitingTimer.set(std::max(m_nextWaitingAt, steadyNow() + heartbeatDelay), [this] {
+        m_isWaitingScheduled = false;
+        sendHeartbeat();
+    });
+}
+
+void gateway_session::cancelWaitingHeartbeat()
+{
+    m_waitingTimer.cancel();
+    m_isWaitingScheduled = false;
+}
+
 void gateway_session::onMessage(link::link_number link, const std::string& bytes)
 {
     auto message = decodeOrClose(m_hub, link, bytes);
@@ -342,6 +366,7 @@
         m_callbacks.targetsChanged(m_targets);
     }
     m_callbacks.otherLoadsReceived(update.othersLoads);
+    m_callbacks.othersDemandReceived(update.othersDemand);
     if (!update.limits.empty())
         m_callbacks.limitsReceived(update.limits);
     m_callbacks.quarantineReceived(update);
--- a/src/app/gateway/gateway_session.hpp
+++ b/src/app/gateway/gateway_session.hpp
@@ -42,6 +42,10 @@
     /// Targets that have reported that they are leaving and that the controllers' table doesn't show as leaving.
     std::function<std::vector<registry::target_incarnation>()> leavingTargets
         = [] { return std::vector<registry::target_incarnation>(); };
+    std::function<registry::demand_report()> demand
+        = [] { return registry::demand_report(); }; ///< of this gateway; empty: no service is ranked
+    /// Receives the demand of all other gateways with each update; empty: none, or unknown.
+    std::function<void(const registry::demand_report&)> othersDemandReceived = [](const auto&) {};
 };
 
 /// @brief Maintains a session with one controller at a time. To be used only on the event loop's thread.
@@ -58,12 +62,16 @@
     void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
     /// @brief Sends a heartbeat within a few milliseconds, for urgent reports.
     void sendHeartbeatSoon();
+    /// @brief Sends a heartbeat as soon as the last one was sent 100 ms ago; to be called while requests are queued.
+    void sendHeartbeatWhileWaiting();
 
 private:
     /// @brief Dials the next controller, unless there is a link already.
     void connect();
     /// @brief Sends a heartbeat; connects or disconnects first if there is no link or no response in time.
     void sendHeartbeat();
+    /// @brief Cancels the heartbeat that sendHeartbeatWhileWaiting() has scheduled.
+    void cancelWaitingHeartbeat();
     void onOpened(link::link_number link);
     void onClosed(link::link_number link);
     void onMessage(link::link_number link, const std::string& bytes);
@@ -125,7 +133,10 @@
     net::loop_timer m_leaderlessTimer;
     net::loop_timer m_heartbeatTimer;
     net::loop_timer m_inboxTimer;
+    net::loop_timer m_waitingTimer;
     bool m_isHeartbeatScheduled = false; ///< the heartbeat timer is set
+    bool m_isWaitingScheduled = false; ///< the waiting timer is set
+    steady_time m_nextWaitingAt {}; ///< earliest time of the next heartbeat while requests are queued
     periodic_task m_heartbeats;
 };
 
--- a/src/app/gateway/gateway_session_test.cpp
+++ b/src/app/gateway/gateway_session_test.cpp
@@ -13,7 +13,7 @@
 /// A controller that responds to each heartbeat, either as confirmed by a quorum or as one that reaches no leader.
 class fake_controller {
 public:
-    fake_controller(link::event_loop& loop, bool serves)
+    fake_controller(link::event_loop& loop, bool serves, const std::string& address = "127.0.0.1:0")
         : m_serves(serves)
         , m_hub(loop,
               link::hub_handlers { [this](link::link_number, bool) { ++m_sessions; }, [](link::link_number) {},
@@ -23,16 +23,25 @@
                       link::gateway_update update;
                       update.isServed = m_serves;
                       update.controllers = m_endpoints;
+                      update.othersDemand = m_othersDemand;
                       ++m_heartbeats;
+                      m_heartbeatTimes.push_back(boot_clock::now());
+                      m_demand = std::get<link::gateway_heartbeat>(*message).demand;
                       m_hub.send(link, link::encode(link::message(update)));
                   } })
-        , m_port(m_hub.listen("127.0.0.1:0"))
+        , m_port(m_hub.listen(address))
     {
     }
 
     [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
     [[nodiscard]] int heartbeats() const { return m_heartbeats; }
     [[nodiscard]] int sessions() const { return m_sessions; }
+    /// @return when heartbeats arrived
+    [[nodiscard]] const std::vector<steady_time>& heartbeatTimes() const { return m_heartbeatTimes; }
+    /// @return the demand in the last heartbeat
+    [[nodiscard]] const registry::demand_report& demand() const { return m_demand; }
+    /// @brief Sets the demand of other gateways that it reports.
+    void setOthersDemand(registry::demand_report demand) { m_othersDemand = std::move(demand); }
     /// @brief Sets whether it reaches a leader.
     void setServes(bool serves) { m_serves = serves; }
     /// @brief Closes its listener and links.
@@ -46,7 +55,10 @@
     std::uint16_t m_port;
     int m_heartbeats = 0;
     int m_sessions = 0;
+    std::vector<steady_time> m_heartbeatTimes;
     std::vector<link::controller_endpoint> m_endpoints;
+    registry::demand_report m_demand;
+    registry::demand_report m_othersDemand;
 };
 
 gateway_session_callbacks emptyCallbacks()
@@ -203,3 +215,94 @@
     CHECK(isolated.heartbeats() > 3);
     CHECK(other.heartbeats() > 5); // from 0.9 s after the last response of the first controller
 }
+
+TEST_CASE(
+    "gateway session: heartbeats state the gateway's demand, and updates state that of all others", "[gateway_session]")
+{
+    link::event_loop loop;
+    fake_controller controller(loop, true);
+    const registry::demand_report others { { "s", 7, { { 0, 1, 2, 3, 4, 5 } } } };
+    controller.setOthersDemand(others);
+    settings::settings settings;
+    settings.id = "gateway";
+    settings.controllers = { controller.address() };
+    gateway_document document(platform::controlDialect());
+    auto callbacks = emptyCallbacks();
+    // More services than a message may contain, not in order.
+    callbacks.demand = [] {
+        registry::demand_report demand;
+        for (char name = 'z'; name >= 'a'; --name)
+            demand.push_back({ std::string(1, name), 1, {} });
+        return demand;
+    };
+    registry::demand_report received;
+    callbacks.othersDemandReceived = [&](const registry::demand_report& demand) {
+        received = demand;
+        loop.stop();
+    };
+    gateway_session session(loop, settings, document, std::move(callbacks));
+    loop.runAt(boot_clock::now() + milliseconds(2000), [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(received == others);
+    REQUIRE(controller.demand().size() == registry::maxServicesInDemand);
+    CHECK(controller.demand().front().service == "a");
+}
+
+// Guards against a queue whose demand reaches others only with the next regular heartbeat, and against a heartbeat for
+// each queued request.
+TEST_CASE("gateway session: while requests wait, it sends a heartbeat every 100 ms", "[gateway_session]")
+{
+    link::event_loop loop;
+    fake_controller controller(loop, true);
+    settings::settings settings;
+    settings.id = "gateway";
+    settings.heartbeatMs = 600; // regular heartbeats are too few for the expected number
+    settings.controllers = { controller.address() };
+    gateway_document document(platform::controlDialect());
+    gateway_session session(loop, settings, document, emptyCallbacks());
+    const auto start = boot_clock::now();
+    std::function<void()> whileQueued = [&] {
+        session.sendHeartbeatWhileWaiting();
+        session.sendHeartbeatWhileWaiting();
+        loop.runAt(boot_clock::now() + milliseconds(5), whileQueued);
+    };
+    whileQueued();
+    loop.runAt(start + milliseconds(1500), [&loop] { loop.stop(); });
+    loop.run();
+    const auto& times = controller.heartbeatTimes();
+    CHECK(times.size() <= 19); // at most 15 of the waiting requests, and one after each of three regular ones
+    REQUIRE(times.size() >= 10); // of 15; regular ones alone would be 3
+    // Arrival times vary with the machine's load, so the bound is for the sum of two intervals.
+    std::size_t shortPairs = 0;
+    for (std::size_t i = 2; i < times.size(); ++i)
+        shortPairs += between(times[i - 2], times[i]) < milliseconds(100) ? 1 : 0;
+    CHECK(shortPairs == 0);
+}
+
+// Guards against a dial for each queued request while no controller accepts connections.
+TEST_CASE("gateway session: without a session, requests that wait cause no dials", "[gateway_session]")
+{
+    link::event_loop loop;
+    fake_controller controller(loop, true);
+    std::unique_ptr<fake_controller> restarted;
+    settings::settings settings;
+    settings.id = "gateway";
+    settings.heartbeatMs = 5000; // regular heartbeats, which dial, begin after the test
+    settings.controllers = { controller.address() };
+    gateway_document document(platform::controlDialect());
+    gateway_session session(loop, settings, document, emptyCallbacks());
+    std::function<void()> whileQueued = [&] {
+        session.sendHeartbeatWhileWaiting();
+        loop.runAt(boot_clock::now() + milliseconds(5), whileQueued);
+    };
+    whileQueued();
+    const auto start = boot_clock::now();
+    loop.runAt(start + milliseconds(400), [&controller] { controller.stop(); });
+    loop.runAt(start + milliseconds(700),
+        [&] { restarted = std::make_unique<fake_controller>(loop, true, controller.address()); });
+    loop.runAt(start + milliseconds(1100), [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(controller.heartbeats() > 1);
+    REQUIRE(restarted);
+    CHECK(restarted->sessions() == 0);
+}
