--- a/include/buckthornrail/registry/demand_table.hpp
+++ b/include/buckthornrail/registry/demand_table.hpp
@@ -61,8 +61,8 @@
     [[nodiscard]] static demand_report reportOf(const totals_by_service& totals);
 
     std::map<std::uint64_t, session_entry> m_sessions;
-    /// Of all sessions, also of expired reports. A controller that added up all reports for each response would need
-    /// a quarter of a core with 390 gateways.
+    /// Of all sessions, also of expired reports. With 390 sessions and two services of three priorities, an update and
+    /// othersOf() take 3 to 5 us; adding up all reports took 20 to 37 us.
     totals_by_service m_total;
 };
 
