Capacity reserved for higher priorities

Under a shortage, requests were refused in proportion to demand, without regard to priority. A request now learns which share of its service's capacity it must leave free, from the demand of all gateways: by Little's law what higher priorities need beyond what they hold, and their waiting tokens.

The mean residence time is measured for each priority while nobody waits: with one for the whole service, priorities with short responses reserved capacity in steady state.

--- a/include/buckthornrail/gateway/admission.hpp
+++ b/include/buckthornrail/gateway/admission.hpp
@@ -29,7 +29,7 @@
     /// use 0.95 of the capacity while a request waits allows no more.
     double maxReturningShare = 0.05;
     double averageSeconds = 1; ///< time constant of rates
-    double residenceSeconds = 5; ///< time constant of the mean residence time, which changes with the kind of requests
+    double residenceSeconds = 5; ///< time constant of mean residence times, which change with the kind of requests
     milliseconds othersTtl { 1000 }; ///< older figures of the other gateways are not used
 };
 
@@ -69,7 +69,8 @@
 
     /// @brief Replaces the ranked services. Counts of services that stay ranked are kept.
     /// @param prioritiesByService priorities of each service's requests
-    void setRankedServices(std::map<std::string, std::vector<std::uint32_t>> prioritiesByService, steady_time now);
+    void setRankedServices(
+        const std::map<std::string, std::vector<std::uint32_t>>& prioritiesByService, steady_time now);
     [[nodiscard]] bool isRanked(std::string_view service) const;
     /// @brief Replaces the sums of all other gateways.
     void setOthers(const registry::demand_report& others, steady_time now);
@@ -116,11 +117,15 @@
     };
     /// One priority of a service at this gateway.
     struct rank_counts {
-        explicit rank_counts(double averageSeconds)
-            : offered(averageSeconds)
+        explicit rank_counts(const admission_options& options)
+            : offered(options.averageSeconds)
+            , residence(options.residenceSeconds)
         {
         }
         rate_average offered; ///< tokens of first-time requests
+        /// Mean residence time: running to offered tokens of all gateways while nobody is refused or waits. Priorities
+        /// differ in it; with the mean of the service, those with short responses always seem to need more.
+        ratio_average residence;
         double running = 0;
         std::size_t attempts = 0; ///< open attempts; without any, running is set to exactly 0
         double waiting = 0;
@@ -136,26 +141,28 @@
     };
     struct service_counts {
         explicit service_counts(const admission_options& options);
+        /// @return whether nothing of the service has to be kept
+        [[nodiscard]] bool isUnused() const;
+
         bool isRanked = false;
         std::vector<std::uint32_t> priorities; ///< ascending
         double capacity = 0;
         std::vector<rank_counts> ranks; ///< by priority
         rate_average released;
-        ratio_average residence; ///< running to released tokens of all gateways
         std::array<rank_sums, admissionPriorities> others {}; ///< sums of the other gateways
         double othersReleased = 0; ///< tokens per second
     };
 
     [[nodiscard]] static std::size_t rankOf(std::uint32_t priority);
     [[nodiscard]] const service_counts* find(std::string_view service) const;
-    [[nodiscard]] service_counts* find(std::string_view service);
     [[nodiscard]] service_counts& findOrAdd(std::string_view service);
     [[nodiscard]] bool areOthersCurrent(steady_time now) const { return m_othersAt && now < m_othersExpireAt; }
     /// @return sums over all gateways
     [[nodiscard]] rank_sums total(const service_counts& service, std::size_t rank, steady_time now) const;
     [[nodiscard]] double totalReleased(const service_counts& service, steady_time now) const;
-    /// @brief Updates the mean residence time with the present sums.
+    /// @brief Updates the mean residence times with the present sums.
     void updateResidence(service_counts& service, steady_time now) const;
+    [[nodiscard]] double residenceSeconds(const service_counts& service, std::size_t rank, steady_time now) const;
     /// @return tokens that a priority needs beyond what it holds
     /// @param defaultTokens size of a request where this gateway has seen none of that priority
     [[nodiscard]] double missingTokens(
@@ -165,8 +172,8 @@
         const service_counts& service, const admission_request& request, steady_time now) const;
     /// @return whether a priority has been admitted less than it is guaranteed
     [[nodiscard]] bool isBelowGuarantee(const rank_counts& rank, steady_time now) const;
-    [[nodiscard]] registry::service_demand reportOf(
-        const std::string& name, const service_counts& service, steady_time now) const;
+    [[nodiscard]] static registry::service_demand reportOf(
+        const std::string& name, const service_counts& service, steady_time now);
 
     admission_options m_options;
     std::map<std::string, service_counts, std::less<>> m_services;
