--- a/tools/bench_core.cpp
+++ b/tools/bench_core.cpp
@@ -1,10 +1,12 @@
 /// @file
-/// @brief Benchmarks of routing decisions, gate, configuration store, codecs and replicated log at growing sizes.
+/// @brief Benchmarks of routing decisions, gate, admission, configuration store, codecs and replicated log at growing
+/// sizes.
 ///
 /// The global operator new is replaced to count allocations per iteration.
 #include "buckthornrail/agreement/replica.hpp"
 #include "buckthornrail/configuration/configuration_store.hpp"
 #include "buckthornrail/dispatch/target_gate.hpp"
+#include "buckthornrail/gateway/admission.hpp"
 #include "buckthornrail/link/message.hpp"
 #include "buckthornrail/routing/route_table.hpp"
 
@@ -222,6 +224,43 @@
         benchmark::DoNotOptimize(link::decodeDelta(bytes));
 }
 
+/// Counts and decisions for requests of all services and priorities in turn, with current figures of other gateways.
+void admissionDecision(benchmark::State& state)
+{
+    constexpr std::uint32_t services = 16;
+    std::map<std::string, std::vector<std::uint32_t>> ranked;
+    registry::demand_report others;
+    for (std::uint32_t number = 0; number < services; ++number) {
+        const std::string name = "model-service-" + std::to_string(100 + number);
+        registry::service_demand demand { name, 50'000, {} };
+        for (std::uint32_t priority = 0; priority < gateway::admissionPriorities; ++priority) {
+            ranked[name].push_back(priority);
+            demand.ranks.push_back({ priority, 5000 + 100 * priority, 9000, 100 * number, 0, 50 });
+        }
+        others.push_back(demand);
+    }
+    gateway::admission admission;
+    admission.setRankedServices(ranked, begin);
+    for (const auto& demand : others)
+        admission.setCapacity(demand.service, 120'000);
+    steady_time now = begin;
+    std::uint32_t number = 0;
+    const std::uint64_t before = allocationCount;
+    for (auto step : state) {
+        if (number % 1000 == 0)
+            admission.setOthers(others, now);
+        now += std::chrono::microseconds(300);
+        const gateway::admission_request request { others[number % services].service,
+            number / services % static_cast<std::uint32_t>(gateway::admissionPriorities), 1000, false };
+        admission.countArrival(request, now);
+        benchmark::DoNotOptimize(admission.reservedShare(request, now));
+        admission.countAdmission(request, now);
+        ++number;
+    }
+    reportAllocations(state, before);
+}
+
+BENCHMARK(admissionDecision);
 BENCHMARK(tableEncode)->Arg(30)->Arg(300)->Arg(3000)->Unit(benchmark::kMillisecond);
 BENCHMARK(tableDecode)->Arg(30)->Arg(300)->Arg(3000)->Unit(benchmark::kMillisecond);
 BENCHMARK(routeDecision)->Arg(26)->Arg(260)->Arg(2600);
