Sums of the return schedule without a walk over all due promises

Cause: reading the promised and due tokens visited every promise of the last 500 ms: 4.0 us at one refusal per millisecond. Change: sums are kept up to the last promise; reads visit only what became due or past since then (0.1 us). The property test reads the sums later than the promises were made.

--- a/include/buckthornrail/gateway/return_schedule.hpp
+++ b/include/buckthornrail/gateway/return_schedule.hpp
@@ -61,9 +61,11 @@
     };
     /// Promises of one priority of a service.
     struct rank_promises {
-        std::map<steady_time, promise_sum> byTime; ///< by time, rounded up to milliseconds
+        std::map<steady_time, promise_sum> byTime; ///< by the end of the millisecond that contains the time
         std::map<steady_time, double> tokensByInterval; ///< by start of the interval
-        promise_sum total; ///< of byTime
+        steady_time countedAt {}; ///< time of the last promise(), to which the two sums apply
+        promise_sum upcoming; ///< of byTime, after countedAt
+        promise_sum due; ///< of byTime, up to countedAt
         steady_time lastSlotAt {}; ///< start of the last promise's slot
         double lastSlotTokens = 0;
     };
@@ -73,8 +75,9 @@
         steady_time latest {};
     };
 
+    static void subtract(promise_sum& sum, const promise_sum& part);
     [[nodiscard]] const rank_promises* find(std::string_view service, std::uint32_t priority) const;
-    /// @return sum of the promises whose time is after `now`
+    /// @return sum of the promises whose time is after `now`; visits only those since the last promise()
     [[nodiscard]] promise_sum promisedAfter(std::string_view service, std::uint32_t priority, steady_time now) const;
     /// @brief Finds or creates the promises of a priority, and drops those that are no longer due.
     rank_promises& rankOf(std::string_view service, std::uint32_t priority, steady_time now);
@@ -89,8 +92,8 @@
     void record(rank_promises& rank, steady_time time, double tokens) const;
     /// @return start of the interval of rank_promises::tokensByInterval that contains the time
     [[nodiscard]] steady_time intervalOf(steady_time time) const;
-    /// @brief Drops promises that are no longer due.
-    void dropPast(rank_promises& rank, steady_time now) const;
+    /// @brief Brings the sums up to date and drops promises that are no longer due.
+    void advance(rank_promises& rank, steady_time now) const;
     /// @brief Drops priorities and services without promises that are still due.
     void dropPastRanks(steady_time now);
 
--- a/src/buckthornrail/gateway/return_schedule.cpp
+++ b/src/buckthornrail/gateway/return_schedule.cpp
@@ -87,11 +87,16 @@
     const auto* rank = find(service, priority);
     if (rank == nullptr)
         return 0;
-    double tokens = 0;
-    const auto end = rank->byTime.upper_bound(now);
-    for (auto entry = rank->byTime.upper_bound(now - m_options.dueFor); entry != end; ++entry)
+    double tokens = rank->due.tokens;
+    const auto endOfDue = rank->byTime.upper_bound(std::max(now, rank->countedAt));
+    for (auto entry = rank->byTime.upper_bound(rank->countedAt); entry != endOfDue; ++entry)
         tokens += entry->second.tokens;
-    return tokens;
+    const auto endOfPast = rank->byTime.upper_bound(now - m_options.dueFor);
+    if (endOfPast == endOfDue)
+        return 0;
+    for (auto entry = rank->byTime.begin(); entry != endOfPast; ++entry)
+        tokens -= entry->second.tokens;
+    return std::max(0.0, tokens); // differences of fractions may round to below 0
 }
 
 return_schedule::promise_sum return_schedule::promisedAfter(
@@ -100,16 +105,20 @@
     const auto* rank = find(service, priority);
     if (rank == nullptr)
         return {};
-    promise_sum sum = rank->total;
-    const auto end = rank->byTime.upper_bound(now);
+    promise_sum sum = rank->upcoming;
+    const auto end = rank->byTime.upper_bound(std::max(now, rank->countedAt));
     if (end == rank->byTime.end())
         return {};
-    for (auto entry = rank->byTime.begin(); entry != end; ++entry) {
-        sum.tokens -= entry->second.tokens;
-        sum.count -= entry->second.count;
-    }
-    // Differences of fractions may round to below 0.
-    return { std::max(0.0, sum.tokens), sum.count };
+    for (auto entry = rank->byTime.upper_bound(rank->countedAt); entry != end; ++entry)
+        subtract(sum, entry->second);
+    return sum;
+}
+
+void return_schedule::subtract(promise_sum& sum, const promise_sum& part)
+{
+    sum.count -= part.count;
+    // Differences of fractions may round to below 0, or leave a rest.
+    sum.tokens = sum.count == 0 ? 0 : std::max(0.0, sum.tokens - part.tokens);
 }
 
 const return_schedule::rank_promises* return_schedule::find(std::string_view service, std::uint32_t priority) const
@@ -130,7 +139,7 @@
         ranks = m_services.try_emplace(std::string(service)).first;
     }
     auto& rank = ranks->second[priority];
-    dropPast(rank, now);
+    advance(rank, now);
     return rank;
 }
 
@@ -180,7 +189,9 @@
 
 void return_schedule::record(rank_promises& rank, steady_time time, double tokens) const
 {
-    for (auto* sum : { &rank.byTime[std::chrono::ceil<milliseconds>(time)], &rank.total }) {
+    // Rounded up to a time after countedAt, so that it is among the upcoming ones.
+    const auto key = std::chrono::floor<milliseconds>(std::max(time, rank.countedAt)) + milliseconds(1);
+    for (auto* sum : { &rank.byTime[key], &rank.upcoming }) {
         sum->tokens += tokens;
         ++sum->count;
     }
@@ -192,15 +203,19 @@
     return time - (time - m_intervalPhase).time_since_epoch() % balancedInterval;
 }
 
-void return_schedule::dropPast(rank_promises& rank, steady_time now) const
+void return_schedule::advance(rank_promises& rank, steady_time now) const
 {
+    auto entry = rank.byTime.upper_bound(rank.countedAt);
+    for (; entry != rank.byTime.end() && entry->first <= now; ++entry) {
+        subtract(rank.upcoming, entry->second);
+        rank.due.tokens += entry->second.tokens;
+        rank.due.count += entry->second.count;
+    }
+    rank.countedAt = std::max(rank.countedAt, now);
     while (!rank.byTime.empty() && rank.byTime.begin()->first + m_options.dueFor <= now) {
-        rank.total.tokens -= rank.byTime.begin()->second.tokens;
-        rank.total.count -= rank.byTime.begin()->second.count;
+        subtract(rank.due, rank.byTime.begin()->second);
         rank.byTime.erase(rank.byTime.begin());
     }
-    if (rank.byTime.empty())
-        rank.total = {};
     rank.tokensByInterval.erase(rank.tokensByInterval.begin(), rank.tokensByInterval.lower_bound(intervalOf(now)));
 }
 
@@ -208,7 +223,7 @@
 {
     for (auto& [service, ranks] : m_services) {
         for (auto& [priority, rank] : ranks)
-            dropPast(rank, now);
+            advance(rank, now);
         std::erase_if(ranks, [](const auto& entry) { return entry.second.byTime.empty(); });
     }
     std::erase_if(m_services, [](const auto& entry) { return entry.second.empty(); });
--- a/src/buckthornrail/gateway/return_schedule_test.cpp
+++ b/src/buckthornrail/gateway/return_schedule_test.cpp
@@ -378,21 +378,23 @@
                 RC_ASSERT(at <= now + (request.callerDeadline - now) / 3 + std::chrono::microseconds(1));
                 RC_ASSERT(at >= std::min(now + milliseconds(120), now + (request.callerDeadline - now) / 3)
                         - std::chrono::microseconds(1));
-                promised.push_back({ std::chrono::ceil<milliseconds>(at), request.priority, request.tokens });
+                promised.push_back(
+                    { std::chrono::floor<milliseconds>(at) + milliseconds(1), request.priority, request.tokens });
             }
+            const auto asked = now + milliseconds(*rc::gen::inRange(0, 3000)); // sums are read later than promised
             for (std::uint32_t priority = 0; priority < 3; ++priority) {
                 double later = 0;
                 double due = 0;
                 std::size_t count = 0;
                 for (const auto& entry : promised) {
-                    if (entry.priority != priority || entry.at + milliseconds(500) <= now)
+                    if (entry.priority != priority || entry.at + milliseconds(500) <= asked)
                         continue;
-                    (entry.at > now ? later : due) += entry.tokens;
-                    count += entry.at > now ? 1 : 0;
+                    (entry.at > asked ? later : due) += entry.tokens;
+                    count += entry.at > asked ? 1 : 0;
                 }
-                RC_ASSERT(schedule.promisedTokens("s", priority, now) == later);
-                RC_ASSERT(schedule.dueTokens("s", priority, now) == due);
-                RC_ASSERT(schedule.promisedCount("s", priority, now) == count);
+                RC_ASSERT(schedule.promisedTokens("s", priority, asked) == later);
+                RC_ASSERT(schedule.dueTokens("s", priority, asked) == due);
+                RC_ASSERT(schedule.promisedCount("s", priority, asked) == count);
             }
         }
     });
