Admission: review of the merged parts

Faults found by reading: after a suspension queued requests started although it was too late and without the controllers' confirmation, as everything fits while loads are out of date; only the first of the queue was ever tried, so that the guarantee of lower priorities had no effect behind a queue; a tiny spare rate told callers not to return; the expected wait used a rate that decays without ended attempts; a gateway that shuts down promised times from its schedule; late returning requests waited until their caller's deadline; sums of removed priorities stayed; a request that was routed again counted as a second arrival. Change: each is corrected; E218 has an outcome for every way out of the queue; runs of the queue are at least 10 ms apart.

--- a/include/buckthornrail/gateway/admission.hpp
+++ b/include/buckthornrail/gateway/admission.hpp
@@ -97,6 +97,12 @@
     [[nodiscard]] double reservedShare(const admission_request& request, steady_time now) const;
     /// @return tokens of attempts that end, per second, of all gateways
     [[nodiscard]] double releaseRate(std::string_view service, steady_time now) const;
+    /// @return tokens that are expected to be released per second: at least those of the open attempts over the mean
+    /// time that they are open, also while few attempts have ended
+    [[nodiscard]] double expectedReleaseRate(std::string_view service, steady_time now) const;
+    /// @return whether the request's priority has been admitted less than it is guaranteed, so that nothing is reserved
+    /// from it
+    [[nodiscard]] bool isGuaranteed(const admission_request& request, steady_time now) const;
     /// @return release rate minus the offered rates of this and all higher priorities; may be negative
     [[nodiscard]] double spareRate(std::string_view service, std::uint32_t priority, steady_time now) const;
     /// @return waiting and due tokens of all gateways that are served before the request
--- a/include/buckthornrail/gateway/admission_control.hpp
+++ b/include/buckthornrail/gateway/admission_control.hpp
@@ -3,11 +3,13 @@
 /// caller is to return. Does no I/O.
 #pragma once
 
+#include "buckthornrail/core/enum_names.hpp"
 #include "buckthornrail/gateway/admission.hpp"
 #include "buckthornrail/gateway/admission_queue.hpp"
 #include "buckthornrail/gateway/return_schedule.hpp"
 #include "buckthornrail/gateway/target_pool.hpp"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -40,13 +42,16 @@
     enum_name<admission_verdict> { admission_verdict::Refuse, "refuse" },
 };
 
-/// A verdict and the figures behind it, for logs.
 struct admission_decision {
     admission_verdict verdict = admission_verdict::Refuse;
+    std::string reason; ///< of a refusal, for logs
+};
+
+/// Figures behind a decision.
+struct admission_figures {
     double reservedShare = 0; ///< of the capacity, for higher priorities and returning requests
     double tokensAhead = 0; ///< waiting at this and higher priorities, at all gateways
-    double tokensPerSecond = 0; ///< released by all gateways' attempts
-    std::string reason; ///< of a refusal
+    double tokensPerSecond = 0; ///< expected to be released by the attempts of all gateways
 };
 
 struct admission_control_options {
@@ -56,6 +61,9 @@
     /// A returning request that is already late waits this long: its caller disconnects after two seconds without a
     /// first event.
     milliseconds maxLateWait { 1500 };
+    /// Spare rates below this share of the release rate count as none: both rates are estimates, and their difference
+    /// is mostly error when demand and capacity are about equal.
+    double minSpareShare = 0.05;
     admission_queue_options queue {};
     return_schedule_options returns {};
     admission_options admission {};
@@ -83,10 +91,15 @@
     void countArrival(const admission_ticket& ticket, steady_time now);
     /// @brief Decides about a request that is new or queued. A request told to wait is in the queue afterwards; any
     /// other one is not.
-    /// @param selected where it would start; its capacity is checked against the reservation
-    admission_decision decide(const admission_ticket& ticket, const selection& selected, steady_time now);
-    /// @brief Whether a request that isn't queued has to wait for queued ones that go before it.
-    [[nodiscard]] bool mustQueue(const admission_ticket& ticket, steady_time now) const;
+    /// @param selected where it would start; its capacity is checked against the reservation. Empty: it can't start
+    admission_decision decide(
+        const admission_ticket& ticket, const std::optional<selection>& selected, steady_time now);
+    /// @brief Whether a path is worth searching for a request: no other request goes before it, and it isn't late.
+    [[nodiscard]] bool mayStart(const admission_ticket& ticket, steady_time now) const;
+    /// @brief Queued requests of a service to be tried in this order when capacity may have become free: the first one
+    /// of each priority that is admitted less than it is guaranteed, then the first one of all.
+    [[nodiscard]] std::vector<std::uint64_t> candidates(const std::string& service, steady_time now) const;
+    [[nodiscard]] admission_figures figures(const admission_ticket& ticket, steady_time now) const;
     /// @brief Latest start of a request after which waiting is of no use to its caller.
     [[nodiscard]] steady_time latestStart(const admission_ticket& ticket) const;
     /// @brief Promises a refused caller a time to return. @return empty: no time before its deadline is of use
@@ -97,7 +110,7 @@
 
     /// @brief Removes a request whose caller has disconnected.
     void remove(std::uint64_t call) { m_queue.remove(call); }
-    /// @brief Requests that had to make room in the queue for one of a higher priority; to be refused.
+    /// @brief Requests displaced from the full queue by one of a higher priority; to be refused.
     [[nodiscard]] std::vector<std::uint64_t> takeDisplaced() { return m_queue.takeDisplaced(); }
     /// @brief Services with queued requests.
     [[nodiscard]] std::vector<std::string> waitingServices() const;
@@ -109,7 +122,7 @@
 private:
     [[nodiscard]] static admission_request requestOf(const admission_ticket& ticket);
     [[nodiscard]] queued_request entryOf(const admission_ticket& ticket, steady_time now) const;
-    admission_decision queueOrRefuse(const admission_ticket& ticket, admission_decision decision, steady_time now);
+    admission_decision queueOrRefuse(const admission_ticket& ticket, steady_time now);
     /// @brief Passes the queue's and the schedule's sums on to the reservations.
     void updateSums(const std::string& service, steady_time now);
 
--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -143,6 +143,27 @@
     milliseconds maxStreamPause { 5000 };
 };
 
+/// How a request leaves the admission queue.
+enum class queue_exit : std::uint8_t {
+    Started,
+    Expired, ///< it could not start in time
+    Displaced, ///< from a full queue, by a request of a higher priority
+    ShuttingDown, ///< of the gateway
+    CallerLeft,
+    DeadlinePassed, ///< of its caller, while the process was suspended
+    RoutedAgain, ///< under a changed document
+};
+
+inline constexpr std::array queueExitNames {
+    enum_name<queue_exit> { queue_exit::Started, "started" },
+    enum_name<queue_exit> { queue_exit::Expired, "expired" },
+    enum_name<queue_exit> { queue_exit::Displaced, "displaced" },
+    enum_name<queue_exit> { queue_exit::ShuttingDown, "shutting_down" },
+    enum_name<queue_exit> { queue_exit::CallerLeft, "caller_left" },
+    enum_name<queue_exit> { queue_exit::DeadlinePassed, "deadline_passed" },
+    enum_name<queue_exit> { queue_exit::RoutedAgain, "routed_again" },
+};
+
 /// @brief Dispatches one request, retries it and finishes it with exactly one final response.
 /// @ingroup gateway
 class exchange {
@@ -156,8 +177,10 @@
     void start(steady_time now);
     /// @brief Capacity may have become free: decides about a queued request again. @return whether it is queued no more
     bool retryAdmission(steady_time now);
-    /// @brief Refuses a queued request. @param reason for logs
-    void refuseQueued(const std::string& reason, steady_time now);
+    /// @brief Refuses a request that is still queued because it was displaced, or because the gateway shuts down.
+    void refuseQueued(queue_exit how, steady_time now);
+    /// @brief Takes a queued request out of the queue without a response, so that it can be routed again.
+    void withdraw(steady_time now) { leaveQueue(queue_exit::RoutedAgain, now); }
     /// @brief Whether the request waits in the admission queue. Nothing of it was sent then.
     [[nodiscard]] bool isQueued() const { return m_isQueued; }
     /// @brief The connection is established and the request is being written.
@@ -198,7 +221,7 @@
     /// @return for a request that admission refused, when its caller is to return
     [[nodiscard]] std::optional<steady_time> returnAt() const { return m_returnAt; }
     /// @return whether admission refused the request and no return before its deadline is of use
-    [[nodiscard]] bool mustNotReturn() const { return m_mustNotReturn; }
+    [[nodiscard]] bool hasNoReturnTime() const { return m_hasNoReturnTime; }
     /// @return whether an event has arrived through a target since a time, which proves that it was alive then
     [[nodiscard]] bool hadEventThrough(const registry::target_incarnation& target, steady_time since) const;
     [[nodiscard]] const exchange_request& request() const { return m_request; }
@@ -243,11 +266,12 @@
     void closeAttempt(steady_time now);
     /// @brief Starts the first attempt, queues the request or refuses it.
     void requestAdmission(steady_time now);
-    void applyAdmission(const admission_decision& decision, selection selected, steady_time now);
+    void applyAdmission(const admission_decision& decision, const std::optional<selection>& selected, steady_time now);
+    /// @brief Refuses the request with a time to return.
     void refuseAdmission(const std::string& reason, steady_time now);
     /// @brief Removes the request from the queue. @return whether it was queued
-    bool leaveQueue();
-    void logAdmission(event_code event, const admission_decision& decision, steady_time now);
+    bool leaveQueue(queue_exit how, steady_time now);
+    void logQueue(event_code event, const std::string& outcome, steady_time now);
     /// @brief Counts the open attempt's tokens for its priority, or stops to.
     void countRunning(bool isRunning, steady_time now);
     void giveUp(const std::string& reason, steady_time now);
@@ -302,7 +326,7 @@
     bool m_isQueued = false;
     bool m_isRunning = false; ///< counted as running by the admission
     std::optional<steady_time> m_returnAt;
-    bool m_mustNotReturn = false;
+    bool m_hasNoReturnTime = false;
     std::uint32_t m_attempts = 0;
     std::optional<attempt_end>
         m_pendingRetry; ///< outcome of the last attempt, while a started stream waits for a target
--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -135,7 +135,7 @@
         const auto connections = m_connections;
         for (const auto& connection : connections)
             connection->closeIfIdle();
-        refuseQueued("the gateway shuts down before the request could finish");
+        refuseAllQueued();
     }
     const bool isDone = now >= m_earliestStop && m_context.openCalls.empty();
     if ((isDone || now >= m_context.stopDeadline) && m_onStopped)
--- a/src/app/gateway/gateway.hpp
+++ b/src/app/gateway/gateway.hpp
@@ -55,10 +55,12 @@
     void serveQueue();
     /// @brief Starts queued calls of one service.
     void serveQueue(const std::string& service);
+    /// @brief Decides about a queued call again. @return whether it is queued no more
+    bool tryQueued(gateway::call_number number);
     /// @brief Refuses calls that lost their place in the queue.
     void refuseDisplaced();
-    /// @brief Refuses all queued calls. @param reason for logs
-    void refuseQueued(const std::string& reason);
+    /// @brief Refuses all queued calls when the gateway shuts down.
+    void refuseAllQueued();
     /// @brief Reports the waiting call to the other gateways and schedules the next serveQueue().
     void onCallQueued();
     /// @brief Schedules the next serveQueue().
@@ -109,6 +111,7 @@
     std::unique_ptr<periodic_task> m_stopCheck;
     net::loop_timer m_queueTimer;
     steady_time m_nextQueueRunAt = steady_time::max(); ///< when the queue timer expires
+    steady_time m_earliestQueueRunAt {}; ///< runs are spaced, as each one may cost a path search
     stall_watch m_stallWatch;
     periodic_task m_stallCheck;
 };
--- a/src/app/gateway/gateway_admission.cpp
+++ b/src/app/gateway/gateway_admission.cpp
@@ -10,6 +10,9 @@
 /// Capacity also becomes free through attempts of other gateways, which this one learns from load reports only; its own
 /// estimate of them changes as time passes.
 constexpr milliseconds queuePollInterval { 25 };
+/// Least time between two runs. Attempts end every few milliseconds, and a path search takes about as long as
+/// forwarding ten events.
+constexpr milliseconds minQueueInterval { 10 };
 /// Queued calls that start in one run. Each one costs a path search, and streams are served between two runs.
 constexpr std::size_t maxStartsPerRun = 8;
 /// A caller that states a time this much shorter than its route's timeout has waited for an earlier attempt. Less is
@@ -48,10 +51,10 @@
     return isDone;
 }
 
-void gateway_call::refuseQueued(const std::string& reason)
+void gateway_call::refuseQueued(gateway::queue_exit how)
 {
     const auto self = shared_from_this();
-    m_exchange->refuseQueued(reason, steadyNow());
+    m_exchange->refuseQueued(how, steadyNow());
     updateQueued();
 }
 
@@ -69,7 +72,7 @@
         && m_context.priorities.priorityOf(request.service, *request.route, workspace.get()) == request.priority;
     if (isSame)
         return;
-    m_context.admission.remove(m_number);
+    m_exchange->withdraw(steadyNow());
     m_context.queuedCalls.erase(m_number);
     m_exchange.reset();
     m_workspace.clear();
@@ -105,6 +108,7 @@
 
 void gateway_role::scheduleQueue(steady_time when)
 {
+    when = std::max(when, m_earliestQueueRunAt);
     if (when >= m_nextQueueRunAt)
         return;
     m_nextQueueRunAt = when;
@@ -116,10 +120,9 @@
 
 void gateway_role::serveQueue()
 {
-    refuseDisplaced();
-    if (m_context.queuedCalls.empty())
-        return;
     const auto now = steadyNow();
+    m_earliestQueueRunAt = now + minQueueInterval;
+    refuseDisplaced();
     if (now >= m_context.confirmationDeadline) {
         for (const auto& service : m_context.admission.waitingServices())
             serveQueue(service);
@@ -132,36 +135,39 @@
 void gateway_role::serveQueue(const std::string& service)
 {
     for (std::size_t started = 0; started < maxStartsPerRun; ++started) {
-        const auto first = m_context.admission.queue().next(service);
-        if (!first)
-            return;
-        const auto call = m_context.queuedCalls.find(first->call);
-        if (call == m_context.queuedCalls.end()) {
-            m_context.admission.remove(first->call);
-            continue;
-        }
-        // Without capacity for the first one, there is none for those behind it.
-        if (!call->second->retryAdmission())
-            return;
+        const auto candidates = m_context.admission.candidates(service, steadyNow());
+        const bool hasStarted = std::any_of(
+            candidates.begin(), candidates.end(), [this](gateway::call_number number) { return tryQueued(number); });
+        if (!hasStarted)
+            return; // less is reserved from the candidates than from any other queued request
     }
     scheduleQueue(steadyNow());
 }
 
+bool gateway_role::tryQueued(gateway::call_number number)
+{
+    const auto call = m_context.queuedCalls.find(number);
+    if (call != m_context.queuedCalls.end())
+        return call->second->retryAdmission();
+    m_context.admission.remove(number);
+    return true;
+}
+
 void gateway_role::refuseDisplaced()
 {
     for (const auto number : m_context.admission.takeDisplaced()) {
         const auto call = m_context.queuedCalls.find(number);
         if (call != m_context.queuedCalls.end())
-            call->second->refuseQueued("displaced from the full queue by a request of a higher priority");
+            call->second->refuseQueued(gateway::queue_exit::Displaced);
     }
 }
 
-void gateway_role::refuseQueued(const std::string& reason)
+void gateway_role::refuseAllQueued()
 {
     const auto queued = m_context.queuedCalls;
     for (const auto& [number, call] : queued) {
         if (m_context.queuedCalls.contains(number))
-            call->refuseQueued(reason);
+            call->refuseQueued(gateway::queue_exit::ShuttingDown);
     }
 }
 
--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -444,7 +444,7 @@
     auto response = net::plainResponse(info.httpStatus,
         "{\"code\":" + std::to_string(static_cast<int>(code)) + ",\"name\":\"" + std::string(info.name)
             + "\",\"ran\":\"" + std::string(nameOf(ran)) + "\"}");
-    const bool mayReturn = !m_exchange || !m_exchange->mustNotReturn();
+    const bool mayReturn = !m_exchange || !m_exchange->hasNoReturnTime();
     if (ran == ran_state::No && info.retryAfterSeconds > 0 && mayReturn)
         response.head.fields.push_back(m_context.dialect.writeRetryAfter(retryDelay(code)));
     m_sink->write(http1::formatResponse(response.head, response.body, m_sink->keepsAlive()));
--- a/src/app/gateway/gateway_call.hpp
+++ b/src/app/gateway/gateway_call.hpp
@@ -110,8 +110,8 @@
     void targetsChanged();
     /// @brief Capacity may have become free. @return whether the call is no longer in the admission queue
     bool retryAdmission();
-    /// @brief Refuses a queued call. @param reason for logs
-    void refuseQueued(const std::string& reason);
+    /// @brief Refuses a queued call.
+    void refuseQueued(gateway::queue_exit how);
     /// @brief The document has changed: a queued call whose route, workspace or priority changed is routed again.
     void documentChanged();
     /// @brief The quarantine has changed, or a target that may have crashed was found alive.
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -62,7 +62,8 @@
         "before), reserved_percent (of the capacity), tokens_ahead, tokens_per_s (released), others_age_ms (of the "
         "other gateways' demand), waited_ms." },
     event_info { event_code::QueueLeft, "queue_left",
-        "A queued request starts or is refused; fields: as of request_queued, and verdict." },
+        "A request has left the queue; fields: as of request_queued, and outcome (started, expired, displaced, "
+        "shutting_down, caller_left, deadline_passed, routed_again)." },
     event_info { event_code::WorkStarted, "work_started", "A sidecar passed an attempt to its target." },
     event_info { event_code::WorkFinished, "work_finished", "An attempt ended at the target." },
     event_info { event_code::WorkCancelled, "work_cancelled", "An attempt was cancelled at the target." },
--- a/src/buckthornrail/gateway/admission.cpp
+++ b/src/buckthornrail/gateway/admission.cpp
@@ -67,6 +67,9 @@
     for (auto& [name, service] : m_services) {
         service.isRanked = false;
         service.priorities.clear();
+        // Set again by their owners for the priorities that remain.
+        for (auto& rank : service.ranks)
+            rank.waiting = rank.promised = rank.due = 0;
     }
     for (const auto& [name, priorities] : prioritiesByService) {
         auto& service = findOrAdd(name);
@@ -276,9 +279,24 @@
     const auto* service = find(request.service);
     if (service == nullptr || !service->isRanked)
         return 0;
-    if (isBelowGuarantee(service->ranks[rankOf(request.priority)], now))
+    return isGuaranteed(request, now) ? 0 : demandedShare(*service, request, now);
+}
+
+bool admission::isGuaranteed(const admission_request& request, steady_time now) const
+{
+    const auto* service = find(request.service);
+    return service != nullptr && service->isRanked && isBelowGuarantee(service->ranks[rankOf(request.priority)], now);
+}
+
+double admission::expectedReleaseRate(std::string_view service, steady_time now) const
+{
+    const auto* found = find(service);
+    if (found == nullptr)
         return 0;
-    return demandedShare(*service, request, now);
+    double expected = 0;
+    for (const auto priority : found->priorities)
+        expected += total(*found, priority, now).running / residenceSeconds(*found, priority, now);
+    return std::max(expected, totalReleased(*found, now));
 }
 
 double admission::releaseRate(std::string_view service, steady_time now) const
--- a/src/buckthornrail/gateway/admission_control.cpp
+++ b/src/buckthornrail/gateway/admission_control.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
-#include <utility>
+#include <limits>
+#include <tuple>
 
 namespace buckthornrail::gateway {
 namespace {
@@ -20,6 +20,16 @@
     return std::tuple(a.priority, !a.isReturning, a.deadline) < std::tuple(b.priority, !b.isReturning, b.deadline);
 }
 
+/// Position in the queue behind all requests of the same priority.
+queued_request lastOfPriority(queued_request entry)
+{
+    entry.isReturning = false;
+    entry.deadline = steady_time::max();
+    entry.enqueuedAt = steady_time::max();
+    entry.call = std::numeric_limits<std::uint64_t>::max();
+    return entry;
+}
+
 } // namespace
 
 admission_control::admission_control(std::uint64_t seed, const admission_control_options& options)
@@ -83,9 +93,8 @@
     const auto prefillTime
         = std::chrono::duration_cast<steady_time::duration>(ticket.latencyTarget * (1 - m_options.waitShare));
     const steady_time onTime = ticket.firstEventDeadline - prefillTime;
-    const bool isLate = ticket.isReturning && onTime <= ticket.arrivedAt;
-    const steady_time latest = isLate ? ticket.arrivedAt + m_options.maxLateWait : onTime;
-    return std::min(latest, ticket.callerDeadline);
+    const steady_time latest = ticket.isReturning ? std::max(onTime, ticket.arrivedAt + m_options.maxLateWait) : onTime;
+    return std::min(latest, ticket.callerDeadline - prefillTime);
 }
 
 void admission_control::countArrival(const admission_ticket& ticket, steady_time now)
@@ -93,50 +102,67 @@
     m_admission.countArrival(requestOf(ticket), now);
 }
 
-bool admission_control::mustQueue(const admission_ticket& ticket, steady_time now) const
+bool admission_control::mayStart(const admission_ticket& ticket, steady_time now) const
 {
+    if (m_queue.contains(ticket.call) && now >= latestStart(ticket))
+        return false;
+    if (m_admission.isGuaranteed(requestOf(ticket), now))
+        return true;
     const auto first = m_queue.next(ticket.service);
-    return first && first->call != ticket.call && goesBefore(*first, entryOf(ticket, now));
+    return !first || first->call == ticket.call || !goesBefore(*first, entryOf(ticket, now));
+}
+
+std::vector<std::uint64_t> admission_control::candidates(const std::string& service, steady_time now) const
+{
+    std::vector<std::uint64_t> calls;
+    const auto first = m_queue.next(service);
+    for (auto entry = first; entry; entry = m_queue.nextAfter(service, lastOfPriority(*entry))) {
+        if (m_admission.isGuaranteed({ entry->service, entry->priority, entry->tokens, entry->isReturning }, now))
+            calls.push_back(entry->call);
+    }
+    if (first && std::find(calls.begin(), calls.end(), first->call) == calls.end())
+        calls.push_back(first->call);
+    return calls;
+}
+
+admission_figures admission_control::figures(const admission_ticket& ticket, steady_time now) const
+{
+    const auto request = requestOf(ticket);
+    return { m_admission.reservedShare(request, now), m_admission.waitingAhead(request, now),
+        m_admission.expectedReleaseRate(ticket.service, now) };
 }
 
-admission_decision admission_control::decide(const admission_ticket& ticket, const selection& selected, steady_time now)
+admission_decision admission_control::decide(
+    const admission_ticket& ticket, const std::optional<selection>& selected, steady_time now)
 {
-    admission_decision decision;
     updateSums(ticket.service, now);
     const auto request = requestOf(ticket);
-    decision.reservedShare = m_admission.reservedShare(request, now);
-    decision.tokensAhead = m_admission.waitingAhead(request, now);
-    decision.tokensPerSecond = m_admission.releaseRate(ticket.service, now);
-    const bool fits = selected.memoryUse <= selected.memoryLimit - decision.reservedShare;
+    const bool fits
+        = selected && selected->memoryUse <= selected->memoryLimit - m_admission.reservedShare(request, now);
     if (!fits)
-        return queueOrRefuse(ticket, std::move(decision), now);
+        return queueOrRefuse(ticket, now);
     m_queue.remove(ticket.call);
     m_admission.countAdmission(request, now);
-    decision.verdict = admission_verdict::Start;
-    return decision;
+    return { admission_verdict::Start, {} };
 }
 
-admission_decision admission_control::queueOrRefuse(
-    const admission_ticket& ticket, admission_decision decision, steady_time now)
+admission_decision admission_control::queueOrRefuse(const admission_ticket& ticket, steady_time now)
 {
-    const steady_time latest = latestStart(ticket);
     const bool isQueued = m_queue.contains(ticket.call);
-    const std::chrono::duration<double> expected(
-        decision.tokensPerSecond > 0 ? decision.tokensAhead / decision.tokensPerSecond : 0);
-    const bool startsTooLate
-        = now >= latest || (!isQueued && now + std::chrono::duration_cast<steady_time::duration>(expected) >= latest);
-    if (!startsTooLate && (isQueued || m_queue.add(entryOf(ticket, now)))) {
-        decision.verdict = admission_verdict::Wait;
+    const auto current = figures(ticket, now);
+    const std::chrono::duration<double> left = latestStart(ticket) - now;
+    const bool startsInTime
+        = left.count() > 0 && (isQueued || current.tokensAhead < left.count() * current.tokensPerSecond);
+    if (startsInTime && (isQueued || m_queue.add(entryOf(ticket, now)))) {
         updateSums(ticket.service, now);
-        return decision;
+        return { admission_verdict::Wait, {} };
     }
     m_queue.remove(ticket.call);
-    decision.verdict = admission_verdict::Refuse;
-    decision.reason = std::string(startsTooLate ? "no capacity in time" : "the queue is full") + " for priority "
-        + std::to_string(ticket.priority) + ": " + roundedPercent(decision.reservedShare) + " reserved, "
-        + std::to_string(std::lround(decision.tokensAhead)) + " tokens ahead, "
-        + std::to_string(std::lround(decision.tokensPerSecond)) + " released a second";
-    return decision;
+    return { admission_verdict::Refuse,
+        std::string(startsInTime ? "the queue is full" : "no capacity in time") + " for priority "
+            + std::to_string(ticket.priority) + ": " + roundedPercent(current.reservedShare) + " reserved, "
+            + std::to_string(std::lround(current.tokensAhead)) + " tokens ahead, "
+            + std::to_string(std::lround(current.tokensPerSecond)) + " released a second" };
 }
 
 std::optional<steady_time> admission_control::promiseReturn(const admission_ticket& ticket, steady_time now)
@@ -145,7 +171,9 @@
     return_request request;
     request.priority = ticket.priority;
     request.tokens = ticket.tokens;
-    request.spareTokensPerSecond = m_admission.spareRate(ticket.service, ticket.priority, now);
+    const double spareRate = m_admission.spareRate(ticket.service, ticket.priority, now);
+    const double minSpareRate = m_options.minSpareShare * m_admission.releaseRate(ticket.service, now);
+    request.spareTokensPerSecond = spareRate < minSpareRate ? 0 : spareRate;
     request.tokensAhead = m_admission.promisedAhead(requestOf(ticket), now);
     request.gateways = m_gateways;
     request.callerDeadline = ticket.callerDeadline;
@@ -167,10 +195,12 @@
 
 std::vector<std::string> admission_control::waitingServices() const
 {
-    std::set<std::string> services;
-    for (const auto& entry : m_queue.requests())
-        services.insert(entry.service);
-    return { services.begin(), services.end() };
+    std::vector<std::string> services;
+    for (const auto& [service, priorities] : m_priorities) {
+        if (m_queue.next(service))
+            services.push_back(service);
+    }
+    return services;
 }
 
 std::vector<admission_state> admission_control::states(steady_time now)
--- a/src/buckthornrail/gateway/admission_control_test.cpp
+++ b/src/buckthornrail/gateway/admission_control_test.cpp
@@ -203,7 +203,16 @@
     admission_bench bench;
     bench.fill(0, at(0));
     auto& waiting = bench.callers.back();
-    waiting.request->onTimer(at(600000)); // the process was suspended
+    SECTION("within its caller's deadline: all loads are out of date then, and everything would seem to fit")
+    {
+        waiting.request->onTimer(at(5000));
+        CHECK(waiting.port.errorCode == result_code::Busy);
+    }
+    SECTION("beyond its caller's deadline")
+    {
+        waiting.request->onTimer(at(600000));
+        CHECK(waiting.port.errorCode == result_code::DeadlinePassed);
+    }
     CHECK(waiting.port.outcome == "error");
     CHECK(waiting.port.errorRan == ran_state::No);
     CHECK(waiting.port.attempts == 0);
@@ -211,12 +220,63 @@
 
 TEST_CASE("admission: requests of a service that isn't ranked neither wait nor are counted", "[admission]")
 {
+    // Deployments without different priorities must be served as before.
     admission_bench bench;
+    bench.fill(0, at(0));
     bench.control.setRankedServices({}, at(0));
+    exchange_request request;
+    request.id = "plain";
+    request.service = "s";
+    request.route = routeWith(0);
+    request.deadline = at(20000);
+    request.size = { promptTokens, outputTokens };
+    recording_port port;
+    exchange plain(std::move(request), port, bench.pool, bench.budget);
+    plain.start(at(0));
+    CHECK(port.errorCode == result_code::Busy);
+    CHECK_FALSE(plain.returnAt().has_value());
     CHECK_FALSE(bench.control.isActive());
     CHECK(bench.control.report(at(0)).empty());
 }
 
+TEST_CASE("admission: a lower priority is not starved by a queue of a higher one", "[admission]")
+{
+    // The queue is ordered by priority, so that without the guarantee a permanent queue of priority 0 takes everything.
+    admission_bench bench;
+    bench.fill(0, at(0));
+    auto& higher = bench.arrive(0, at(1), milliseconds(300));
+    auto& lower = bench.arrive(1, at(1), milliseconds(300));
+    REQUIRE(higher.request->isQueued());
+    REQUIRE(lower.request->isQueued());
+    const auto candidates = bench.control.candidates("s", at(2));
+    REQUIRE(candidates.size() == 2);
+    bench.end(bench.callers.front(), at(2));
+    CHECK(lower.request->retryAdmission(at(2)));
+    CHECK(lower.port.isOpen);
+}
+
+TEST_CASE("admission: queued requests of a gateway that shuts down are told to go to another one", "[admission]")
+{
+    admission_bench bench;
+    bench.fill(0, at(0));
+    auto& waiting = bench.callers.back();
+    waiting.request->refuseQueued(queue_exit::ShuttingDown, at(10));
+    CHECK(waiting.port.errorCode == result_code::ShuttingDown);
+    CHECK(waiting.port.errorRan == ran_state::No);
+    CHECK_FALSE(waiting.request->returnAt().has_value());
+    CHECK(bench.control.queue().size() == 0);
+}
+
+TEST_CASE("admission: a moment without a path doesn't empty the queue", "[admission]")
+{
+    admission_bench bench;
+    bench.fill(0, at(0));
+    auto& waiting = bench.callers.back();
+    bench.pool.update({});
+    CHECK_FALSE(waiting.request->retryAdmission(at(10)));
+    CHECK(waiting.request->isQueued());
+}
+
 TEST_CASE("admission: running tokens return to zero when all attempts have ended", "[admission]")
 {
     // A count that only grows would hold back lower priorities for ever.
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -42,7 +42,8 @@
     if (!m_request.isCounted)
         m_budget.countRequest(now);
     if (m_admission != nullptr) {
-        m_admission->countArrival(m_ticket, now);
+        if (!m_request.isCounted)
+            m_admission->countArrival(m_ticket, now);
         requestAdmission(now);
         return;
     }
@@ -294,7 +295,7 @@
         return;
     if (m_attemptOpen)
         closeAttempt(now);
-    leaveQueue();
+    leaveQueue(queue_exit::CallerLeft, now);
     m_pendingAttempt.reset();
     m_over = true;
     m_port.logEvent(event_code::RequestFinished,
--- a/src/buckthornrail/gateway/exchange_admission.cpp
+++ b/src/buckthornrail/gateway/exchange_admission.cpp
@@ -31,40 +31,33 @@
 
 void exchange::requestAdmission(steady_time now)
 {
-    // A request that must queue doesn't need a path yet. The infinite use keeps it from starting.
-    selection selected;
-    selected.memoryUse = std::numeric_limits<double>::infinity();
-    selected.memoryLimit = 0;
-    if (!m_admission->mustQueue(m_ticket, now)) {
-        auto path = m_pool.select(m_request.service, m_constraints, now);
-        if (!path) {
-            leaveQueue();
+    std::optional<selection> selected;
+    if (m_admission->mayStart(m_ticket, now)) {
+        selected = m_pool.select(m_request.service, m_constraints, now);
+        if (!selected && !m_isQueued) {
             finish(result_code::NoTarget, ran_state::No, "no usable target or path", now);
             return;
         }
-        selected = std::move(*path);
     }
-    const auto decision = m_admission->decide(m_ticket, selected, now);
-    applyAdmission(decision, std::move(selected), now);
+    applyAdmission(m_admission->decide(m_ticket, selected, now), selected, now);
 }
 
-void exchange::applyAdmission(const admission_decision& decision, selection selected, steady_time now)
+void exchange::applyAdmission(
+    const admission_decision& decision, const std::optional<selection>& selected, steady_time now)
 {
     switch (decision.verdict) {
     case admission_verdict::Start:
-        if (std::exchange(m_isQueued, false))
-            logAdmission(event_code::QueueLeft, decision, now);
-        scheduleAttempt({ std::move(selected), {}, {}, m_constraints }, now);
+        leaveQueue(queue_exit::Started, now);
+        scheduleAttempt({ selected, {}, {}, m_constraints }, now);
         return;
     case admission_verdict::Wait:
         if (!std::exchange(m_isQueued, true))
-            logAdmission(event_code::RequestQueued, decision, now);
+            logQueue(event_code::RequestQueued, "queued", now);
         scheduleTimer(now);
         return;
     case admission_verdict::Refuse:
-        if (std::exchange(m_isQueued, false))
-            logAdmission(event_code::QueueLeft, decision, now);
-        refuseAdmission(decision.reason + (selected.summary.empty() ? "" : "; " + selected.summary), now);
+        leaveQueue(queue_exit::Expired, now);
+        refuseAdmission(decision.reason + (selected ? "; " + selected->summary : ""), now);
         return;
     }
 }
@@ -77,36 +70,41 @@
     return !m_isQueued;
 }
 
-void exchange::refuseQueued(const std::string& reason, steady_time now)
+void exchange::refuseQueued(queue_exit how, steady_time now)
 {
-    if (leaveQueue())
-        refuseAdmission(reason, now);
+    if (!leaveQueue(how, now))
+        return;
+    if (how == queue_exit::ShuttingDown)
+        finish(result_code::ShuttingDown, ran_state::No, "the gateway shuts down before the request could finish", now);
+    else
+        refuseAdmission("displaced from the full queue by a request of a higher priority", now);
 }
 
-bool exchange::leaveQueue()
+bool exchange::leaveQueue(queue_exit how, steady_time now)
 {
     if (!std::exchange(m_isQueued, false))
         return false;
     m_admission->remove(m_ticket.call);
+    logQueue(event_code::QueueLeft, std::string(nameIn(queueExitNames, how)), now);
     return true;
 }
 
 void exchange::refuseAdmission(const std::string& reason, steady_time now)
 {
     m_returnAt = m_admission->promiseReturn(m_ticket, now);
-    m_mustNotReturn = !m_returnAt;
+    m_hasNoReturnTime = !m_returnAt;
     finish(result_code::Busy, ran_state::No, reason, now);
 }
 
-void exchange::logAdmission(event_code event, const admission_decision& decision, steady_time now)
+void exchange::logQueue(event_code event, const std::string& outcome, steady_time now)
 {
+    const auto figures = m_admission->figures(m_ticket, now);
     const auto othersAge = m_admission->othersAge(now);
     m_port.logEvent(event,
         { { "request", m_request.id }, { "service", m_request.service },
             { "priority", std::to_string(m_ticket.priority) }, { "returning", m_ticket.isReturning ? "yes" : "no" },
-            { "verdict", std::string(nameIn(admissionVerdictNames, decision.verdict)) },
-            { "reserved_percent", rounded(decision.reservedShare * percent) },
-            { "tokens_ahead", rounded(decision.tokensAhead) }, { "tokens_per_s", rounded(decision.tokensPerSecond) },
+            { "outcome", outcome }, { "reserved_percent", rounded(figures.reservedShare * percent) },
+            { "tokens_ahead", rounded(figures.tokensAhead) }, { "tokens_per_s", rounded(figures.tokensPerSecond) },
             { "others_age_ms", othersAge ? std::to_string(othersAge->count()) : "" },
             { "waited_ms", std::to_string(between(m_request.arrivedAt, now).count()) } });
 }
--- a/src/buckthornrail/gateway/exchange_watch.cpp
+++ b/src/buckthornrail/gateway/exchange_watch.cpp
@@ -120,7 +120,7 @@
     if (m_over)
         return;
     if (now >= m_request.deadline) {
-        leaveQueue();
+        leaveQueue(queue_exit::DeadlinePassed, now);
         if (m_attemptOpen)
             closeAttempt(now);
         const bool mayHaveRun = m_mayHaveRun || m_sent;
@@ -129,7 +129,7 @@
         return;
     }
     if (m_isQueued && now >= m_admission->latestStart(m_ticket)) {
-        (void)retryAdmission(now); // the last chance: it is refused without free capacity
+        requestAdmission(now); // refuses it
         return;
     }
     if (m_pendingAttempt && now >= m_retryAt) {
