Admission: no path search for a request that can't start

Cause: while a service was full, each arrival and each run of the queue searched a path, which takes the processor of a small gateway from its streams. Change: target_pool::lowestMemoryUse is a bound of every path's use in a few hundred steps; the search is left out where it is over what the request may use. Runs of the queue are at least 20 ms apart. Result: gateway tests.

--- a/include/buckthornrail/gateway/admission_control.hpp
+++ b/include/buckthornrail/gateway/admission_control.hpp
@@ -94,8 +94,9 @@
     /// @param selected where it would start; its capacity is checked against the reservation. Empty: it can't start
     admission_decision decide(
         const admission_ticket& ticket, const std::optional<selection>& selected, steady_time now);
-    /// @brief Whether a path is worth searching for a request: no other request goes before it, and it isn't late.
-    [[nodiscard]] bool mayStart(const admission_ticket& ticket, steady_time now) const;
+    /// @brief Whether a path is worth searching for a request: no other request goes before it, it isn't late, and the
+    /// emptiest targets leave free what is reserved from it.
+    [[nodiscard]] bool mayStart(const admission_ticket& ticket, const target_pool& pool, steady_time now) const;
     /// @brief Queued requests of a service to be tried in this order when capacity may have become free: the first one
     /// of each priority that is admitted less than it is guaranteed, then the first one of all.
     [[nodiscard]] std::vector<std::uint64_t> candidates(const std::string& service, steady_time now) const;
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -202,6 +202,13 @@
     [[nodiscard]] std::size_t readyCount(const std::string& service) const;
     /// @brief Tokens that a request is expected to hold in memory: its prompt and its expected output.
     [[nodiscard]] double expectedTokens(const std::string& service, const request_size& size) const;
+    /// @brief Memory that any path of a service would need at least at its fullest target. Costs far less than the
+    /// search for a path.
+    /// @return lower bound of selection::memoryUse; infinite where no target holds some layer
+    [[nodiscard]] double lowestMemoryUse(const std::string& service) const;
+    /// @brief Memory use up to which a target accepts attempts; infinite while the others' loads are unknown or
+    /// outdated.
+    [[nodiscard]] double memoryLimit(steady_time now) const;
     /// @brief Tokens that a service's targets have memory for over all layers.
     [[nodiscard]] double memoryTokens(const std::string& service) const;
 
@@ -273,9 +280,6 @@
     [[nodiscard]] double gatewaysPerDomain() const;
     /// @brief Memory that all open attempts need at a target, as a share of what it has.
     [[nodiscard]] double memoryUse(const pool_target& target) const;
-    /// @brief Memory use up to which a target accepts attempts; infinite while the others' loads are unknown or
-    /// outdated.
-    [[nodiscard]] double memoryLimit(steady_time now) const;
     [[nodiscard]] double congestionMs(const pool_target& target, double memoryThreshold) const;
     limit_change setLimit(const registry::target_incarnation& id, pool_target& target, std::optional<double> perSecond,
         steady_time confirmedAt, steady_time now);
--- a/src/app/gateway/gateway_admission.cpp
+++ b/src/app/gateway/gateway_admission.cpp
@@ -12,7 +12,7 @@
 constexpr milliseconds queuePollInterval { 25 };
 /// Least time between two runs. Attempts end every few milliseconds, and a path search takes about as long as
 /// forwarding ten events.
-constexpr milliseconds minQueueInterval { 10 };
+constexpr milliseconds minQueueInterval { 20 };
 /// Queued calls that start in one run. Each one costs a path search, and streams are served between two runs.
 constexpr std::size_t maxStartsPerRun = 8;
 /// A caller that states a time this much shorter than its route's timeout has waited for an earlier attempt. Less is
--- a/src/buckthornrail/gateway/admission_control.cpp
+++ b/src/buckthornrail/gateway/admission_control.cpp
@@ -102,14 +102,18 @@
     m_admission.countArrival(requestOf(ticket), now);
 }
 
-bool admission_control::mayStart(const admission_ticket& ticket, steady_time now) const
+bool admission_control::mayStart(const admission_ticket& ticket, const target_pool& pool, steady_time now) const
 {
     if (m_queue.contains(ticket.call) && now >= latestStart(ticket))
         return false;
-    if (m_admission.isGuaranteed(requestOf(ticket), now))
-        return true;
+    const auto request = requestOf(ticket);
     const auto first = m_queue.next(ticket.service);
-    return !first || first->call == ticket.call || !goesBefore(*first, entryOf(ticket, now));
+    const bool isFirst = !first || first->call == ticket.call || !goesBefore(*first, entryOf(ticket, now));
+    if (!isFirst && !m_admission.isGuaranteed(request, now))
+        return false;
+    const double lowestUse = pool.lowestMemoryUse(ticket.service);
+    return std::isinf(lowestUse) // the search tells why there is no path
+        || lowestUse <= pool.memoryLimit(now) - m_admission.reservedShare(request, now);
 }
 
 std::vector<std::uint64_t> admission_control::candidates(const std::string& service, steady_time now) const
--- a/src/buckthornrail/gateway/exchange_admission.cpp
+++ b/src/buckthornrail/gateway/exchange_admission.cpp
@@ -32,7 +32,7 @@
 void exchange::requestAdmission(steady_time now)
 {
     std::optional<selection> selected;
-    if (m_admission->mayStart(m_ticket, now)) {
+    if (m_admission->mayStart(m_ticket, m_pool, now)) {
         selected = m_pool.select(m_request.service, m_constraints, now);
         if (!selected && !m_isQueued) {
             finish(result_code::NoTarget, ran_state::No, "no usable target or path", now);
--- a/src/buckthornrail/gateway/heavy_load_test.cpp
+++ b/src/buckthornrail/gateway/heavy_load_test.cpp
@@ -5,6 +5,8 @@
 /// factor 1, a prompt of 800 tokens, an output of 200.
 #include "support/exchange_bench.hpp"
 
+#include <cmath>
+
 using namespace test_support;
 using registry::layer_range;
 
@@ -186,3 +188,18 @@
     selectRepeatedly(milliseconds(2000)); // 5 a second
     CHECK(pool.select("s", {}, now)->parts.back().target == "out");
 }
+
+// Path searches for requests that can't start anyway take the processor from streams while a service is full.
+TEST_CASE("heavy load: the lowest memory use is a lower bound of that of every path", "[heavy]")
+{
+    auto pool = fastAndSlowChain();
+    for (const auto& loads :
+        std::vector<std::vector<double>> { { 0, 0, 0, 0 }, { 90, 20, 50, 70 }, { 120, 130, 110, 99 } }) {
+        pool.setOtherGatewayLoads({ loadOf(loads[0]), loadOf(loads[1]), loadOf(loads[2]), loadOf(loads[3]) }, zero);
+        const double bound = pool.lowestMemoryUse("s");
+        CHECK(bound == Approx(std::max(std::min(loads[0], loads[2]), std::min(loads[1], loads[3])) / 100).margin(0.02));
+        CHECK(bound <= pool.select("s", constraintsOf(milliseconds(200)), zero)->memoryUse);
+    }
+    pool.update({});
+    CHECK(std::isinf(pool.lowestMemoryUse("s")));
+}
--- a/src/buckthornrail/gateway/target_pool_load.cpp
+++ b/src/buckthornrail/gateway/target_pool_load.cpp
@@ -70,6 +70,23 @@
     return isKnown ? 1 + memoryOvercommit / gatewaysPerDomain() : std::numeric_limits<double>::infinity();
 }
 
+double target_pool::lowestMemoryUse(const std::string& service) const
+{
+    const auto engine = m_engines.find(service);
+    if (engine == m_engines.end())
+        return 0;
+    std::vector<double> lowest(engine->second.layers, std::numeric_limits<double>::infinity());
+    for (const auto& [id, target] : m_targets) {
+        if (target.record.service != service || !acceptsWork(target.record) || target.announcedLeaving)
+            continue;
+        const double use = memoryUse(target);
+        const auto end = std::min<std::size_t>(target.record.layers.end, lowest.size());
+        for (std::size_t layer = target.record.layers.first; layer < end; ++layer)
+            lowest[layer] = std::min(lowest[layer], use);
+    }
+    return lowest.empty() ? 0 : *std::max_element(lowest.begin(), lowest.end());
+}
+
 double target_pool::memoryTokens(const std::string& service) const
 {
     const auto engine = m_engines.find(service);
