--- a/include/buckthornrail/gateway/admission.hpp
+++ b/include/buckthornrail/gateway/admission.hpp
@@ -16,10 +16,6 @@
 #include <vector>
 
 namespace buckthornrail::gateway {
-
-/// Number of priorities; higher numbers count as the last one.
-inline constexpr std::size_t admissionPriorities = 10;
-
 struct admission_options {
     double maxReservedShare = 0.5; ///< of the capacity; limits what a false report of demand can reserve
     /// Share of its requested tokens that a priority is admitted without regard to reservations. A quarter over 2 s is
@@ -157,7 +153,7 @@
         double capacity = 0;
         std::vector<rank_counts> ranks; ///< by priority
         rate_average released;
-        std::array<rank_sums, admissionPriorities> others {}; ///< sums of the other gateways
+        std::array<rank_sums, registry::maxPrioritiesInDemand> others {}; ///< sums of the other gateways
         double othersReleased = 0; ///< tokens per second
     };
 
--- a/include/buckthornrail/gateway/admission_control.hpp
+++ b/include/buckthornrail/gateway/admission_control.hpp
@@ -118,7 +118,7 @@
     [[nodiscard]] const admission_queue& queue() const { return m_queue; }
     [[nodiscard]] std::vector<admission_state> states(steady_time now);
     /// @brief Time since the demand of the others was received; empty: never.
-    [[nodiscard]] std::optional<milliseconds> othersAge(steady_time now) const;
+    [[nodiscard]] std::optional<milliseconds> othersAge(steady_time now) const { return m_admission.othersAge(now); }
 
 private:
     [[nodiscard]] static admission_request requestOf(const admission_ticket& ticket);
@@ -134,7 +134,6 @@
     admission_queue m_queue;
     return_schedule m_returns;
     std::size_t m_gateways = 1;
-    std::optional<steady_time> m_othersAt;
 };
 
 } // namespace buckthornrail::gateway
--- a/include/buckthornrail/gateway/admission_queue.hpp
+++ b/include/buckthornrail/gateway/admission_queue.hpp
@@ -4,6 +4,7 @@
 
 #include "buckthornrail/core/clock.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -28,6 +29,12 @@
     bool operator==(const queued_request&) const = default;
 };
 
+/// Bound on one request's tokens, far above any model's context: sums stay finite, and sums of whole numbers exact.
+inline constexpr double maxTokensPerRequest = 1e9;
+
+/// @return the tokens within 0 and the bound; 0 for NaN
+inline double boundedTokens(double tokens) { return std::min(std::max(0.0, tokens), maxTokensPerRequest); }
+
 struct admission_queue_options {
     std::size_t maxRequests = 256;
     std::size_t maxBytes = std::size_t { 4 } * 1024 * 1024; ///< of the bodies of all queued requests
--- a/include/buckthornrail/gateway/priority_table.hpp
+++ b/include/buckthornrail/gateway/priority_table.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "buckthornrail/gateway/route_index.hpp"
+#include "buckthornrail/registry/demand_report.hpp"
 
 #include <cstdint>
 #include <map>
@@ -15,7 +16,7 @@
 namespace buckthornrail::gateway {
 
 /// Highest number, and thus lowest rank, of an effective priority. Targets accept 0 to 9.
-inline constexpr std::uint32_t lowestPriority = 9;
+inline constexpr std::uint32_t lowestPriority = registry::maxPrioritiesInDemand - 1;
 
 /// @brief Numbers the priorities of each ranked service from 0, the highest.
 ///
--- a/include/buckthornrail/gateway/rate_average.hpp
+++ b/include/buckthornrail/gateway/rate_average.hpp
@@ -10,9 +10,6 @@
 
 namespace buckthornrail::gateway {
 
-/// @return time from an earlier to a later time in seconds; 0 if it is not later
-[[nodiscard]] double secondsBetween(steady_time from, steady_time to);
-
 /// @brief Exponential moving average of the rate at which an amount is added.
 class rate_average {
 public:
--- a/include/buckthornrail/registry/demand_report.hpp
+++ b/include/buckthornrail/registry/demand_report.hpp
@@ -2,12 +2,18 @@
 /// @brief Demand for services by priority, as exchanged between gateways and controllers.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace buckthornrail::registry {
 
+/// Limits of a report: each message, one per gateway and heartbeat, would grow with it. Services with higher names and
+/// lower priorities beyond the limits are dropped.
+inline constexpr std::size_t maxServicesInDemand = 16;
+inline constexpr std::size_t maxPrioritiesInDemand = 10;
+
 /// Demand of one priority of a service. Tokens are prompt tokens plus expected output tokens.
 struct rank_demand {
     std::uint32_t priority = 0; ///< 0 is the highest
--- a/include/buckthornrail/registry/demand_table.hpp
+++ b/include/buckthornrail/registry/demand_table.hpp
@@ -9,13 +9,8 @@
 
 namespace buckthornrail::registry {
 
-/// Limits of a report: each message, one per gateway and heartbeat, would grow with it. Services with higher names and
-/// lower priorities beyond the limits are dropped.
-inline constexpr std::size_t maxServicesInDemand = 16;
-inline constexpr std::size_t maxPrioritiesInDemand = 10;
-
-/// @brief Adds a report to a sum, up to the limits above. Sums don't depend on the order of additions; values that
-/// exceed 32 bits stay at the highest value.
+/// @brief Adds a report to a sum, up to the limits of a report. Sums don't depend on the order of additions; values
+/// that exceed 32 bits stay at the highest value.
 /// @param sum in order of names and priorities
 /// @param more in any order, with rows of the same service or priority added up
 void add(demand_report& sum, const demand_report& more);
--- a/src/buckthornrail/gateway/admission.cpp
+++ b/src/buckthornrail/gateway/admission.cpp
@@ -18,8 +18,6 @@
 constexpr double noiseMargin = 0.25;
 /// Weight of a request in the mean sizes of its priority: about the last 20 requests of this gateway count.
 constexpr double sizeWeight = 0.05;
-/// A report holds no more services.
-constexpr std::size_t maxReportedServices = 16;
 
 std::uint32_t toCount(double tokens)
 {
@@ -30,7 +28,7 @@
 } // namespace
 
 admission::service_counts::service_counts(const admission_options& options)
-    : ranks(admissionPriorities, rank_counts(options))
+    : ranks(registry::maxPrioritiesInDemand, rank_counts(options))
     , released(options.averageSeconds)
 {
 }
@@ -44,7 +42,7 @@
 
 std::size_t admission::rankOf(std::uint32_t priority)
 {
-    return std::min<std::size_t>(priority, admissionPriorities - 1);
+    return std::min<std::size_t>(priority, registry::maxPrioritiesInDemand - 1);
 }
 
 const admission::service_counts* admission::find(std::string_view service) const
@@ -209,7 +207,7 @@
 
 void admission::updateResidence(service_counts& service, steady_time now) const
 {
-    std::array<rank_sums, admissionPriorities> sums {};
+    std::array<rank_sums, registry::maxPrioritiesInDemand> sums {};
     bool isShort = false;
     for (const auto priority : service.priorities) {
         sums.at(priority) = total(service, priority, now);
@@ -347,7 +345,7 @@
 registry::service_demand admission::reportOf(const std::string& name, const service_counts& service, steady_time now)
 {
     registry::service_demand demand { name, toCount(service.released.perSecond(now)), {} };
-    for (std::size_t rank = 0; rank < admissionPriorities; ++rank) {
+    for (std::size_t rank = 0; rank < registry::maxPrioritiesInDemand; ++rank) {
         const auto& counts = service.ranks[rank];
         const registry::rank_demand entry { static_cast<std::uint32_t>(rank), toCount(counts.offered.perSecond(now)),
             toCount(counts.running), toCount(counts.waiting), toCount(counts.promised), toCount(counts.due) };
@@ -361,7 +359,7 @@
 {
     registry::demand_report report;
     for (const auto& [name, service] : m_services) {
-        if (!service.isRanked || report.size() == maxReportedServices)
+        if (!service.isRanked || report.size() == registry::maxServicesInDemand)
             continue;
         auto demand = reportOf(name, service, now);
         if (demand.releasedTokensPerSecond > 0 || !demand.ranks.empty())
--- a/src/buckthornrail/gateway/admission_control.cpp
+++ b/src/buckthornrail/gateway/admission_control.cpp
@@ -52,7 +52,6 @@
 {
     if (!m_isActive)
         return;
-    m_othersAt = now;
     m_admission.setOthers(others, now);
 }
 
@@ -214,9 +213,4 @@
     return m_admission.states(now);
 }
 
-std::optional<milliseconds> admission_control::othersAge(steady_time now) const
-{
-    return m_othersAt ? std::optional(between(*m_othersAt, now)) : std::nullopt;
-}
-
 } // namespace buckthornrail::gateway
--- a/src/buckthornrail/gateway/admission_queue.cpp
+++ b/src/buckthornrail/gateway/admission_queue.cpp
@@ -9,9 +9,6 @@
 namespace buckthornrail::gateway {
 namespace {
 
-/// Bound on one request's tokens, far above any model's context: sums stay finite, and sums of whole numbers exact.
-constexpr double maxTokensPerRequest = 1e9;
-
 } // namespace
 
 bool admission_queue::admission_order::operator()(const queued_request* left, const queued_request* right) const
@@ -30,8 +27,7 @@
 bool admission_queue::add(queued_request request)
 {
     remove(request.call);
-    // NaN becomes 0.
-    request.tokens = std::min(std::max(0.0, request.tokens), maxTokensPerRequest);
+    request.tokens = boundedTokens(request.tokens);
     if (!canMakeRoomFor(request))
         return false;
     while (!fits(size(), m_bytes, request)) {
--- a/src/buckthornrail/gateway/rate_average.cpp
+++ b/src/buckthornrail/gateway/rate_average.cpp
@@ -6,12 +6,16 @@
 #include <cmath>
 
 namespace buckthornrail::gateway {
+namespace {
 
-double secondsBetween(steady_time from, steady_time to)
+/// @return seconds since an earlier time; 0 if it is in the future
+double elapsedSeconds(steady_time since, steady_time now)
 {
-    return std::max(0.0, std::chrono::duration<double>(to - from).count());
+    return std::max(0.0, std::chrono::duration<double>(now - since).count());
 }
 
+} // namespace
+
 void rate_average::add(double amount, steady_time now)
 {
     m_perSecond = perSecond(now) + amount / m_seconds;
@@ -20,12 +24,12 @@
 
 double rate_average::perSecond(steady_time now) const
 {
-    return m_perSecond * std::exp(-secondsBetween(m_updatedAt, now) / m_seconds);
+    return m_perSecond * std::exp(-elapsedSeconds(m_updatedAt, now) / m_seconds);
 }
 
 void ratio_average::update(double numerator, double denominator, steady_time now)
 {
-    const double weight = 1 - std::exp(-secondsBetween(m_updatedAt, now) / m_seconds);
+    const double weight = 1 - std::exp(-elapsedSeconds(m_updatedAt, now) / m_seconds);
     m_numerator += weight * (numerator - m_numerator);
     m_denominator += weight * (denominator - m_denominator);
     m_updatedAt = std::max(m_updatedAt, now);
--- a/src/buckthornrail/gateway/return_schedule.cpp
+++ b/src/buckthornrail/gateway/return_schedule.cpp
@@ -2,6 +2,8 @@
 /// @brief Spacing of return times by the spare rate, and spreading of them while there is none.
 #include "buckthornrail/gateway/return_schedule.hpp"
 
+#include "buckthornrail/gateway/admission_queue.hpp"
+
 #include <algorithm>
 #include <limits>
 
@@ -15,9 +17,6 @@
 /// half of a third of 20 s, the longest time that callers usually wait.
 constexpr int candidateCount = 16;
 
-/// Bound on one request's tokens, far above any model's context: sums stay finite, and sums of whole numbers exact.
-constexpr double maxTokensPerRequest = 1e9;
-
 double secondsBetween(steady_time from, steady_time to) { return std::chrono::duration<double>(to - from).count(); }
 
 steady_time::duration seconds(double amount)
@@ -31,11 +30,7 @@
     return amount < secondsBetween(from, steady_time::max()) / 2 ? from + seconds(amount) : steady_time::max();
 }
 
-double tokensOf(const return_request& request)
-{
-    // NaN becomes 0.
-    return std::min(std::max(0.0, request.tokens), maxTokensPerRequest);
-}
+double tokensOf(const return_request& request) { return boundedTokens(request.tokens); }
 
 /// @return spacing of promises at one gateway's part of the spare rate, in seconds
 double slotSeconds(double tokens, const return_request& request)
