Heartbeats while requests wait: every 200 ms instead of 100 ms

Cause: with 100 ms, a gateway that queues continuously exceeds the 5 KB/s of control traffic that it is granted.

--- a/src/app/gateway/gateway_session.cpp
+++ b/src/app/gateway/gateway_session.cpp
@@ -24,9 +24,9 @@
 constexpr milliseconds moveBackoff { 10000 };
 /// Urgent heartbeats are delayed to batch the reports that arrive meanwhile.
 constexpr milliseconds heartbeatDelay { 3 };
-/// Least time from a heartbeat to the next one that reports queued requests. The controllers confirm sessions and
-/// exchange reports every 100 ms, so more heartbeats would reach the other gateways no sooner.
-constexpr milliseconds waitingHeartbeatPeriod { 100 };
+/// Least time from a heartbeat to the next one that reports queued requests. With 100 ms, a gateway that queues
+/// continuously would exceed the 5 KB/s of control traffic that it may cause.
+constexpr milliseconds waitingHeartbeatPeriod { 200 };
 /// Time in which slices of a change are followed by pauses; later ones are not, as a change must become active within
 /// two seconds.
 constexpr milliseconds slicePauseTime { 800 };
--- a/src/app/gateway/gateway_session.hpp
+++ b/src/app/gateway/gateway_session.hpp
@@ -62,7 +62,7 @@
     void setSeeds(std::vector<std::string> seeds) { m_seeds = std::move(seeds); }
     /// @brief Sends a heartbeat within a few milliseconds, for urgent reports.
     void sendHeartbeatSoon();
-    /// @brief Sends a heartbeat as soon as the last one was sent 100 ms ago; to be called while requests are queued.
+    /// @brief Sends a heartbeat as soon as the last one was sent 200 ms ago; to be called while requests are queued.
     void sendHeartbeatWhileWaiting();
 
 private:
