Setting [admission] mode of gateways: auto or off

Cause: operators had no way to turn admission by priority off. Change: the key, with a test of its values and errors, and its row in SETTINGS.

--- a/include/buckthornrail/settings/settings.hpp
+++ b/include/buckthornrail/settings/settings.hpp
@@ -52,6 +52,7 @@
     std::uint32_t retrySlack = 100; ///< additional retries per window
     std::uint32_t retryWindowSeconds = 10;
     std::uint32_t graceSeconds = 8; ///< from SIGTERM to the exit of the process
+    std::string admissionMode = "auto"; ///< auto: priorities of routes order requests; off: they don't
 
     std::string bootstrap = "false";
     std::uint32_t targetHeartbeatMs = 1200;
--- a/src/buckthornrail/settings/settings.cpp
+++ b/src/buckthornrail/settings/settings.cpp
@@ -86,6 +86,8 @@
         "", "Length of the window of the retry budget." },
     setting_rule { "gateway", "grace_s", gatewayRole, 0, type::Number, &settings::graceSeconds, 1, 3600, "",
         "Time from SIGTERM to the exit of the process, for requests in flight." },
+    setting_rule { "admission", "mode", gatewayRole, 0, type::Choice, &settings::admissionMode, 0, 0, "auto|off",
+        "Whether requests to services whose routes differ in priority are ordered by it while capacity is short." },
     setting_rule { "registry", "bootstrap", registryRole, 0, type::Choice, &settings::bootstrap, 0, 0, "true|false",
         "Whether the system starts for the first time: the first of the addresses then creates the log." },
     setting_rule { "registry", "target_heartbeat_ms", registryRole, 0, type::Number, &settings::targetHeartbeatMs, 50,
--- a/src/buckthornrail/settings/settings_test.cpp
+++ b/src/buckthornrail/settings/settings_test.cpp
@@ -52,6 +52,24 @@
     CHECK(loadSettings("/nowhere/x.ini", process_role::Entry).error().front().reason == "can't be opened");
 }
 
+// Guards against a misspelled mode that would silently leave admission on or off.
+TEST_CASE("settings: the mode of admission is auto or off, and only gateways have it", "[settings]")
+{
+    const std::string gateway = "[instance]\nid = g\nfailure_domain = d\n[http]\naddress = 127.0.0.1:8001\n"
+                                "[controllers]\naddresses = 127.0.0.1:1\n[gateway]\naddress = 127.0.0.1:9001\n";
+    const auto modeOf = [&](const std::string& section) {
+        const auto parsed = parseSettings(gateway + section, "f.ini", process_role::Gateway);
+        return parsed ? parsed->admissionMode : "";
+    };
+    CHECK(modeOf("") == "auto");
+    CHECK(modeOf("[admission]\nmode = auto\n") == "auto");
+    CHECK(modeOf("[admission]\nmode = off\n") == "off");
+    CHECK(errorsOf(gateway + "[admission]\nmode = of\n", process_role::Gateway)
+        == "f.ini: [admission] mode: 'of' is not one of auto|off\n");
+    CHECK(errorsOf(good + "[admission]\nmode = off\n")
+        == "f.ini: [admission] mode: is not a known key of role sidecar\n");
+}
+
 TEST_CASE("settings: an address is an IPv4 address with a port in range", "[settings]")
 {
     CHECK(checkAddress("127.0.0.1:1"));
