Gateways: mode of admission, page /admission and its metrics

Cause: operators could neither see how requests are ordered nor change it at run time. Change: a gateway applies [admission] mode when it starts and when its settings are reloaded; queued calls are then routed again. The page shows the state of admission and the queue. admission_refused counts refusals by priority, admission_wait_ms measures the wait of requests that started. The gauge admission_waiting is now set when metrics are read: it kept its last value if the queue became empty by other ways than serveQueue(), such as callers that disconnect.

--- a/include/buckthornrail/telemetry/metrics.hpp
+++ b/include/buckthornrail/telemetry/metrics.hpp
@@ -17,6 +17,9 @@
 
     /// @brief Adds to a counter; callable from any thread. @param label value of its label "kind"; empty: no label
     void count(const std::string& name, const std::string& label = {}, double amount = 1);
+    /// @brief Adds 1 to a counter that has another label than "kind"; callable from any thread.
+    /// @param labelName,label name and value of the label; one name for all counters of `name`
+    void countBy(const std::string& name, const std::string& labelName, const std::string& label);
     /// @brief Sets a gauge; callable from any thread.
     void gauge(const std::string& name, double value);
     /// @brief Adds a sample in milliseconds to a histogram; callable from any thread.
--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "app/gateway/gateway.hpp"
 
 #include "app/gateway/caller_connection.hpp"
+#include "app/shared/admission_page.hpp"
 #include "app/shared/pushback_page.hpp"
 #include "app/shared/role_runner.hpp"
 
@@ -28,6 +29,8 @@
     return options;
 }
 
+bool isAdmissionOn(const settings::settings& settings) { return settings.admissionMode == "auto"; }
+
 gateway::shared_retry_budget_options budgetOptions(const settings::settings& settings)
 {
     gateway::shared_retry_budget_options options;
@@ -80,6 +83,7 @@
               [this] { return m_context.admission.report(steadyNow()); },
               [this](const registry::demand_report& others) { m_context.admission.setOthers(others, steadyNow()); },
           })
+    , m_isAdmissionOn(isAdmissionOn(settings))
     , m_queueTimer(loop)
     , m_stallCheck(loop, stallCheckPeriod, [this] { checkForStall(); })
 {
@@ -103,6 +107,14 @@
         connection->abort();
 }
 
+void gateway_role::reload(const settings::settings& changed)
+{
+    m_session.setSeeds(changed.controllers);
+    const bool wasAdmissionOn = std::exchange(m_isAdmissionOn, isAdmissionOn(changed));
+    if (wasAdmissionOn != m_isAdmissionOn && m_context.document)
+        updatePriorities();
+}
+
 tl::expected<void, failure> gateway_role::start()
 {
     m_context.startupGraceUntil = steadyNow() + startupGracePeriod;
@@ -340,6 +352,7 @@
     if (request.head.target == "/metrics") {
         m_context.metrics.gauge("quarantined_requests", static_cast<double>(m_context.quarantine.size()));
         m_context.metrics.gauge("limited_targets", static_cast<double>(m_context.pool.limitedCount(steadyNow())));
+        m_context.metrics.gauge("admission_waiting", static_cast<double>(m_context.admission.queue().size()));
         m_context.metrics.gauge("members_dialled", static_cast<double>(m_context.reachability->probeCount()));
         respond(net::plainResponse(200, m_context.metrics.text(), "text/plain"));
         return;
@@ -348,6 +361,10 @@
         respond(net::plainResponse(200, pushbackPage(m_context.pool.restrictedTargets(steadyNow()))));
         return;
     }
+    if (request.head.target == admissionPath) {
+        respond(net::plainResponse(200, admissionPage(admissionOverview(), steadyNow())));
+        return;
+    }
     respond(net::plainResponse(isReady() ? 200 : 503, isReady() ? "ready\n" : "not ready\n", "text/plain"));
 }
 
--- a/src/app/gateway/gateway.hpp
+++ b/src/app/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 namespace buckthornrail::app {
 
 class caller_connection;
+struct admission_overview;
 
 /// @brief Owns the listeners, the target pool and the controller session of a gateway. Not thread-safe: to be used
 /// only on the event loop's thread.
@@ -28,8 +29,9 @@
     /// @brief Shuts down gracefully: reports not ready at once and lets requests in flight finish.
     /// @param done called once the load balancer has drained and no call is open, or at the end of the grace period
     void stop(std::function<void()> done);
-    /// @brief Applies the settings that may change at run time: the addresses of the controllers.
-    void reload(const settings::settings& changed) { m_session.setSeeds(changed.controllers); }
+    /// @brief Applies the settings that may change at run time: the addresses of the controllers and the mode of
+    /// admission.
+    void reload(const settings::settings& changed);
 
     [[nodiscard]] gateway_context& context() { return m_context; }
     [[nodiscard]] link::event_loop& loop() { return m_loop; }
@@ -47,10 +49,13 @@
     void onRemoteLimits(const std::vector<registry::limit_report>& reports);
     /// @brief Another version of the document has become active.
     void onDocument();
-    /// @brief Applies the document's priorities, and routes queued calls again that the document concerns.
+    /// @brief Applies the document's priorities, or none if admission is off, and routes queued calls again that this
+    /// concerns.
     void updatePriorities();
     /// @brief Updates the capacity of the ranked services.
     void updateCapacity();
+    /// @return state of the admission, for operators
+    [[nodiscard]] admission_overview admissionOverview();
     /// @brief Starts queued calls for which there is free capacity.
     void serveQueue();
     /// @brief Starts queued calls of one service.
@@ -85,7 +90,7 @@
     void onQuarantine(const link::gateway_update& update);
     /// @brief Notifies open calls that the quarantine has changed.
     void notifyQuarantineChanged();
-    /// @brief Responds to health checks and requests for metrics and rate limits.
+    /// @brief Responds to health checks and requests for metrics, rate limits and admission.
     void onHealthRequest(const net::whole_request& request, const net::responder& respond);
     /// @brief Closes idle connections after the drain time, and ends the shutdown when no call is open any more.
     void checkStopped();
@@ -107,6 +112,7 @@
     steady_time m_earliestStop {}; ///< the load balancer still routes callers here until then
     bool m_hasClosedIdle = false;
     std::unique_ptr<periodic_task> m_stopCheck;
+    bool m_isAdmissionOn; ///< by the settings
     net::loop_timer m_queueTimer;
     steady_time m_nextQueueRunAt = steady_time::max(); ///< when the queue timer expires
     stall_watch m_stallWatch;
--- a/src/app/gateway/gateway_admission.cpp
+++ b/src/app/gateway/gateway_admission.cpp
@@ -2,6 +2,8 @@
 /// @brief Admission of requests to ranked services: the queue of a gateway and its calls.
 #include "app/gateway/gateway.hpp"
 
+#include "app/shared/admission_page.hpp"
+
 #include <algorithm>
 
 namespace buckthornrail::app {
@@ -32,12 +34,23 @@
 
 void gateway_call::updateQueued()
 {
-    if (m_exchange && m_exchange->isQueued())
+    if (m_exchange && m_exchange->isQueued()) {
         m_context.queuedCalls[m_number] = this;
-    else
-        m_context.queuedCalls.erase(m_number);
-    if (m_exchange && m_exchange->isQueued())
+        m_queuedAt = m_queuedAt.value_or(steadyNow());
         m_context.callQueued();
+        return;
+    }
+    m_context.queuedCalls.erase(m_number);
+    const auto queuedAt = std::exchange(m_queuedAt, std::nullopt);
+    if (queuedAt && m_exchange && !m_exchange->isOver())
+        m_context.metrics.observeMs("admission_wait_ms", static_cast<double>(between(*queuedAt, steadyNow()).count()));
+}
+
+void gateway_call::countAdmissionRefusal()
+{
+    if (m_exchange && (m_exchange->returnAt() || m_exchange->mustNotReturn()))
+        m_context.metrics.countBy(
+            "admission_refused", "priority", std::to_string(m_exchange->request().priority.value_or(0)));
 }
 
 bool gateway_call::retryAdmission()
@@ -79,7 +92,7 @@
 
 void gateway_role::updatePriorities()
 {
-    m_context.priorities = gateway::priority_table(*m_context.document);
+    m_context.priorities = m_isAdmissionOn ? gateway::priority_table(*m_context.document) : gateway::priority_table();
     m_context.admission.setRankedServices(m_context.priorities.priorities(), steadyNow());
     updateCapacity();
     const auto queued = m_context.queuedCalls;
@@ -97,6 +110,21 @@
         m_context.admission.setCapacity(service, m_context.pool.memoryTokens(service));
 }
 
+admission_overview gateway_role::admissionOverview()
+{
+    const auto now = steadyNow();
+    admission_overview overview;
+    overview.isOn = m_isAdmissionOn;
+    overview.othersAge = m_context.admission.othersAge(now);
+    overview.states = m_context.admission.states(now);
+    for (auto& entry : m_context.admission.queue().requests()) {
+        const auto call = m_context.queuedCalls.find(entry.call);
+        overview.queued.push_back(
+            { call == m_context.queuedCalls.end() ? "" : call->second->requestId(), std::move(entry) });
+    }
+    return overview;
+}
+
 void gateway_role::onCallQueued()
 {
     scheduleQueue(steadyNow() + queuePollInterval);
@@ -124,7 +152,6 @@
         for (const auto& service : m_context.admission.waitingServices())
             serveQueue(service);
     }
-    m_context.metrics.gauge("admission_waiting", static_cast<double>(m_context.admission.queue().size()));
     if (!m_context.queuedCalls.empty())
         scheduleQueue(now + queuePollInterval);
 }
--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -449,6 +449,7 @@
         response.head.fields.push_back(m_context.dialect.writeRetryAfter(retryDelay(code)));
     m_sink->write(http1::formatResponse(response.head, response.body, m_sink->keepsAlive()));
     countResponse(std::string(info.name));
+    countAdmissionRefusal();
     finish(false);
 }
 
--- a/src/app/gateway/gateway_call.hpp
+++ b/src/app/gateway/gateway_call.hpp
@@ -117,14 +117,19 @@
     /// @brief The quarantine has changed, or a target that may have crashed was found alive.
     void quarantineChanged();
     [[nodiscard]] gateway::call_number number() const { return m_number; }
+    /// @return the id that the caller gave the request
+    [[nodiscard]] const std::string& requestId() const { return m_caller.requestId; }
 
 private:
     /// @brief Finds the route and starts the exchange, or refuses the request.
     void route();
     /// @brief Sets what admission needs to know of the request, if its service is ranked.
     void addAdmission(gateway::exchange_request& request, const gateway::workspace_keys* workspace) const;
-    /// @brief Adds the call to the queued ones, or removes it, as its exchange says.
+    /// @brief Adds the call to the queued ones, or removes it, as its exchange says. Measures the wait of one that has
+    /// started.
     void updateQueued();
+    /// @brief Counts the refusal if admission has refused the request.
+    void countAdmissionRefusal();
     /// @brief Whether the request might not finish before this process exits.
     [[nodiscard]] bool outlastsShutdown(const gateway::route& route) const;
     /// @brief Logs the reason and responds with an error of the gateway.
@@ -157,6 +162,7 @@
     std::optional<request_fingerprint> m_fingerprint; ///< empty: not computed yet
     gateway::dispatch_verdict m_verdict = gateway::dispatch_verdict::Go; ///< as last logged
     std::unique_ptr<gateway::exchange> m_exchange;
+    std::optional<steady_time> m_queuedAt; ///< empty: not in the admission queue
     steady_time m_arrivedAt {};
 
     gateway::selection m_selection;
--- a/src/buckthornrail/telemetry/metrics.cpp
+++ b/src/buckthornrail/telemetry/metrics.cpp
@@ -50,6 +50,18 @@
     own.find(own.counters, name, label, make).Increment(amount);
 }
 
+void metrics::countBy(const std::string& name, const std::string& labelName, const std::string& label)
+{
+    auto& own = *m_implementation;
+    const auto make = [&]() -> prometheus::Counter& {
+        return prometheus::BuildCounter()
+            .Name("buckthornrail_" + name)
+            .Register(own.registry)
+            .Add({ { labelName, label } });
+    };
+    own.find(own.counters, name, label, make).Increment();
+}
+
 void metrics::gauge(const std::string& name, double value)
 {
     auto& own = *m_implementation;
