ctl admission: shows a gateway's admission and its queue

Change: the command reads the page /admission from the first address that responds, like ctl pushback list, and prints a table for each ranked service and the queue, or JSON. A gateway of an earlier release is reported as one without the page.

--- a/src/app/shell/control_shell.cpp
+++ b/src/app/shell/control_shell.cpp
@@ -4,6 +4,7 @@
 
 #include "app/controller/operator_access.hpp"
 #include "app/shared/process.hpp"
+#include "app/shell/admission_listing.hpp"
 #include "app/shell/request_timeline.hpp"
 #include "buckthornrail/http/http_client.hpp"
 
@@ -21,6 +22,7 @@
 using nlohmann::json;
 
 constexpr milliseconds callTimeout { 10000 };
+constexpr int httpOk = 200;
 constexpr int firstErrorStatus = 400;
 
 struct shell_options {
@@ -253,6 +255,17 @@
     return report(options, response, text);
 }
 
+int admissionList(const shell_options& options)
+{
+    const auto response = callAny(options, "GET", "/admission");
+    // Gateways of earlier releases respond to any path with their readiness, as text.
+    if (response.status == httpOk && !response.body.is_object()) {
+        std::cerr << "buckthornrail ctl: no page of admission at this address\n";
+        return exitFailure;
+    }
+    return report(options, response, response.status == httpOk ? admissionListing(response.body) : "");
+}
+
 int quarantineClear(const shell_options& options)
 {
     const auto response = callAny(options, "DELETE", "/quarantine/" + options.words[2]);
@@ -325,6 +338,8 @@
         { { "order", "INSTANCE", "MODEL", "VERSION" }, order },
         { { "cluster", "init" }, initialize },
         { { "explain", "REQUEST" }, explain },
+        { { "admission" }, admissionList },
+        { { "admission", "list" }, admissionList },
         { { "pushback", "list" }, pushbackList },
         { { "quarantine", "list" }, quarantineList },
         { { "quarantine", "clear", "FINGERPRINT" }, quarantineClear },
