Test: admission turned off at run time while requests are queued

Cause: no test reached the change of the setting in a running gateway. Change: a ranked document for the clusters of real processes; 100 callers of one route fill the service, then the setting changes. The queue must empty within a second and every caller get a response.

--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -299,6 +299,42 @@
         waitUntil([&] { return cluster.logOf(gateway).find("settings_reloaded") != std::string::npos; }, waitTimeout));
 }
 
+// Guards against requests that stay queued, or get no response, when their service is no longer ranked.
+TEST_CASE("gateway: turning admission off at run time decides about all queued requests", "[gateway_process]")
+{
+    gateway_cluster cluster(1);
+    REQUIRE(cluster.start());
+    const std::string gateway = cluster.gateways()[0];
+    document_options options;
+    options.isRanked = true;
+    REQUIRE(cluster.publish(101, cluster.registries()[0], options) == 200);
+    const auto pageHas
+        = [&](const std::string& part) { return cluster.admissionPage(gateway).find(part) != std::string::npos; };
+    REQUIRE(waitUntil([&] { return pageHas("\"service\":\"llm\""); }, waitTimeout));
+    std::vector<caller_response> results(100);
+    std::vector<std::thread> callers;
+    for (std::size_t index = 0; index < results.size(); ++index) {
+        callers.emplace_back([&, index] {
+            const std::string id = "batch-" + std::to_string(index);
+            results[index] = cluster.call(gateway, "POST", "/batch/n300", id, seconds(8));
+        });
+    }
+    const bool isQueued = waitUntil([&] { return pageHas("\"request\":\"batch-"); }, seconds(3));
+    cluster.appendSettings(gateway, "[admission]\nmode = off\n");
+    cluster.signal(gateway, SIGHUP);
+    const bool isEmpty = waitUntil([&] { return pageHas("\"mode\":\"off\"") && pageHas("\"queued\":[]"); }, seconds(1));
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(isQueued);
+    CHECK(isEmpty);
+    std::size_t served = 0;
+    for (const auto& result : results) {
+        CHECK((result.status == 200 || result.status == 503));
+        served += result.status == 200 && result.isComplete ? 1 : 0;
+    }
+    CHECK(served > 0);
+}
+
 TEST_CASE("gateway: changes in quick succession reach gateways without ending their sessions", "[gateway_process]")
 {
     constexpr std::uint64_t changes = 120;
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::size_t seedCount = 3; ///< registries that the settings of every process list
 constexpr milliseconds startTimeout { 20000 };
+constexpr int rankedTokenBytes = 5'000'000; ///< of a ranked document; an engine has memory for some 50 tokens
+constexpr int rankedLatencyMs = 4000;
 constexpr milliseconds controlTimeout { 1500 };
 constexpr milliseconds killTimeout { 5000 }; ///< until a process that got SIGKILL has ended
 
@@ -34,6 +36,12 @@
     const std::string& extraRoute = options.extraRoute;
     json routes = json::array({ routeOf("stream", "/stream/", "streaming", "llm"),
         routeOf("safe", "/safe/", "safe", "app"), routeOf("unsafe", "/unsafe/", "unsafe", "app") });
+    if (options.isRanked) {
+        routes.push_back(routeOf("batch", "/batch/", "streaming", "llm"));
+        routes.back()["priority"] = 2;
+        for (auto& route : routes)
+            route["target-latency-ms"] = rankedLatencyMs;
+    }
     if (!extraRoute.empty())
         routes.push_back(routeOf(extraRoute, "/" + extraRoute + "/", "safe", "app"));
     std::mt19937 random(1);
@@ -43,8 +51,9 @@
             path += static_cast<char>('a' + random() % 26);
         routes.push_back(routeOf("filler-" + std::to_string(index), "/" + path + "/", "safe", "app"));
     }
-    const json engine { { "layers", stand_in_fleet::layers }, { "layer-mb", 100 }, { "kv-token-bytes", 16 },
-        { "step_ms", 1 }, { "usual", { { "prompt", 10 }, { "answer", 10 } } },
+    const json engine { { "layers", stand_in_fleet::layers }, { "layer-mb", 100 },
+        { "kv-token-bytes", options.isRanked ? rankedTokenBytes : 16 }, { "step_ms", 1 },
+        { "usual", { { "prompt", 10 }, { "answer", 10 } } },
         { "kinds", json::array({ { { "name", "l4" }, { "mb", 650 }, { "pace", 1 }, { "read-x", 1 } } }) } };
     const json document { { "version", version }, { "routes", routes },
         { "services",
@@ -284,6 +293,16 @@
     return sendRequest(m_health.at(gateway), "GET", "/readyz", "", {}, controlTimeout).status;
 }
 
+std::string gateway_cluster::admissionPage(const std::string& gateway)
+{
+    return sendRequest(m_health.at(gateway), "GET", "/admission", "", {}, controlTimeout).body;
+}
+
+void gateway_cluster::appendSettings(const std::string& name, const std::string& lines)
+{
+    std::ofstream(m_folder + "/" + name + ".ini", std::ios::app) << lines;
+}
+
 std::string gateway_cluster::targetLine(const std::string& registry, const std::string& targetId)
 {
     const auto response = sendRequest(m_addresses.at(registry), "GET", "/status", "", {}, controlTimeout);
--- a/tests/support/gateway_cluster.hpp
+++ b/tests/support/gateway_cluster.hpp
@@ -30,6 +30,9 @@
     std::size_t fillerRoutes = 0; ///< further routes, each with its own path
     /// Letters in the path of a filler route. They are random with a fixed seed, so that the document compresses badly.
     std::size_t fillerPathLength = 20;
+    /// Adds the route /batch/ of a lower priority than /stream/, which ranks their service, with engines that have
+    /// memory for a few dozen requests. Callers of both accept a first event after four seconds.
+    bool isRanked = false;
 };
 
 /// @brief Runs registries and gateways, and in three failure domains engines and a target of a plain service.
@@ -87,6 +90,10 @@
     [[nodiscard]] const std::string& addressOf(const std::string& process) const { return m_addresses.at(process); }
     /// @return the status of a gateway's /readyz; 0: no response
     int readyStatus(const std::string& gateway);
+    /// @return the body of a gateway's page of admission; empty: no response
+    std::string admissionPage(const std::string& gateway);
+    /// @brief Appends lines to the settings file of a process. It reads them on SIGHUP, or when it is started.
+    void appendSettings(const std::string& name, const std::string& lines);
     /// @return state of a target on a registry's status page; empty: the registry doesn't know the target
     std::string targetState(const std::string& registry, const std::string& targetId);
     /// @brief Announces a target that doesn't exist to one registry. @return the status; 0: no response
