--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -299,7 +299,8 @@
         waitUntil([&] { return cluster.logOf(gateway).find("settings_reloaded") != std::string::npos; }, waitTimeout));
 }
 
-// Guards against requests that stay queued, or get no response, when their service is no longer ranked.
+// Guards against requests that stay queued, or get no response, when their service is no longer ranked, and against
+// waits that operators can't see.
 TEST_CASE("gateway: turning admission off at run time decides about all queued requests", "[gateway_process]")
 {
     gateway_cluster cluster(1);
@@ -308,17 +309,29 @@
     document_options options;
     options.isRanked = true;
     REQUIRE(cluster.publish(101, cluster.registries()[0], options) == 200);
-    const auto pageHas
-        = [&](const std::string& part) { return cluster.admissionPage(gateway).find(part) != std::string::npos; };
-    REQUIRE(waitUntil([&] { return pageHas("\"service\":\"llm\""); }, waitTimeout));
+    const auto pageHas = [&](const std::string& part) {
+        return cluster.healthPage(gateway, "/admission").find(part) != std::string::npos;
+    };
+    REQUIRE(waitUntil([&] { return pageHas("\"priority\":1"); }, waitTimeout));
     std::vector<caller_response> results(100);
-    std::vector<std::thread> callers;
-    for (std::size_t index = 0; index < results.size(); ++index) {
-        callers.emplace_back([&, index] {
-            const std::string id = "batch-" + std::to_string(index);
-            results[index] = cluster.call(gateway, "POST", "/batch/n300", id, seconds(8));
-        });
-    }
+    std::size_t lastId = 0;
+    const auto startCallers = [&](const std::string& path) {
+        std::vector<std::thread> callers;
+        for (std::size_t index = 0; index < results.size(); ++index) {
+            callers.emplace_back([&, path, index, id = "batch-" + std::to_string(++lastId)] {
+                results[index] = cluster.call(gateway, "POST", path, id, seconds(8));
+            });
+        }
+        return callers;
+    };
+    // Short streams: queued requests start when others end.
+    for (auto& caller : startCallers("/batch/n30"))
+        caller.join();
+    const std::string metrics = cluster.healthPage(gateway, "/metrics");
+    CHECK(metrics.find("buckthornrail_admission_waiting 0") != std::string::npos);
+    CHECK(metrics.find("buckthornrail_admission_wait_ms_count") != std::string::npos);
+
+    auto callers = startCallers("/batch/n300");
     const bool isQueued = waitUntil([&] { return pageHas("\"request\":\"batch-"); }, seconds(3));
     cluster.appendSettings(gateway, "[admission]\nmode = off\n");
     cluster.signal(gateway, SIGHUP);
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -37,6 +37,7 @@
     json routes = json::array({ routeOf("stream", "/stream/", "streaming", "llm"),
         routeOf("safe", "/safe/", "safe", "app"), routeOf("unsafe", "/unsafe/", "unsafe", "app") });
     if (options.isRanked) {
+        routes.front()["priority"] = 0;
         routes.push_back(routeOf("batch", "/batch/", "streaming", "llm"));
         routes.back()["priority"] = 2;
         for (auto& route : routes)
@@ -293,9 +294,9 @@
     return sendRequest(m_health.at(gateway), "GET", "/readyz", "", {}, controlTimeout).status;
 }
 
-std::string gateway_cluster::admissionPage(const std::string& gateway)
+std::string gateway_cluster::healthPage(const std::string& gateway, const std::string& path)
 {
-    return sendRequest(m_health.at(gateway), "GET", "/admission", "", {}, controlTimeout).body;
+    return sendRequest(m_health.at(gateway), "GET", path, "", {}, controlTimeout).body;
 }
 
 void gateway_cluster::appendSettings(const std::string& name, const std::string& lines)
--- a/tests/support/gateway_cluster.hpp
+++ b/tests/support/gateway_cluster.hpp
@@ -90,8 +90,8 @@
     [[nodiscard]] const std::string& addressOf(const std::string& process) const { return m_addresses.at(process); }
     /// @return the status of a gateway's /readyz; 0: no response
     int readyStatus(const std::string& gateway);
-    /// @return the body of a gateway's page of admission; empty: no response
-    std::string admissionPage(const std::string& gateway);
+    /// @return the body of a page on a gateway's HTTP port, such as /admission or /metrics; empty: no response
+    std::string healthPage(const std::string& gateway, const std::string& path);
     /// @brief Appends lines to the settings file of a process. It reads them on SIGHUP, or when it is started.
     void appendSettings(const std::string& name, const std::string& lines);
     /// @return state of a target on a registry's status page; empty: the registry doesn't know the target
