--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -36,6 +36,13 @@
         routeOf("safe", "/safe/", "safe", "app"), routeOf("unsafe", "/unsafe/", "unsafe", "app") });
     if (!extraRoute.empty())
         routes.push_back(routeOf(extraRoute, "/" + extraRoute + "/", "safe", "app"));
+    for (const auto& route : options.streamRoutes) {
+        json stream = routeOf(route.name, "/" + route.name + "/", "streaming", "llm");
+        stream["priority"] = route.priority;
+        stream["target-latency-ms"] = route.latencyTarget.count();
+        stream["timeout-ms"] = route.timeout.count();
+        routes.push_back(std::move(stream));
+    }
     std::mt19937 random(1);
     for (std::size_t index = 0; index < options.fillerRoutes; ++index) {
         std::string path;
@@ -43,14 +50,14 @@
             path += static_cast<char>('a' + random() % 26);
         routes.push_back(routeOf("filler-" + std::to_string(index), "/" + path + "/", "safe", "app"));
     }
-    const json engine { { "layers", stand_in_fleet::layers }, { "layer-mb", 100 }, { "kv-token-bytes", 16 },
-        { "step_ms", 1 }, { "usual", { { "prompt", 10 }, { "answer", 10 } } },
+    const json engine { { "layers", stand_in_fleet::layers }, { "layer-mb", 100 },
+        { "kv-token-bytes", options.tokenBytes }, { "step_ms", 1 }, { "usual", { { "prompt", 10 }, { "answer", 10 } } },
         { "kinds", json::array({ { { "name", "l4" }, { "mb", 650 }, { "pace", 1 }, { "read-x", 1 } } }) } };
     const json document { { "version", version }, { "routes", routes },
         { "services",
             json::array({ { { "name", "llm" }, { "health-path", "/healthz" }, { "engine", engine } },
                 { { "name", "app" }, { "health-path", "/healthz" } } }) },
-        { "tenants", json::array({ { { "name", "w1" }, { "api-keys", json::array({ "key-1" }) } } }) } };
+        { "tenants", json::array({ { { "name", "w1" }, { "api-keys", json::array({ options.key }) } } }) } };
     return document.dump();
 }
 
@@ -255,7 +262,7 @@
     const std::string& requestId, std::chrono::milliseconds timeout, const std::string& key)
 {
     std::vector<http::header_field> headers;
-    for (auto& [name, value] : callerFields(requestId, timeout, key))
+    for (auto& [name, value] : callerFields(requestId, timeout, key, m_promptTokens))
         headers.push_back({ name, value });
     const auto response = sendRequest(m_addresses.at(gateway), method, path, "", std::move(headers), timeout);
     caller_response result;
@@ -272,11 +279,11 @@
 }
 
 std::vector<std::pair<std::string, std::string>> gateway_cluster::callerFields(
-    const std::string& requestId, std::chrono::milliseconds timeout, const std::string& key)
+    const std::string& requestId, std::chrono::milliseconds timeout, const std::string& key, std::size_t promptTokens)
 {
     return { { "Host", "h.example" }, { "X-Buckthornrail-Attempt-Id", requestId },
         { "X-Buckthornrail-Deadline-Ms", std::to_string(timeout.count()) }, { "Authorization", "Bearer " + key },
-        { "X-Buckthornrail-Token-Count", "10,10" } };
+        { "X-Buckthornrail-Token-Count", std::to_string(promptTokens) + ",10" } };
 }
 
 int gateway_cluster::readyStatus(const std::string& gateway)
--- a/tests/support/gateway_cluster.hpp
+++ b/tests/support/gateway_cluster.hpp
@@ -24,12 +24,23 @@
     std::string retryAfter; ///< Retry-After; empty: none
 };
 
+/// A streaming route to the layered service, its path prefix is its name.
+struct stream_route {
+    std::string name;
+    std::uint32_t priority = 5; ///< 0 is the highest; 5 is that of the route "stream"
+    std::chrono::milliseconds latencyTarget { 200 };
+    std::chrono::milliseconds timeout { 8000 };
+};
+
 /// Options of a configuration document to publish.
 struct document_options {
     std::string extraRoute; ///< name of a further route, also its path prefix; empty: none
     std::size_t fillerRoutes = 0; ///< further routes, each with its own path
     /// Letters in the path of a filler route. They are random with a fixed seed, so that the document compresses badly.
     std::size_t fillerPathLength = 20;
+    std::vector<stream_route> streamRoutes; ///< further routes to the layered service
+    std::uint64_t tokenBytes = 16; ///< key-value memory of a token, over all layers; bounds the requests of an engine
+    std::string key = "key-1"; ///< API key of the tenant
 };
 
 /// @brief Runs registries and gateways, and in three failure domains engines and a target of a plain service.
@@ -81,8 +92,11 @@
         const std::string& requestId, std::chrono::milliseconds timeout = defaultCallTimeout,
         const std::string& key = "key-1");
     /// @return names and values of the header fields that a caller sends
-    static std::vector<std::pair<std::string, std::string>> callerFields(
-        const std::string& requestId, std::chrono::milliseconds timeout, const std::string& key = "key-1");
+    static std::vector<std::pair<std::string, std::string>> callerFields(const std::string& requestId,
+        std::chrono::milliseconds timeout, const std::string& key = "key-1", std::size_t promptTokens = 10);
+    /// @brief Sets the length of the prompts that callers state. Call while there are no callers.
+    void setPromptTokens(std::size_t tokens) { m_promptTokens = tokens; }
+    [[nodiscard]] std::size_t promptTokens() const { return m_promptTokens; }
     /// @return the address for callers of a gateway, or for control of a registry
     [[nodiscard]] const std::string& addressOf(const std::string& process) const { return m_addresses.at(process); }
     /// @return the status of a gateway's /readyz; 0: no response
@@ -135,6 +149,7 @@
     std::vector<std::size_t> m_engines;
     std::vector<std::size_t> m_plainTargets;
     std::size_t m_enginesPerDomain;
+    std::size_t m_promptTokens = 10;
     std::string m_gatewaySettings;
     std::unique_ptr<stand_in_fleet> m_fleet;
 };
--- a/tests/support/keep_alive_caller.cpp
+++ b/tests/support/keep_alive_caller.cpp
@@ -33,7 +33,8 @@
     httplib::Request request;
     request.method = method;
     request.path = path;
-    for (const auto& [name, value] : gateway_cluster::callerFields(requestId, timeout))
+    for (const auto& [name, value] :
+        gateway_cluster::callerFields(requestId, timeout, "key-1", m_implementation->cluster.promptTokens()))
         request.headers.emplace(name, value);
     const auto result = client->send(request);
     caller_response response;
--- a/tests/support/stand_in_fleet.hpp
+++ b/tests/support/stand_in_fleet.hpp
@@ -31,6 +31,7 @@
     std::string path;
     std::string workspace;
     bool isComplete = false; ///< a successful response was sent to its end
+    std::string priority; ///< as the gateway sent it; empty: none
 };
 
 /// Arrival of a request at the first target of its chain.
--- a/tests/support/stand_in_session.hpp
+++ b/tests/support/stand_in_session.hpp
@@ -305,7 +305,8 @@
         }
         m_runIndex = m_fleet.runs.size();
         m_fleet.runs.push_back({ m_requestId, m_target.id, m_path,
-            std::string(http1::valueOf(head.fields, "X-Buckthornrail-Tenant").value_or("")), false });
+            std::string(http1::valueOf(head.fields, "X-Buckthornrail-Tenant").value_or("")), false,
+            std::string(http1::valueOf(head.fields, "X-Buckthornrail-Request-Priority").value_or("")) });
         m_hasWrongId = m_fleet.drawFault(m_target.faults.wrongIdRate);
         const bool fails = m_fleet.drawFault(m_target.faults.failureRate);
         m_isTruncated = m_fleet.drawFault(m_target.faults.truncationRate);
