--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,9 +1,10 @@
 /// @file
 /// @brief Randomized soak test with real processes: injects overlapping faults and checks the invariants meanwhile.
 ///
-/// soak --seed N [--seconds S] [--gateways G] [--engines E] [--pushback]. Exits with 0 if no invariant
+/// soak --seed N [--seconds S] [--gateways G] [--engines E] [--pushback] [--ranked]. Exits with 0 if no invariant
 /// was violated, with 1 after a violation (it is printed, and the logs are kept), with 2 after an error.
-#include "soak/check_call.hpp"
+#include "soak/ranked_callers.hpp"
+#include "soak/soak_options.hpp"
 #include "support/rate_limit_bounds.hpp"
 
 #include <algorithm>
@@ -40,14 +41,11 @@
 
 class soak_run {
 public:
-    soak_run(
-        std::uint64_t seed, seconds duration, std::size_t gateways, std::size_t enginesPerDomain, bool withPushback)
-        : m_random(seed)
-        , m_pushbackRandom(seed + 1)
-        , m_withPushback(withPushback)
-        , m_seed(seed)
-        , m_duration(duration)
-        , m_cluster(gateways, enginesPerDomain)
+    explicit soak_run(const soak_options& options)
+        : m_options(options)
+        , m_random(options.seed)
+        , m_pushbackRandom(options.seed + 1)
+        , m_cluster(options.gateways, options.enginesPerDomain)
     {
     }
 
@@ -57,13 +55,15 @@
             m_violations.report("the system didn't start");
             return false;
         }
-        if (m_seed % 2 == 0)
+        if (m_options.seed % 2 == 0)
             m_cluster.fleet().keepIds();
-        caller_pool callers(m_cluster, m_seed);
-        const auto end = clock_type::now() + m_duration;
+        if (m_options.withRanks)
+            beginRanking();
+        caller_pool callers(m_cluster, m_options.seed);
+        const auto end = clock_type::now() + m_options.duration;
         while (clock_type::now() < end) {
             injectFault();
-            if (m_withPushback)
+            if (m_options.withPushback)
                 pushBack();
             endDueFaults(clock_type::now());
             recordQuorumOutage();
@@ -73,6 +73,11 @@
         endDueFaults(clock_type::time_point::max());
         checkRecovery();
         checkCalls(callers.stop());
+        if (m_rankedCallers) {
+            const auto records = m_rankedCallers->stop();
+            checkCalls(records);
+            checkShares(records, m_violations);
+        }
         if (m_violations.count() > 0)
             std::cout << "logs: " << m_cluster.keepFolder() << std::endl;
         return m_violations.count() == 0;
@@ -391,6 +396,8 @@
                 options.fillerRoutes = 500;
                 options.fillerPathLength = 300; // 100 KB even when compressed
             }
+            if (m_options.withRanks)
+                addRankedRoutes(options);
             if (m_cluster.publish(version, registry, options) == 200)
                 m_acknowledged.emplace_back(clock_type::now(), version);
             return;
@@ -430,41 +437,27 @@
         }
     }
 
+    /// Lets the first document with ranked routes take effect, and starts their callers.
+    void beginRanking()
+    {
+        if (!applyRankedRoutes(m_cluster, ++m_version))
+            m_violations.report("the document with ranked routes didn't take effect");
+        m_rankedCallers.emplace(m_cluster, m_options.seed);
+    }
+
     void checkCalls(const std::vector<call_record>& records)
     {
-        std::map<std::string, std::size_t> runs;
-        for (const auto& run : m_cluster.fleet().runs()) {
-            ++runs[run.requestId];
-            if (run.workspace != "w1")
-                m_violations.report(run.requestId + " ran for workspace '" + run.workspace + "'");
-        }
-        std::map<int, std::size_t> statuses;
-        std::size_t withoutDocument = 0;
-        for (const auto& record : records) {
-            ++statuses[record.response.status];
-            checkCall(record, runs[record.requestId], m_violations);
-            if (!lacksDocument(record))
-                continue;
-            ++withoutDocument;
-            if (runs[record.requestId] > 0)
-                m_violations.report(record.requestId + " was refused for lack of a document, but ran");
-        }
-        std::cout << "calls " << records.size();
-        for (const auto& [status, count] : statuses)
-            std::cout << ", " << status << ": " << count;
-        std::cout << ", versions acknowledged " << m_acknowledged.size() << std::endl;
-        std::cout << "without a document while there was no quorum: " << withoutDocument << std::endl;
-        if (statuses[200] * 4 < records.size() - withoutDocument)
-            m_violations.report("less than a quarter of the calls were served");
+        const auto lacksADocument = [this](const call_record& record) { return lacksDocument(record); };
+        test_support::checkCalls(records, m_cluster.fleet().runs(), lacksADocument, m_violations);
+        std::cout << "versions acknowledged " << m_acknowledged.size() << std::endl;
     }
 
+    soak_options m_options;
     std::mt19937_64 m_random;
     std::mt19937_64 m_pushbackRandom;
-    bool m_withPushback;
-    std::uint64_t m_seed;
-    seconds m_duration;
     gateway_cluster m_cluster;
     violation_log m_violations;
+    std::optional<ranked_callers> m_rankedCallers; ///< empty: no route is ranked
     std::vector<active_fault> m_activeFaults;
     std::set<std::string> m_reserved; ///< processes, targets, links and pushbacks with an active fault
     clock_type::time_point m_nextDiskLoss {};
@@ -486,11 +479,12 @@
         TCLAP::ValueArg<unsigned> engines(
             "", "engines", "Targets with layers in each failure domain", false, 4, "number", line);
         TCLAP::SwitchArg pushback("", "pushback", "Targets also name rate limits and request backoffs", line);
+        TCLAP::SwitchArg ranked("", "ranked", "More callers than fit, on routes of different priorities", line);
         line.parse(argc, argv);
         std::cout << "soak: seed " << seed.getValue() << std::endl;
-        const bool isPassed = soak_run(
-            seed.getValue(), seconds(duration.getValue()), gateways.getValue(), engines.getValue(), pushback.getValue())
-                                  .run();
+        const soak_options options { seed.getValue(), seconds(duration.getValue()), gateways.getValue(),
+            engines.getValue(), pushback.getValue(), ranked.getValue() };
+        const bool isPassed = soak_run(options).run();
         std::cout << "soak: seed " << seed.getValue() << (isPassed ? " held" : " BROKEN") << std::endl;
         return isPassed ? 0 : 1;
     } catch (const std::exception& error) {
