--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -307,7 +307,8 @@
     REQUIRE(cluster.start());
     const std::string gateway = cluster.gateways()[0];
     document_options options;
-    options.isRanked = true;
+    options.streamRoutes = { { "urgent", 0, seconds(4) }, { "batch", 2, seconds(4) } };
+    options.tokenBytes = 5'000'000; // an engine has memory for some 50 tokens
     REQUIRE(cluster.publish(101, cluster.registries()[0], options) == 200);
     const auto pageHas = [&](const std::string& part) {
         return cluster.healthPage(gateway, "/admission").find(part) != std::string::npos;
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -19,8 +19,6 @@
 
 constexpr std::size_t seedCount = 3; ///< registries that the settings of every process list
 constexpr milliseconds startTimeout { 20000 };
-constexpr int rankedTokenBytes = 5'000'000; ///< of a ranked document; an engine has memory for some 50 tokens
-constexpr int rankedLatencyMs = 4000;
 constexpr milliseconds controlTimeout { 1500 };
 constexpr milliseconds killTimeout { 5000 }; ///< until a process that got SIGKILL has ended
 
@@ -36,15 +34,15 @@
     const std::string& extraRoute = options.extraRoute;
     json routes = json::array({ routeOf("stream", "/stream/", "streaming", "llm"),
         routeOf("safe", "/safe/", "safe", "app"), routeOf("unsafe", "/unsafe/", "unsafe", "app") });
-    if (options.isRanked) {
-        routes.front()["priority"] = 0;
-        routes.push_back(routeOf("batch", "/batch/", "streaming", "llm"));
-        routes.back()["priority"] = 2;
-        for (auto& route : routes)
-            route["target-latency-ms"] = rankedLatencyMs;
-    }
     if (!extraRoute.empty())
         routes.push_back(routeOf(extraRoute, "/" + extraRoute + "/", "safe", "app"));
+    for (const auto& route : options.streamRoutes) {
+        json stream = routeOf(route.name, "/" + route.name + "/", "streaming", "llm");
+        stream["priority"] = route.priority;
+        stream["target-latency-ms"] = route.latencyTarget.count();
+        stream["timeout-ms"] = route.timeout.count();
+        routes.push_back(std::move(stream));
+    }
     std::mt19937 random(1);
     for (std::size_t index = 0; index < options.fillerRoutes; ++index) {
         std::string path;
@@ -53,14 +51,13 @@
         routes.push_back(routeOf("filler-" + std::to_string(index), "/" + path + "/", "safe", "app"));
     }
     const json engine { { "layers", stand_in_fleet::layers }, { "layer-mb", 100 },
-        { "kv-token-bytes", options.isRanked ? rankedTokenBytes : 16 }, { "step_ms", 1 },
-        { "usual", { { "prompt", 10 }, { "answer", 10 } } },
+        { "kv-token-bytes", options.tokenBytes }, { "step_ms", 1 }, { "usual", { { "prompt", 10 }, { "answer", 10 } } },
         { "kinds", json::array({ { { "name", "l4" }, { "mb", 650 }, { "pace", 1 }, { "read-x", 1 } } }) } };
     const json document { { "version", version }, { "routes", routes },
         { "services",
             json::array({ { { "name", "llm" }, { "health-path", "/healthz" }, { "engine", engine } },
                 { { "name", "app" }, { "health-path", "/healthz" } } }) },
-        { "tenants", json::array({ { { "name", "w1" }, { "api-keys", json::array({ "key-1" }) } } }) } };
+        { "tenants", json::array({ { { "name", "w1" }, { "api-keys", json::array({ options.key }) } } }) } };
     return document.dump();
 }
 
@@ -265,7 +262,7 @@
     const std::string& requestId, std::chrono::milliseconds timeout, const std::string& key)
 {
     std::vector<http::header_field> headers;
-    for (auto& [name, value] : callerFields(requestId, timeout, key))
+    for (auto& [name, value] : callerFields(requestId, timeout, key, m_promptTokens))
         headers.push_back({ name, value });
     const auto response = sendRequest(m_addresses.at(gateway), method, path, "", std::move(headers), timeout);
     caller_response result;
@@ -282,11 +279,11 @@
 }
 
 std::vector<std::pair<std::string, std::string>> gateway_cluster::callerFields(
-    const std::string& requestId, std::chrono::milliseconds timeout, const std::string& key)
+    const std::string& requestId, std::chrono::milliseconds timeout, const std::string& key, std::size_t promptTokens)
 {
     return { { "Host", "h.example" }, { "X-Buckthornrail-Attempt-Id", requestId },
         { "X-Buckthornrail-Deadline-Ms", std::to_string(timeout.count()) }, { "Authorization", "Bearer " + key },
-        { "X-Buckthornrail-Token-Count", "10,10" } };
+        { "X-Buckthornrail-Token-Count", std::to_string(promptTokens) + ",10" } };
 }
 
 int gateway_cluster::readyStatus(const std::string& gateway)
