--- a/tests/ranked_load_test.cpp
+++ b/tests/ranked_load_test.cpp
@@ -119,12 +119,23 @@
     CHECK_FALSE(hasRun);
 }
 
+/// The line that a gateway has logged of a refused request; empty: none.
+std::string refusalInLog(gateway_cluster& cluster, const sent_call& call)
+{
+    if (call.response.status == 200)
+        return {};
+    const std::string log = cluster.logOf(call.gateway);
+    const auto position = log.find("E201 route_refused request=" + call.id + " ");
+    return position == std::string::npos ? std::string() : log.substr(position, log.find('\n', position) - position);
+}
+
 /// Checks all responses. @return number of served requests by route
 std::map<std::string, std::size_t> checkResponses(gateway_cluster& cluster, const std::deque<sent_call>& calls)
 {
     const auto arrivals = arrivalTimes(cluster);
     std::map<std::string, std::size_t> served;
     for (const auto& call : calls) {
+        INFO(refusalInLog(cluster, call));
         checkResponse(call, arrivals.contains(call.id));
         served[call.route] += call.response.status == 200 ? 1 : 0;
     }
