Return times: a spare rate that is too low counts as none

Change: no time is sent only if all capacity that is released would not do; otherwise a spare rate that is too low says that the shortage lasts, as none does.

--- a/src/app/gateway/gateway_admission.cpp
+++ b/src/app/gateway/gateway_admission.cpp
@@ -51,7 +51,7 @@
 
 void gateway_call::countAdmissionRefusal()
 {
-    if (m_exchange && (m_exchange->returnAt() || m_exchange->mustNotReturn()))
+    if (m_exchange && (m_exchange->returnAt() || m_exchange->hasNoReturnTime()))
         m_context.metrics.countBy(
             "admission_refused", "priority", std::to_string(m_exchange->request().priority.value_or(0)));
 }
--- a/src/buckthornrail/gateway/admission_control.cpp
+++ b/src/buckthornrail/gateway/admission_control.cpp
@@ -174,10 +174,16 @@
     return_request request;
     request.priority = ticket.priority;
     request.tokens = ticket.tokens;
-    const double spareRate = m_admission.spareRate(ticket.service, ticket.priority, now);
-    const double minSpareRate = m_options.minSpareShare * m_admission.releaseRate(ticket.service, now);
-    request.spareTokensPerSecond = spareRate < minSpareRate ? 0 : spareRate;
     request.tokensAhead = m_admission.promisedAhead(requestOf(ticket), now);
+    const std::chrono::duration<double> left = ticket.callerDeadline - now;
+    const double releaseRate = m_admission.expectedReleaseRate(ticket.service, now);
+    if (releaseRate > 0 && request.tokensAhead >= releaseRate * left.count())
+        return std::nullopt; // not even if no other request came
+    // A rate that is too low to serve the request in time says only that the shortage lasts: like no spare rate at all.
+    const double spareRate = m_admission.spareRate(ticket.service, ticket.priority, now);
+    const bool isUsable
+        = spareRate >= m_options.minSpareShare * releaseRate && request.tokensAhead < spareRate * left.count();
+    request.spareTokensPerSecond = isUsable ? spareRate : 0;
     request.gateways = m_gateways;
     request.callerDeadline = ticket.callerDeadline;
     request.latencyTarget = ticket.latencyTarget;
--- a/tools/bench_core.cpp
+++ b/tools/bench_core.cpp
@@ -323,7 +323,7 @@
     for (std::uint32_t number = 0; number < services; ++number) {
         const std::string name = "model-service-" + std::to_string(100 + number);
         registry::service_demand demand { name, 50'000, {} };
-        for (std::uint32_t priority = 0; priority < gateway::admissionPriorities; ++priority) {
+        for (std::uint32_t priority = 0; priority < registry::maxPrioritiesInDemand; ++priority) {
             ranked[name].push_back(priority);
             demand.ranks.push_back({ priority, 5000 + 100 * priority, 9000, 100 * number, 0, 50 });
         }
@@ -341,7 +341,7 @@
             admission.setOthers(others, now);
         now += std::chrono::microseconds(300);
         const gateway::admission_request request { others[number % services].service,
-            number / services % static_cast<std::uint32_t>(gateway::admissionPriorities), 1000, false };
+            number / services % static_cast<std::uint32_t>(registry::maxPrioritiesInDemand), 1000, false };
         admission.countArrival(request, now);
         benchmark::DoNotOptimize(admission.reservedShare(request, now));
         admission.countAdmission(request, now);
