--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -289,21 +289,6 @@
         now);
 }
 
-void exchange::onCallerDisconnected(steady_time now)
-{
-    if (m_over)
-        return;
-    if (m_attemptOpen)
-        closeAttempt(now);
-    leaveQueue(queue_exit::CallerLeft, now);
-    m_pendingAttempt.reset();
-    m_over = true;
-    m_port.logEvent(event_code::RequestFinished,
-        { { "request", m_request.id }, { "route", m_request.route->name }, { "outcome", "caller_left" },
-            { "events", std::to_string(m_events) }, { "attempts", std::to_string(m_attempts) },
-            { "ms", inMs(between(m_request.arrivedAt, now)) } });
-}
-
 exchange::next_attempt exchange::planNextAttempt(
     const attempt_end& last, selection_constraints constraints, steady_time now)
 {
--- a/src/buckthornrail/gateway/exchange_watch.cpp
+++ b/src/buckthornrail/gateway/exchange_watch.cpp
@@ -1,5 +1,6 @@
 /// @file
-/// @brief Detection of silent, unreachable and slow targets of an open attempt, and of its deadline.
+/// @brief Detection of silent, unreachable and slow targets of an open attempt, of its deadline and of a caller that
+/// has disconnected.
 #include "buckthornrail/gateway/exchange.hpp"
 
 #include <algorithm>
@@ -63,6 +64,21 @@
     }
 }
 
+void exchange::onCallerDisconnected(steady_time now)
+{
+    if (m_over)
+        return;
+    if (m_attemptOpen)
+        closeAttempt(now);
+    leaveQueue(queue_exit::CallerLeft, now);
+    m_pendingAttempt.reset();
+    m_over = true;
+    m_port.logEvent(event_code::RequestFinished,
+        { { "request", m_request.id }, { "route", m_request.route->name }, { "outcome", "caller_left" },
+            { "events", std::to_string(m_events) }, { "attempts", std::to_string(m_attempts) },
+            { "ms", std::to_string(between(m_request.arrivedAt, now).count()) } });
+}
+
 void exchange::abandonRestartedTarget(steady_time now)
 {
     // If the machine was disconnected meanwhile, the connection may never be closed; no response will arrive on it.
