Admission: comments, log texts and names after a newcomer's reading

Fields of E217 and E218 say which rate and which age they hold; the refusal at a shutdown names the queue; the guarantee's counter is a credit; tests say which failure they guard against.

--- a/include/buckthornrail/gateway/admission.hpp
+++ b/include/buckthornrail/gateway/admission.hpp
@@ -24,8 +24,9 @@
     /// Maximum share of the capacity that is left free for returning requests of the same priority. The requirement to
     /// use 0.95 of the capacity while a request waits allows no more.
     double maxReturningShare = 0.05;
-    double averageSeconds = 1; ///< time constant of rates
-    double residenceSeconds = 5; ///< time constant of mean residence times, which change with the kind of requests
+    double averageSeconds = 1; ///< time constant of the offered and released rates
+    double residenceAverageSeconds
+        = 5; ///< time constant of mean residence times, which change with the kind of requests
     milliseconds othersTtl { 1000 }; ///< older figures of the other gateways are not used
 };
 
@@ -46,7 +47,7 @@
     double waitingTokens = 0;
     double promisedTokens = 0;
     double dueTokens = 0;
-    double reservedShare = 0; ///< that a new request of this priority must leave free
+    double reservedShare = 0; ///< of the capacity, for a new request of this priority; 0 applies while it is guaranteed
     double ownRequestedTokens = 0; ///< of this gateway within the last 2 s
     double ownAdmittedTokens = 0; ///< of this gateway within the last 2 s
 };
@@ -101,7 +102,8 @@
     [[nodiscard]] bool isGuaranteed(const admission_request& request, steady_time now) const;
     /// @return release rate minus the offered rates of this and all higher priorities; may be negative
     [[nodiscard]] double spareRate(std::string_view service, std::uint32_t priority, steady_time now) const;
-    /// @return waiting and due tokens of all gateways that are served before the request
+    /// @return waiting and due tokens of all gateways at higher priorities, plus the waiting tokens of the request's
+    /// own priority (all of them, and the request's own once it is queued), plus the due ones if it is not returning
     [[nodiscard]] double waitingAhead(const admission_request& request, steady_time now) const;
     /// @return waiting, due and promised tokens of all gateways at this and higher priorities
     [[nodiscard]] double promisedAhead(const admission_request& request, steady_time now) const;
@@ -123,7 +125,7 @@
     struct rank_counts {
         explicit rank_counts(const admission_options& options)
             : offered(options.averageSeconds)
-            , residence(options.residenceSeconds)
+            , residence(options.residenceAverageSeconds)
         {
         }
         rate_average offered; ///< tokens of first-time requests
@@ -141,7 +143,8 @@
         double meanSquare = 0;
         two_second_sum requested;
         two_second_sum admitted;
-        double guarantee = 0; ///< tokens that may be admitted without regard to reservations; one request is while > 0
+        double guaranteeCredit
+            = 0; ///< tokens that may be admitted without regard to reservations; one request is while > 0
     };
     struct service_counts {
         explicit service_counts(const admission_options& options);
--- a/include/buckthornrail/gateway/admission_control.hpp
+++ b/include/buckthornrail/gateway/admission_control.hpp
@@ -25,7 +25,7 @@
     double tokens = 0; ///< prompt and expected output
     std::size_t bytes = 0; ///< of the body
     steady_time arrivedAt {};
-    steady_time firstEventDeadline {}; ///< latest time of a first event that is on time, counted from the first attempt
+    steady_time firstEventDeadline {}; ///< arrival of the caller's first request plus the latency target
     milliseconds latencyTarget { 0 };
     steady_time callerDeadline {};
 };
@@ -50,7 +50,7 @@
 /// Figures behind a decision.
 struct admission_figures {
     double reservedShare = 0; ///< of the capacity, for higher priorities and returning requests
-    double tokensAhead = 0; ///< waiting at this and higher priorities, at all gateways
+    double tokensAhead = 0; ///< see admission::waitingAhead()
     double tokensPerSecond = 0; ///< expected to be released by the attempts of all gateways
 };
 
@@ -101,7 +101,7 @@
     /// of each priority that is admitted less than it is guaranteed, then the first one of all.
     [[nodiscard]] std::vector<std::uint64_t> candidates(const std::string& service, steady_time now) const;
     [[nodiscard]] admission_figures figures(const admission_ticket& ticket, steady_time now) const;
-    /// @brief Latest start of a request after which waiting is of no use to its caller.
+    /// @brief Latest useful start of a request. A queued request that hasn't started by then is refused.
     [[nodiscard]] steady_time latestStart(const admission_ticket& ticket) const;
     /// @brief Promises a refused caller a time to return. @return empty: no time before its deadline is of use
     std::optional<steady_time> promiseReturn(const admission_ticket& ticket, steady_time now);
--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -31,8 +31,8 @@
     std::uint64_t call = 0; ///< number at this gateway, see admission_ticket::call
     std::size_t bytes = 0; ///< of the body
     std::optional<std::uint32_t> priority; ///< see priority_table; empty: the service isn't ranked
-    milliseconds waitedBefore { 0 }; ///< since the caller's first attempt, if it was refused before
-    bool isCounted = false; ///< it was counted for the retry budget before it was routed again
+    milliseconds waitedBefore { 0 }; ///< from the caller's first request to this one; 0: not refused before
+    bool isCounted = false; ///< routed before: not counted again for the retry budget and as an arrival
 
     [[nodiscard]] bool isRetryable() const
     {
@@ -272,7 +272,7 @@
     /// @brief Removes the request from the queue. @return whether it was queued
     bool leaveQueue(queue_exit how, steady_time now);
     void logQueue(event_code event, const std::string& outcome, steady_time now);
-    /// @brief Counts the open attempt's tokens for its priority, or stops to.
+    /// @brief Adds the open attempt's tokens to the running ones of its priority, or subtracts them.
     void countRunning(bool isRunning, steady_time now);
     void giveUp(const std::string& reason, steady_time now);
     void finish(result_code code, ran_state ran, const std::string& reason, steady_time now);
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -202,9 +202,8 @@
     [[nodiscard]] std::size_t readyCount(const std::string& service) const;
     /// @brief Tokens that a request is expected to hold in memory: its prompt and its expected output.
     [[nodiscard]] double expectedTokens(const std::string& service, const request_size& size) const;
-    /// @brief Memory that any path of a service would need at least at its fullest target. Costs far less than the
-    /// search for a path.
-    /// @return lower bound of selection::memoryUse; infinite where no target holds some layer
+    /// @brief Lower bound of selection::memoryUse over all paths of a service, without the cost of a path search.
+    /// @return infinite if some layer has no target; 0 for a service without an engine
     [[nodiscard]] double lowestMemoryUse(const std::string& service) const;
     /// @brief Memory use up to which a target accepts attempts; infinite while the others' loads are unknown or
     /// outdated.
--- a/src/app/gateway/gateway_admission.cpp
+++ b/src/app/gateway/gateway_admission.cpp
@@ -9,16 +9,17 @@
 namespace buckthornrail::app {
 namespace {
 
-/// Capacity also becomes free through attempts of other gateways, which this one learns from load reports only; its own
-/// estimate of them changes as time passes.
+/// Interval at which queued calls are tried again without a known cause: other gateways' attempts free capacity, which
+/// this gateway learns of only from load reports.
 constexpr milliseconds queuePollInterval { 25 };
 /// Least time between two runs. Attempts end every few milliseconds, and a path search takes about as long as
 /// forwarding ten events.
 constexpr milliseconds minQueueInterval { 20 };
-/// Queued calls that start in one run. Each one costs a path search, and streams are served between two runs.
-constexpr std::size_t maxStartsPerRun = 8;
-/// A caller that states a time this much shorter than its route's timeout has waited for an earlier attempt. Less is
-/// rounding and time on the network.
+/// Maximum number of calls that leave a service's queue in one run, started or refused. Each may cost a path search,
+/// and the event loop forwards streams only between runs.
+constexpr std::size_t maxExitsPerRun = 8;
+/// A request whose stated timeout is shorter than its route's by at least this is taken to have been refused before.
+/// Smaller differences come from rounding and network latency.
 constexpr milliseconds minWaitedBefore { 100 };
 
 } // namespace
@@ -161,12 +162,12 @@
 
 void gateway_role::serveQueue(const std::string& service)
 {
-    for (std::size_t started = 0; started < maxStartsPerRun; ++started) {
+    for (std::size_t left = 0; left < maxExitsPerRun; ++left) {
         const auto candidates = m_context.admission.candidates(service, steadyNow());
-        const bool hasStarted = std::any_of(
+        const bool hasLeftQueue = std::any_of(
             candidates.begin(), candidates.end(), [this](gateway::call_number number) { return tryQueued(number); });
-        if (!hasStarted)
-            return; // less is reserved from the candidates than from any other queued request
+        if (!hasLeftQueue)
+            return; // no other queued request can start: at least as much capacity is reserved from it
     }
     scheduleQueue(steadyNow());
 }
--- a/src/app/gateway/gateway_call.hpp
+++ b/src/app/gateway/gateway_call.hpp
@@ -40,7 +40,7 @@
     gateway::priority_table priorities; ///< of the active document
     gateway::admission_control admission { random() };
     std::map<gateway::call_number, class gateway_call*> queuedCalls; ///< in the admission's queue
-    std::function<void()> capacityFreed; ///< an attempt has ended while calls are queued
+    std::function<void()> capacityFreed; ///< capacity may have become free: an attempt ended, or new loads arrived
     std::function<void()> callQueued; ///< a call was added to the admission queue, or stays there
     std::function<void()> requestHeartbeat; ///< sends one within milliseconds, to report changes of the quarantine
     gateway::call_number lastCallNumber = 0;
@@ -158,7 +158,7 @@
     std::string m_body;
     gateway::caller_head m_caller;
     std::string m_workspace;
-    bool m_isCounted = false; ///< for the retry budget
+    bool m_isCounted = false; ///< counted for the retry budget, and as an arrival if its service was ranked
     std::optional<request_fingerprint> m_fingerprint; ///< empty: not computed yet
     gateway::dispatch_verdict m_verdict = gateway::dispatch_verdict::Go; ///< as last logged
     std::unique_ptr<gateway::exchange> m_exchange;
--- a/src/app/shell/control_shell.cpp
+++ b/src/app/shell/control_shell.cpp
@@ -260,7 +260,8 @@
     const auto response = callAny(options, "GET", "/admission");
     // Gateways of earlier releases respond to any path with their readiness, as text.
     if (response.status == httpOk && !response.body.is_object()) {
-        std::cerr << "buckthornrail ctl: no page of admission at this address\n";
+        std::cerr
+            << "buckthornrail ctl: this address doesn't serve /admission; is it a gateway of an earlier release?\n";
         return exitFailure;
     }
     return report(options, response, response.status == httpOk ? admissionListing(response.body) : "");
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -59,11 +59,11 @@
         "parsed)." },
     event_info { event_code::RequestQueued, "request_queued",
         "A request of a ranked service waits for free capacity; fields: request, service, priority, returning (refused "
-        "before), reserved_percent (of the capacity), tokens_ahead, tokens_per_s (released), others_age_ms (of the "
-        "other gateways' demand), waited_ms." },
+        "before), outcome (queued), reserved_percent (of the capacity), tokens_ahead, tokens_per_s (expected to be "
+        "released), others_age_ms (age of the other gateways' demand), waited_ms (since arrival)." },
     event_info { event_code::QueueLeft, "queue_left",
-        "A request has left the queue; fields: as of request_queued, and outcome (started, expired, displaced, "
-        "shutting_down, caller_left, deadline_passed, routed_again)." },
+        "A request has left the queue; fields: as of request_queued, with outcome started, expired, displaced, "
+        "shutting_down, caller_left, deadline_passed or routed_again." },
     event_info { event_code::WorkStarted, "work_started", "A sidecar passed an attempt to its target." },
     event_info { event_code::WorkFinished, "work_finished", "An attempt ended at the target." },
     event_info { event_code::WorkCancelled, "work_cancelled", "An attempt was cancelled at the target." },
--- a/src/buckthornrail/gateway/admission.cpp
+++ b/src/buckthornrail/gateway/admission.cpp
@@ -137,7 +137,7 @@
     rank.meanSquare += weight * (request.tokens * request.tokens - rank.meanSquare);
     rank.requested.add(request.tokens, now);
     const double maxGuarantee = std::max(request.tokens, m_options.guaranteedShare * rank.requested.sum(now));
-    rank.guarantee = std::min(maxGuarantee, rank.guarantee + m_options.guaranteedShare * request.tokens);
+    rank.guaranteeCredit = std::min(maxGuarantee, rank.guaranteeCredit + m_options.guaranteedShare * request.tokens);
     updateResidence(found->second, now);
 }
 
@@ -149,8 +149,8 @@
     auto& rank = found->second.ranks[rankOf(request.priority)];
     rank.admitted.add(request.tokens, now);
     // A large request uses up no more than one of the usual size: the small ones after it are guaranteed their share.
-    if (rank.guarantee > 0)
-        rank.guarantee = std::max(rank.guarantee - request.tokens, -rank.meanTokens);
+    if (rank.guaranteeCredit > 0)
+        rank.guaranteeCredit = std::max(rank.guaranteeCredit - request.tokens, -rank.meanTokens);
 }
 
 void admission::attemptStarted(std::string_view service, std::uint32_t priority, double tokens, steady_time /*now*/)
@@ -269,7 +269,7 @@
 {
     // Where a gateway has one request of a priority in 2 s, none has been admitted before it, whatever the others
     // admit. The guarantee is therefore counted over more than 2 s as well.
-    return rank.guarantee > 0 && rank.admitted.sum(now) < m_options.guaranteedShare * rank.requested.sum(now);
+    return rank.guaranteeCredit > 0 && rank.admitted.sum(now) < m_options.guaranteedShare * rank.requested.sum(now);
 }
 
 double admission::reservedShare(const admission_request& request, steady_time now) const
--- a/src/buckthornrail/gateway/admission_control.cpp
+++ b/src/buckthornrail/gateway/admission_control.cpp
@@ -14,7 +14,7 @@
 
 std::string roundedPercent(double share) { return std::to_string(std::lround(share * percent)) + "%"; }
 
-/// Whether `a` goes before `b` in the queue of a service.
+/// Whether `a` goes before `b` in the order of admission_queue, without arrival times: `b` may not be queued yet.
 bool goesBefore(const queued_request& a, const queued_request& b)
 {
     return std::tuple(a.priority, !a.isReturning, a.deadline) < std::tuple(b.priority, !b.isReturning, b.deadline);
@@ -165,7 +165,7 @@
         std::string(startsInTime ? "the queue is full" : "no capacity in time") + " for priority "
             + std::to_string(ticket.priority) + ": " + roundedPercent(current.reservedShare) + " reserved, "
             + std::to_string(std::lround(current.tokensAhead)) + " tokens ahead, "
-            + std::to_string(std::lround(current.tokensPerSecond)) + " released a second" };
+            + std::to_string(std::lround(current.tokensPerSecond)) + " expected to be released per second" };
 }
 
 std::optional<steady_time> admission_control::promiseReturn(const admission_ticket& ticket, steady_time now)
--- a/src/buckthornrail/gateway/admission_control_test.cpp
+++ b/src/buckthornrail/gateway/admission_control_test.cpp
@@ -111,6 +111,7 @@
 
 } // namespace
 
+// Guards against a refusal although capacity comes free before the latest useful start.
 TEST_CASE("admission: a request waits for capacity instead of being refused", "[admission]")
 {
     admission_bench bench;
@@ -125,6 +126,7 @@
     CHECK(bench.control.queue().size() == 0);
 }
 
+// Guards against requests that wait in vain, and against refusals without a return time.
 TEST_CASE("admission: a request that can't start in time is refused as not run, with a time to return", "[admission]")
 {
     admission_bench bench;
@@ -143,6 +145,7 @@
     CHECK(*waiting.request->returnAt() <= latest + milliseconds(20000) / 3);
 }
 
+// Guards against a queue served in order of arrival regardless of priority.
 TEST_CASE("admission: freed capacity goes to the higher priority although the lower one waited first", "[admission]")
 {
     admission_bench bench;
@@ -159,6 +162,7 @@
     CHECK(lower.request->isQueued());
 }
 
+// Guards against new requests that take freed capacity before those already queued.
 TEST_CASE("admission: a new request doesn't overtake a queued one of its priority", "[admission]")
 {
     admission_bench bench;
@@ -172,6 +176,7 @@
     CHECK(waiting.port.isOpen);
 }
 
+// Guards against callers that return at their time and are refused again in favour of new ones.
 TEST_CASE("admission: a returning request goes before new ones and may wait when it is late", "[admission]")
 {
     admission_bench bench;
@@ -186,6 +191,7 @@
     CHECK(returning.request->retryAdmission(at(20)));
 }
 
+// Guards against requests that are sent to a target after their caller has disconnected.
 TEST_CASE("admission: a caller that disconnects leaves the queue at once", "[admission]")
 {
     admission_bench bench;
@@ -198,6 +204,7 @@
     CHECK(waiting.request->isOver());
 }
 
+// Guards against queued requests that start too late after the process was suspended.
 TEST_CASE("admission: a clock jump over the latest start refuses a queued request without running it", "[admission]")
 {
     admission_bench bench;
@@ -255,6 +262,7 @@
     CHECK(lower.port.isOpen);
 }
 
+// Guards against queued requests that are lost, or held until the process exits, at a shutdown.
 TEST_CASE("admission: queued requests of a gateway that shuts down are told to go to another one", "[admission]")
 {
     admission_bench bench;
@@ -267,6 +275,7 @@
     CHECK(bench.control.queue().size() == 0);
 }
 
+// Guards against refusing all queued requests while a target is briefly missing.
 TEST_CASE("admission: a moment without a path doesn't empty the queue", "[admission]")
 {
     admission_bench bench;
--- a/src/buckthornrail/gateway/admission_queue.cpp
+++ b/src/buckthornrail/gateway/admission_queue.cpp
@@ -7,9 +7,6 @@
 #include <utility>
 
 namespace buckthornrail::gateway {
-namespace {
-
-} // namespace
 
 bool admission_queue::admission_order::operator()(const queued_request* left, const queued_request* right) const
 {
--- a/src/buckthornrail/gateway/exchange_admission.cpp
+++ b/src/buckthornrail/gateway/exchange_admission.cpp
@@ -75,7 +75,7 @@
     if (!leaveQueue(how, now))
         return;
     if (how == queue_exit::ShuttingDown)
-        finish(result_code::ShuttingDown, ran_state::No, "the gateway shuts down before the request could finish", now);
+        finish(result_code::ShuttingDown, ran_state::No, "the gateway shuts down while the request is queued", now);
     else
         refuseAdmission("displaced from the full queue by a request of a higher priority", now);
 }
--- a/src/buckthornrail/gateway/priority_table_test.cpp
+++ b/src/buckthornrail/gateway/priority_table_test.cpp
@@ -64,6 +64,7 @@
     CHECK(priority_table(route_index(ranked)).isRanked("model"));
 }
 
+// Guards against an order by route that ignores the workspace's priority.
 TEST_CASE("priority table: the workspace's priority comes first, then the route's", "[priority]")
 {
     const auto first = routeWith("a", 0, { { "model", 1 } });
@@ -81,6 +82,7 @@
     CHECK_FALSE(table.priorityOf("desk", first, &usual).has_value());
 }
 
+// Guards against requests without a workspace priority that get a fixed one.
 TEST_CASE("priority table: without a workspace's priority the route's decides", "[priority]")
 {
     const auto first = routeWith("a", 0, { { "model", 1 } });
@@ -91,6 +93,7 @@
     CHECK(*table.priorityOf("model", first, nullptr) < *table.priorityOf("model", last, nullptr));
 }
 
+// Guards against a priority header above 9, which targets don't accept.
 TEST_CASE("priority table: more priorities than targets accept share the last number", "[priority]")
 {
     std::vector<route> routes;
--- a/src/buckthornrail/registry/demand_table.cpp
+++ b/src/buckthornrail/registry/demand_table.cpp
@@ -9,8 +9,8 @@
 namespace buckthornrail::registry {
 namespace {
 
-/// Age at which a report no longer counts: more than three heartbeat periods, so that the loss of one or two reports
-/// isn't taken for the end of a gateway's demand.
+/// Age at which a report no longer counts. With a heartbeat period of up to 300 ms the loss of two reports is
+/// tolerated. With the default of 1000 ms a report may expire before the next heartbeat while no requests are queued.
 constexpr milliseconds reportLifetime { 1000 };
 
 constexpr std::int64_t maxValue = std::numeric_limits<std::uint32_t>::max();
--- a/src/buckthornrail/registry/gateway_sessions_test.cpp
+++ b/src/buckthornrail/registry/gateway_sessions_test.cpp
@@ -280,7 +280,7 @@
 }
 
 // Guards against a number from a follower that just became leader and has not recorded the gateway of a session.
-TEST_CASE("gateway sessions: the interleaving in which an unrecorded gateway received a number of budget sharers",
+TEST_CASE("gateway sessions: an unrecorded gateway receives no number of budget sharers (fixed seed)",
     "[gateway_sessions][property]")
 {
     rc::detail::TestParams parameters;
