--- a/tests/support/stand_in_fleet.hpp
+++ b/tests/support/stand_in_fleet.hpp
@@ -15,13 +15,25 @@
 
 namespace test_support {
 
+/// How a target breaks a response off. In a stream, half an event precedes the end.
+enum class response_cut : std::uint8_t {
+    Reset, ///< it resets the connection
+    Close, ///< it closes the connection in order, without the rest that the framing requires
+    ProperEnd, ///< it ends a stream as its framing requires. A response that isn't a stream is closed early.
+};
+
 /// Faults that a target injects until they are replaced. Rates are probabilities from 0 to 1, drawn for each request.
 struct target_faults {
     double failureRate = 0; ///< the response has status 500
-    double truncationRate = 0; ///< the connection is reset within the response
+    double truncationRate = 0; ///< the response is broken off, see `cut`
     double wrongIdRate = 0; ///< the response carries another attempt's id
     double refusalRate = 0; ///< the request is refused with status 503, and not executed
     int slowdownFactor = 1; ///< multiplies the time between events
+    response_cut cut = response_cut::Reset;
+    /// The response states neither a length nor chunks and ends with its connection. Such a response that isn't a
+    /// stream is broken off by a reset only: an orderly close would end it.
+    double unframedRate = 0;
+    double extraBytesRate = 0; ///< bytes that are no response follow a complete one, where its framing tells
 };
 
 /// One execution of a request, as recorded by the target.
--- a/tests/support/stand_in_session.hpp
+++ b/tests/support/stand_in_session.hpp
@@ -28,6 +28,7 @@
 /// From the start of a request that crashes its target until the crash, as if its prompt were processed first.
 inline constexpr milliseconds crashDelay { 100 };
 inline constexpr milliseconds restartDelay { 600 }; ///< from a target's crash until it starts again
+inline constexpr std::string_view extraBytes = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
 inline constexpr std::string_view crashMarker = "/crash";
 
 inline steady_time now() { return buckthornrail::boot_clock::now(); }
@@ -310,6 +311,8 @@
         m_hasWrongId = m_fleet.drawFault(m_target.faults.wrongIdRate);
         const bool fails = m_fleet.drawFault(m_target.faults.failureRate);
         m_isTruncated = m_fleet.drawFault(m_target.faults.truncationRate);
+        m_isUnframed = m_fleet.drawFault(m_target.faults.unframedRate);
+        m_hasExtraBytes = !m_isUnframed && m_fleet.drawFault(m_target.faults.extraBytesRate);
         if (m_path.find(crashMarker) != std::string::npos) {
             runAfter(crashDelay, [this] { m_fleet.crash(m_target, m_requestId, m_path); });
         } else if (fails) {
@@ -323,7 +326,8 @@
             auto fields = responseFields();
             fields.push_back({ "Content-Type", "text/event-stream" });
             addPushback(fields);
-            m_connection->write(http1::formatChunkedHead({ 200, "OK", fields }, true));
+            const http1::response_head streamHead { 200, "OK", fields };
+            m_connection->write(m_isUnframed ? unframedHead(fields) : http1::formatChunkedHead(streamHead, true));
             scheduleEvent();
         }
     }
@@ -332,14 +336,62 @@
     {
         const std::string body = stand_in_fleet::plainBody(m_path);
         if (m_isTruncated) {
-            m_connection->write(http1::formatResponse({ 200, "OK", responseFields() }, body, true).substr(0, 60));
-            reset();
+            const std::string part = body.substr(0, body.size() / 2);
+            const std::string whole = http1::formatResponse({ 200, "OK", responseFields() }, body, true);
+            m_connection->write(m_isUnframed ? unframedHead(responseFields()) + part : whole.substr(0, 60));
+            if (m_isUnframed || m_target.faults.cut == response_cut::Reset)
+                reset();
+            else
+                close();
             return;
         }
         m_fleet.runs[m_runIndex].isComplete = true;
+        if (m_isUnframed) {
+            m_connection->write(unframedHead(responseFields()) + body);
+            close();
+            return;
+        }
         respond(200, body, responseFields());
     }
 
+    static std::string unframedHead(const std::vector<http1::field>& fields)
+    {
+        std::string head = "HTTP/1.1 200 OK\r\n";
+        for (const auto& field : fields)
+            head += field.name + ": " + field.value + "\r\n";
+        return head + "\r\n";
+    }
+
+    /// Ends the connection in order.
+    void close()
+    {
+        m_connection->closeAfterWrite();
+        finish();
+    }
+
+    void writeEvent(const std::string& bytes) { m_connection->write(m_isUnframed ? bytes : http1::formatChunk(bytes)); }
+
+    void endStream()
+    {
+        if (!m_isUnframed)
+            m_connection->write(http1::lastChunk);
+        if (m_hasExtraBytes)
+            m_connection->write(extraBytes);
+        close();
+    }
+
+    void cutStream(const std::string& event)
+    {
+        writeEvent(event.substr(0, event.size() / 2));
+        const auto cut = m_target.faults.cut;
+        if (cut == response_cut::Reset)
+            reset();
+        else if (cut == response_cut::Close)
+            close();
+        else
+            endStream();
+    }
+
     void scheduleEvent()
     {
         runAfter(eventInterval * m_target.faults.slowdownFactor, [this] {
@@ -358,19 +410,16 @@
             }
             if (m_nextEventId > m_eventCount) {
                 m_fleet.runs[m_runIndex].isComplete = true;
-                m_connection->write(http1::lastChunk);
-                m_connection->closeAfterWrite();
-                finish();
+                endStream();
                 return;
             }
             const std::string event = stand_in_fleet::eventBytes(m_path, m_nextEventId);
             if (m_isTruncated && m_nextEventId * 2 > m_eventCount) {
-                m_connection->write(http1::formatChunk(event.substr(0, event.size() / 2)));
-                reset();
+                cutStream(event);
                 return;
             }
             ++m_nextEventId;
-            m_connection->write(http1::formatChunk(event));
+            writeEvent(event);
             scheduleEvent();
         });
     }
@@ -393,8 +442,9 @@
     {
         addPushback(fields);
         m_connection->write(http1::formatResponse({ status, "Status", std::move(fields) }, body, true));
-        m_connection->closeAfterWrite();
-        finish();
+        if (m_hasExtraBytes)
+            m_connection->write(extraBytes);
+        close();
     }
 
     /// @brief Calls a function after a time. While the target is unresponsive then, waits for the same time again.
@@ -420,6 +470,8 @@
     bool m_hasRequest = false;
     bool m_hasWrongId = false;
     bool m_isTruncated = false;
+    bool m_isUnframed = false;
+    bool m_hasExtraBytes = false;
     std::string m_requestId;
     std::string m_path;
     std::vector<path_part> m_parts;
