A stream that ends within an event is never passed on as whole

Cause: a response without a length or chunks became whole by any orderly close of its connection; the reader of events held a part of an event then, and nobody asked it. Class: the end of a message is taken from its framing alone, or from a close alone, by each reader for itself. Change: a gateway passes on only what http1::response_reader calls whole; anything else is a failed attempt, resumed at another target where the route allows it and broken off for the caller otherwise.

--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -269,11 +269,10 @@
     const auto self = shared_from_this();
     const bool isOrderly = end == net::connection_end::Closed;
     m_response->connectionEnded(isOrderly ? http1::transport_end::Closed : http1::transport_end::Reset);
-    if (http1::isWhole(m_response->end()) || m_response->end() == http1::message_end::InsideEvent) {
+    if (m_isConnected)
         advance();
-        return;
-    }
-    failAttempt(m_isConnected ? gateway::attempt_failure::ConnectionLost : gateway::attempt_failure::ConnectFailed);
+    else
+        failAttempt(gateway::attempt_failure::ConnectFailed);
 }
 
 void gateway_call::failAttempt(gateway::attempt_failure how)
@@ -297,9 +296,7 @@
         failAttempt(gateway::attempt_failure::InvalidResponse);
         return;
     }
-    if (!m_response->hasHead())
-        return;
-    if (!m_isHeadReported) {
+    if (m_response->hasHead() && !m_isHeadReported) {
         m_isHeadReported = true;
         const auto decoded = m_context.dialect.readResponse(m_response->head(), m_caller.requestId);
         m_isStream = decoded.isEventStream && m_exchange->request().isStream() && decoded.status == 200;
@@ -312,6 +309,10 @@
     const auto end = m_response->end();
     if (!isCurrent() || end == http1::message_end::Open)
         return;
+    if (!http1::isWhole(end)) {
+        failAttempt(gateway::attempt_failure::ConnectionLost);
+        return;
+    }
     m_context.metrics.count("response_ends", std::string(nameIn(http1::messageEndNames, end)));
     if (m_isStream)
         m_exchange->onStreamEnd(end, steadyNow());
