A stream's end and its continuation are judged by what the attempt has shown

Three faults of the same class, by reading (each test failed first, 8 checks of 36; nobody has reported them): - A target asked to resume that answered with a whole 404, 500 or plain 200: a second head was written into the caller's stream, which then counted as ended. Now such an attempt has failed. - A resumed stream without a length that closed before its first event counted as ended. A target that fails there looks the same, so it counts as broken off. - A stream without any event, ended by its length or last chunk, is whole, but was tried again elsewhere and then refused.

--- a/src/app/gateway/gateway_call_response.cpp
+++ b/src/app/gateway/gateway_call_response.cpp
@@ -83,6 +83,8 @@
 {
     if (m_sink == nullptr)
         return;
+    if (std::exchange(m_isStreamHeadPending, false))
+        m_sink->write(http1::formatChunkedHead(m_streamHead, m_sink->keepsAlive()));
     m_sink->write(http1::lastChunk);
     countResponse("served");
     recordCompleted();
--- a/src/buckthornrail/gateway/exchange_response.cpp
+++ b/src/buckthornrail/gateway/exchange_response.cpp
@@ -55,6 +55,15 @@
             now);
         return;
     }
+    // The caller has the beginning of a stream: only its rest may follow.
+    if (m_streamStarted && (!response.isEventStream || response.status >= firstNonSuccessStatus)) {
+        avoid(first, false, now);
+        closeAttempt(now);
+        retry({ ran_state::Yes, false,
+                  "response of status " + std::to_string(response.status) + " doesn't continue the stream" },
+            now);
+        return;
+    }
     if (response.status < firstNonSuccessStatus)
         return;
     const attempt_end end { ran_state::Yes, false, "failed with status " + std::to_string(response.status) };
@@ -147,10 +156,13 @@
 {
     if (!m_attemptOpen || !m_response)
         return;
-    if (!m_streamStarted) {
+    // Without a length or chunks, a target that fails before its first event ends its response in the same way.
+    if (end == http1::message_end::Close && !m_hasFirstEvent) {
         onAttemptFailed(attempt_failure::ConnectionLost, end, now);
         return;
     }
+    if (!std::exchange(m_streamStarted, true))
+        m_port.beginStream();
     for (const auto& part : m_selection.parts)
         m_pool.succeeded(part.target, static_cast<double>(between(m_attemptStart, now).count()));
     closeAttempt(now);
--- a/src/buckthornrail/gateway/exchange_stream_test.cpp
+++ b/src/buckthornrail/gateway/exchange_stream_test.cpp
@@ -374,3 +374,66 @@
     CHECK(bench.port.probeAliveSince <= probeTime - gap + milliseconds(5)); // and a healthy one isn't
     CHECK(lastOfAnother > probeTime - milliseconds(80)); // a fixed window would have to be shorter
 }
+
+// Guards against an answer to a resumption that isn't a stream and is written into the caller's stream as a second
+// head.
+TEST_CASE("exchange: only the rest of a stream may follow its beginning", "[exchange]")
+{
+    const int status = GENERATE(200, 404, 500);
+    CAPTURE(status);
+    exchange_bench bench(request_kind::Stream, true, false);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    call.onEvent("one", 1, zero);
+    steady_time now = zero;
+    while (!call.isOver() && now < zero + milliseconds(2000)) {
+        if (bench.port.isOpen) {
+            call.onAttemptFailed(attempt_failure::ConnectionLost, http1::message_end::InsideEvent, now);
+        }
+        if (bench.port.isOpen) {
+            call.onSent(now);
+            call.onHead(authenticResponse(status), now);
+        }
+        if (bench.port.isOpen)
+            call.onBody(http1::message_end::Length, now);
+        now += milliseconds(50);
+        if (!call.isOver())
+            call.onTimer(now);
+    }
+    CHECK(bench.port.outcome == "aborted");
+    CHECK(bench.port.events == "one");
+}
+
+// Guards against a whole stream that is called broken because it holds no event.
+TEST_CASE("exchange: a stream without an event is whole where its framing says so", "[exchange]")
+{
+    exchange_bench bench(request_kind::Stream, true, false);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    call.onStreamEnd(http1::message_end::LastChunk, zero);
+    CHECK(bench.port.outcome == "ended");
+    CHECK(bench.port.streamStarted);
+    CHECK(bench.port.targets.size() == 1);
+}
+
+// Guards against a target that fails before its first event, closes, and seems to have ended its stream.
+TEST_CASE("exchange: a close without an event ends no stream", "[exchange]")
+{
+    const bool isResumed = GENERATE(false, true);
+    CAPTURE(isResumed);
+    exchange_bench bench(request_kind::Stream, true, false);
+    auto call = bench.make();
+    call.start(zero);
+    beginStream(call);
+    if (isResumed) {
+        call.onEvent("one", 1, zero);
+        call.onAttemptFailed(attempt_failure::ConnectionLost, http1::message_end::Reset, zero);
+        beginStream(call);
+    }
+    const auto attempts = bench.port.attempts;
+    call.onStreamEnd(http1::message_end::Close, zero);
+    CHECK(bench.port.outcome != "ended");
+    CHECK(bench.port.attempts > attempts);
+}
