--- a/include/buckthornrail/net/tcp.hpp
+++ b/include/buckthornrail/net/tcp.hpp
@@ -50,6 +50,9 @@
     [[nodiscard]] virtual std::size_t pendingBytes() const = 0;
     /// @brief Pauses or resumes reading, which applies backpressure to the peer.
     virtual void setReading(bool enabled) = 0;
+    /// @brief From now on, any end of the connection but closeAfterWrite() resets it, also the end of this process, so
+    /// that the peer doesn't take it for an end in order.
+    virtual void resetUnlessClosedInOrder() = 0;
     /// @brief Closes the connection after all written bytes are sent; `ended` is not called.
     virtual void closeAfterWrite() = 0;
     /// @brief Closes the connection immediately; `ended` is not called.
--- a/src/buckthornrail/net/tcp.cpp
+++ b/src/buckthornrail/net/tcp.cpp
@@ -114,6 +114,8 @@
             awaitRead();
     }
 
+    void resetUnlessClosedInOrder() override { setLinger(true); }
+
     void closeAfterWrite() override
     {
         if (m_hasEnded)
@@ -127,14 +129,21 @@
     {
         if (std::exchange(m_hasEnded, true))
             return;
-        std::error_code ignored;
         if (reset)
-            m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            setLinger(true);
+        std::error_code ignored;
         m_socket.close(ignored);
         release();
     }
 
 private:
+    /// @param enabled whether closing the socket discards what isn't sent, and resets the connection
+    void setLinger(bool enabled)
+    {
+        std::error_code ignored;
+        m_socket.set_option(asio::socket_base::linger(enabled, 0), ignored);
+    }
+
     void setSocketOptions()
     {
         std::error_code ignored;
@@ -171,7 +180,9 @@
             return;
         }
         if (error) {
-            end(error == asio::error::eof ? connection_end::Closed : connection_end::Reset);
+            // A failed write has taken the connection's error: it was reset, though it reads like an orderly close.
+            const bool isOrderly = error == asio::error::eof && !m_hasWriteFailed;
+            end(isOrderly ? connection_end::Closed : connection_end::Reset);
             return;
         }
         if (m_isClosing) {
@@ -221,6 +232,7 @@
     /// connection, and the peer could lose the response.
     void shutDownSend()
     {
+        setLinger(false);
         std::error_code error;
         m_socket.shutdown(tcp::socket::shutdown_send, error);
         if (error) {
@@ -231,10 +243,27 @@
         setReading(true);
     }
 
-    /// Reports a write error from the event loop, because write() must not call `ended`.
+    /// Reports a write error from the event loop, because write() must not call `ended`. What the peer sent before it
+    /// closed comes first: it may be a whole response to a request that it didn't read to its end.
     void postFailure()
     {
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->end(connection_end::Reset); });
+        m_hasWriteFailed = true;
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            self->deliverReceived();
+            self->end(connection_end::Reset);
+        });
+    }
+
+    void deliverReceived()
+    {
+        std::array<char, 4096> buffer;
+        std::error_code error;
+        while (!m_hasEnded && m_isReading && !m_isClosing && m_handlers.received) {
+            const std::size_t count = m_socket.read_some(asio::buffer(buffer), error);
+            if (error)
+                return;
+            m_handlers.received(std::string_view(buffer.data(), count));
+        }
     }
 
     void end(connection_end reason)
@@ -266,6 +295,7 @@
     bool m_isClosing = false;
     bool m_isReading = true;
     bool m_isAwaitingRead = false;
+    bool m_hasWriteFailed = false;
 };
 
 } // namespace
