Callers of HTTP/1.0 get streams that they can read, and breaks that they can see; HEAD gets no body

Callers of HTTP/1.0 got streams in chunks, which they can't read; responses to HEAD had a body, which the caller of a kept connection takes for the next response, and a target's response to HEAD never counted as whole. Change: response_terms say what the recipient accepts. For HTTP/1.0 a stream ends with its connection in order, and a break, our own death included, is a reset: the socket lingers for no time until the stream has ended. All connections of HTTP/1.0 are closed after a response.

--- a/include/buckthornrail/http1/message.hpp
+++ b/include/buckthornrail/http1/message.hpp
@@ -25,12 +25,15 @@
     UntilClose, ///< the body ends when the connection is closed
 };
 
+enum class http_version : std::uint8_t { Http10, Http11 };
+
 /// Start line and header fields of a request.
 struct request_head {
     std::string method;
     std::string target; ///< path and query as received, not decoded
     std::vector<field> fields;
     bool keepAlive = true;
+    http_version version = http_version::Http11;
     bool expectsContinue = false; ///< the client waits for "100 Continue" before it sends the body
 };
 
@@ -43,6 +46,16 @@
     body_framing framing = body_framing::None;
 };
 
+/// How a response is to be framed for its recipient.
+struct response_terms {
+    bool keepAlive = true; ///< the connection stays open after the response
+    bool acceptsChunks = true; ///< false: a stream ends with the connection, and a reset shows that it isn't whole
+    bool hasBody = true; ///< false: the request was HEAD
+};
+
+/// @return the terms for the response to a request
+response_terms termsFor(const request_head& request);
+
 /// @brief Compares two field names case-insensitively.
 bool areFieldNamesEqual(std::string_view a, std::string_view b);
 
@@ -61,9 +74,19 @@
 /// @brief Formats a complete response with Content-Length.
 std::string formatResponse(const response_head& head, std::string_view body, bool keepAlive);
 
+/// @brief Formats a complete response as its recipient needs it.
+std::string formatResponse(const response_head& head, std::string_view body, const response_terms& terms);
+
 /// @brief Formats the head of a response with chunked transfer encoding.
 std::string formatChunkedHead(const response_head& head, bool keepAlive);
 
+/// @brief Formats the head of a stream: in chunks, or ending with the connection.
+std::string formatStreamHead(const response_head& head, const response_terms& terms);
+/// @brief Formats a part of a stream. @param bytes must not be empty
+std::string formatStreamPart(std::string_view bytes, const response_terms& terms);
+/// @return what ends a stream before its connection is closed or kept
+std::string_view streamEnd(const response_terms& terms);
+
 /// @brief Formats one chunk.
 /// @param bytes must not be empty: an empty chunk ends the body
 std::string formatChunk(std::string_view bytes);
--- a/src/app/gateway/caller_connection.cpp
+++ b/src/app/gateway/caller_connection.cpp
@@ -45,7 +45,18 @@
     startIdleTimer();
 }
 
-bool caller_connection::keepsAlive() const { return m_callerKeepsAlive && !m_gateway.context().isStopping; }
+http1::response_terms caller_connection::terms() const
+{
+    auto terms = m_terms;
+    terms.keepAlive = terms.keepAlive && !m_gateway.context().isStopping;
+    return terms;
+}
+
+void caller_connection::streamBegins()
+{
+    if (!m_terms.acceptsChunks)
+        m_connection->resetUnlessClosedInOrder();
+}
 
 void caller_connection::onBytes(std::string_view bytes)
 {
@@ -91,7 +102,7 @@
 void caller_connection::startCall()
 {
     m_timeoutTimer.cancel();
-    m_callerKeepsAlive = m_parser.head().keepAlive;
+    m_terms = http1::termsFor(m_parser.head());
     m_call = std::make_shared<gateway_call>(m_gateway.context(), *this, m_parser.head(), m_parser.takeBody());
     const auto call = m_call;
     call->start(m_firstByteAt);
@@ -99,14 +110,19 @@
 
 void caller_connection::finished(bool aborted)
 {
-    const bool staysOpen = !aborted && keepsAlive();
+    const bool staysOpen = !aborted && terms().keepAlive;
+    const bool mustReset = aborted && !m_terms.acceptsChunks;
     const std::weak_ptr<caller_connection> weak = weak_from_this();
     // Deferred, as the call is still on the stack.
-    m_gateway.loop().post([weak, staysOpen] {
+    m_gateway.loop().post([weak, staysOpen, mustReset] {
         const auto self = weak.lock();
         if (!self || self->m_isClosed)
             return;
         self->m_call = nullptr;
+        if (mustReset) {
+            self->abort();
+            return;
+        }
         if (!staysOpen) {
             self->close();
             return;
--- a/src/app/gateway/caller_connection.hpp
+++ b/src/app/gateway/caller_connection.hpp
@@ -19,8 +19,9 @@
     /// @brief Closes the connection at once, when the process exits.
     void abort();
 
-    [[nodiscard]] bool keepsAlive() const override;
+    [[nodiscard]] http1::response_terms terms() const override;
     [[nodiscard]] steady_time openedAt() const override { return m_openedAt; }
+    void streamBegins() override;
     void write(std::string_view bytes) override { m_connection->write(bytes); }
     [[nodiscard]] std::size_t pendingBytes() const override { return m_connection->pendingBytes(); }
     void finished(bool aborted) override;
@@ -45,7 +46,7 @@
     steady_time m_firstByteAt {}; ///< when the current request began to arrive
     bool m_hasRequestStarted = false;
     bool m_hasSentContinue = false;
-    bool m_callerKeepsAlive = true;
+    http1::response_terms m_terms; ///< of the current request
     bool m_isClosed = false;
     net::loop_timer m_timeoutTimer; ///< header timeout while a request arrives, otherwise idle timeout
 };
--- a/src/app/gateway/gateway_call.hpp
+++ b/src/app/gateway/gateway_call.hpp
@@ -57,10 +57,12 @@
     response_sink& operator=(const response_sink&) = delete;
     virtual ~response_sink() = default;
 
-    /// @brief Whether the connection stays open after this response.
-    [[nodiscard]] virtual bool keepsAlive() const = 0;
+    /// @return how the response is to be framed
+    [[nodiscard]] virtual http1::response_terms terms() const = 0;
     /// @return when the connection was accepted
     [[nodiscard]] virtual steady_time openedAt() const = 0;
+    /// @brief The head of a stream is about to be written.
+    virtual void streamBegins() = 0;
     virtual void write(std::string_view bytes) = 0;
     /// @return bytes written that the connection hasn't sent yet
     [[nodiscard]] virtual std::size_t pendingBytes() const = 0;
@@ -149,6 +151,8 @@
     void finish(bool aborted);
     /// @brief Counts a response and its duration in the metrics. @param outcome label of the count
     void countResponse(const std::string& outcome);
+    /// @return the head of the caller's stream, to be written before its first part; empty: it has been written
+    std::string takeStreamHead();
     /// @return header fields for the caller: a target's without those of its connection and body length
     [[nodiscard]] std::vector<http1::field> responseFields(const http1::response_head& head) const;
 
@@ -175,6 +179,7 @@
     bool m_isConnected = false;
     std::shared_ptr<net::http_call> m_reportCall;
     http1::response_head m_streamHead; ///< of the caller's response
+    http1::response_terms m_streamTerms; ///< those that the head was written with
     bool m_isStreamHeadPending = false; ///< written with the first event
     bool m_isWaiting = false; ///< for the controllers
     net::loop_timer m_timer;
--- a/src/app/gateway/gateway_call_response.cpp
+++ b/src/app/gateway/gateway_call_response.cpp
@@ -42,7 +42,8 @@
 {
     auto fields = head.fields;
     http1::removeHopByHopFields(fields);
-    http1::removeFields(fields, "Content-Length");
+    if (m_head.method != "HEAD")
+        http1::removeFields(fields, "Content-Length");
     return fields;
 }
 
@@ -52,7 +53,7 @@
         return;
     http1::response_head head = m_response->head();
     head.fields = responseFields(head);
-    m_sink->write(http1::formatResponse(head, m_response->takeBody(), m_sink->keepsAlive()));
+    m_sink->write(http1::formatResponse(head, m_response->takeBody(), m_sink->terms()));
     countResponse(head.status < 300 ? "served" : "target_failure");
     if (head.status < 300)
         recordCompleted();
@@ -66,26 +67,31 @@
     m_isStreamHeadPending = true; // written together with the first event
 }
 
+std::string gateway_call::takeStreamHead()
+{
+    if (!std::exchange(m_isStreamHeadPending, false))
+        return {};
+    m_context.metrics.observeMs("first_event_ms",
+        static_cast<double>(std::chrono::duration_cast<milliseconds>(steadyNow() - m_arrivedAt).count()));
+    m_streamTerms = m_sink->terms();
+    m_sink->streamBegins();
+    return http1::formatStreamHead(m_streamHead, m_streamTerms);
+}
+
 void gateway_call::forwardEvent(std::string_view bytes)
 {
     if (m_sink == nullptr)
         return;
-    if (std::exchange(m_isStreamHeadPending, false)) {
-        m_context.metrics.observeMs("first_event_ms",
-            static_cast<double>(std::chrono::duration_cast<milliseconds>(steadyNow() - m_arrivedAt).count()));
-        m_sink->write(http1::formatChunkedHead(m_streamHead, m_sink->keepsAlive()) + http1::formatChunk(bytes));
-        return;
-    }
-    m_sink->write(http1::formatChunk(bytes));
+    const std::string head = takeStreamHead(); // sets the terms
+    m_sink->write(head + http1::formatStreamPart(bytes, m_streamTerms));
 }
 
 void gateway_call::endStream()
 {
     if (m_sink == nullptr)
         return;
-    if (std::exchange(m_isStreamHeadPending, false))
-        m_sink->write(http1::formatChunkedHead(m_streamHead, m_sink->keepsAlive()));
-    m_sink->write(http1::lastChunk);
+    const std::string head = takeStreamHead();
+    m_sink->write(head + std::string(http1::streamEnd(m_streamTerms)));
     countResponse("served");
     recordCompleted();
     finish(false);
@@ -122,7 +128,7 @@
     const bool mayReturn = !m_exchange || !m_exchange->hasNoReturnTime();
     if (ran == ran_state::No && info.retryAfterSeconds > 0 && mayReturn)
         response.head.fields.push_back(m_context.dialect.writeRetryAfter(retryDelay(code)));
-    m_sink->write(http1::formatResponse(response.head, response.body, m_sink->keepsAlive()));
+    m_sink->write(http1::formatResponse(response.head, response.body, m_sink->terms()));
     countResponse(std::string(info.name));
     countAdmissionRefusal();
     finish(false);
--- a/src/buckthornrail/http1/message.cpp
+++ b/src/buckthornrail/http1/message.cpp
@@ -32,6 +32,15 @@
     }
 }
 
+/// @return whether a response of this status has a body, and states its length
+bool mayHaveBody(int status)
+{
+    constexpr int firstFinal = 200;
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    return status >= firstFinal && status != noContent && status != notModified;
+}
+
 void appendStatusLine(std::string& out, const response_head& head)
 {
     out += "HTTP/1.1 " + std::to_string(head.status) + " ";
@@ -41,6 +50,15 @@
 
 } // namespace
 
+response_terms termsFor(const request_head& request)
+{
+    response_terms terms;
+    terms.acceptsChunks = request.version == http_version::Http11;
+    terms.keepAlive = request.keepAlive && terms.acceptsChunks;
+    terms.hasBody = request.method != "HEAD";
+    return terms;
+}
+
 bool areFieldNamesEqual(std::string_view a, std::string_view b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return toLower(x) == toLower(y); });
@@ -97,16 +115,24 @@
 }
 
 std::string formatResponse(const response_head& head, std::string_view body, bool keepAlive)
+{
+    return formatResponse(head, body, response_terms { keepAlive });
+}
+
+std::string formatResponse(const response_head& head, std::string_view body, const response_terms& terms)
 {
     std::string out;
     out.reserve(256 + body.size());
     appendStatusLine(out, head);
     appendFields(out, head.fields);
-    out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    if (!keepAlive)
+    const bool hasBody = terms.hasBody && mayHaveBody(head.status);
+    if (hasBody)
+        out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    if (!terms.keepAlive)
         out += "Connection: close\r\n";
     out += "\r\n";
-    out += body;
+    if (hasBody)
+        out += body;
     return out;
 }
 
@@ -122,6 +148,27 @@
     return out;
 }
 
+std::string formatStreamHead(const response_head& head, const response_terms& terms)
+{
+    if (terms.acceptsChunks)
+        return formatChunkedHead(head, terms.keepAlive);
+    std::string out;
+    appendStatusLine(out, head);
+    appendFields(out, head.fields);
+    out += "Connection: close\r\n\r\n";
+    return out;
+}
+
+std::string formatStreamPart(std::string_view bytes, const response_terms& terms)
+{
+    return terms.acceptsChunks ? formatChunk(bytes) : std::string(bytes);
+}
+
+std::string_view streamEnd(const response_terms& terms)
+{
+    return terms.acceptsChunks && terms.hasBody ? lastChunk : std::string_view();
+}
+
 std::string formatChunk(std::string_view bytes)
 {
     std::array<char, 20> size {};
--- a/src/buckthornrail/http1/message_parser.cpp
+++ b/src/buckthornrail/http1/message_parser.cpp
@@ -13,6 +13,8 @@
 namespace beast = boost::beast;
 using beast::error_code;
 
+constexpr int http11 = 11; ///< Beast's number of HTTP/1.1
+
 template <typename Head>
 class collecting_parser : public beast::http::basic_parser<std::is_same_v<Head, request_head>> {
     static constexpr bool isRequest = std::is_same_v<Head, request_head>;
@@ -23,12 +25,13 @@
     bool headDone = false;
 
 private:
-    void on_request_impl(
-        beast::http::verb, beast::string_view method, beast::string_view target, int, error_code& /*error*/) override
+    void on_request_impl(beast::http::verb, beast::string_view method, beast::string_view target, int version,
+        error_code& /*error*/) override
     {
         if constexpr (isRequest) {
             head.method.assign(method.data(), method.size());
             head.target.assign(target.data(), target.size());
+            head.version = version >= http11 ? http_version::Http11 : http_version::Http10;
         }
     }
     void on_response_impl(int code, beast::string_view reason, int, error_code& /*error*/) override
@@ -49,7 +52,8 @@
         head.keepAlive = this->keep_alive();
         if constexpr (isRequest) {
             const auto expect = valueOf(head.fields, "Expect");
-            head.expectsContinue = expect && areFieldNamesEqual(*expect, "100-continue");
+            head.expectsContinue
+                = expect && areFieldNamesEqual(*expect, "100-continue") && head.version == http_version::Http11;
         }
     }
     void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& /*error*/) override { }
--- a/src/buckthornrail/http1/response_reader_test.cpp
+++ b/src/buckthornrail/http1/response_reader_test.cpp
@@ -129,8 +129,9 @@
             ? ""
             : *rc::gen::element<std::string>("", "HTTP/1.1 500 extra\r\n\r\n", "x");
         const std::string all = plan.wire + extra;
-        const bool isCut = *rc::gen::arbitrary<bool>();
-        const auto cut = isCut ? *rc::gen::inRange<std::size_t>(0, all.size() + 1) : all.size();
+        const auto first
+            = *rc::gen::weightedElement<std::size_t>({ { 1, 0 }, { 3, plan.headBytes }, { 2, all.size() } });
+        const auto cut = *rc::gen::inRange<std::size_t>(first, all.size() + 1);
         const auto act = *rc::gen::weightedElement<last_act>(
             { { 3, last_act::Closed }, { 1, last_act::Reset }, { 1, last_act::Silent } });
         response_reader reader;
@@ -147,6 +148,33 @@
     });
 }
 
+TEST_CASE("response reader: a stream that is passed on is whole for its recipient exactly if it was ended", "[http1]")
+{
+    rc::prop("any recipient, events and end", [] {
+        response_terms terms;
+        terms.keepAlive = *rc::gen::arbitrary<bool>();
+        terms.acceptsChunks = *rc::gen::arbitrary<bool>();
+        terms.hasBody = *rc::gen::arbitrary<bool>();
+        const bool isEnded = *rc::gen::arbitrary<bool>();
+        const auto count = *rc::gen::inRange<std::size_t>(0, 5);
+        std::string wire = formatStreamHead({ 200, "OK", { { "Content-Type", "text/event-stream" } } }, terms);
+        std::string body;
+        for (std::size_t id = 1; terms.hasBody && id <= count; ++id) {
+            body += eventText(id, false);
+            wire += formatStreamPart(eventText(id, false), terms);
+        }
+        if (isEnded)
+            wire += streamEnd(terms);
+        response_reader reader({}, terms.hasBody ? "GET" : "HEAD");
+        std::string received = receiveInParts(reader, wire);
+        // A break reaches a recipient that accepts no chunks as a reset, and any other as an early close.
+        reader.connectionEnded(isEnded || terms.acceptsChunks ? transport_end::Closed : transport_end::Reset);
+        received += reader.takeBody();
+        RC_ASSERT(received == body);
+        RC_ASSERT(isWhole(reader.end()) == (isEnded || !terms.hasBody));
+    });
+}
+
 // Guards against an event stream that its sender broke off within an event and that counts as whole.
 TEST_CASE("response reader: an event stream that ends within an event isn't whole, however it is framed", "[http1]")
 {
--- a/src/buckthornrail/net/http_service.cpp
+++ b/src/buckthornrail/net/http_service.cpp
@@ -90,16 +90,16 @@
         m_idleTimer.cancel();
         whole_request request { m_parser.head(), m_parser.takeBody() };
         const std::weak_ptr<server_connection> weak = weak_from_this();
-        m_handler(request, [weak, keepAlive = request.head.keepAlive](const whole_response& response) {
+        m_handler(request, [weak, terms = http1::termsFor(request.head)](const whole_response& response) {
             if (const auto self = weak.lock())
-                self->respond(response, keepAlive);
+                self->respond(response, terms);
         });
     }
 
-    void respond(const whole_response& response, bool keepAlive)
+    void respond(const whole_response& response, const http1::response_terms& terms)
     {
-        m_connection->write(http1::formatResponse(response.head, response.body, keepAlive));
-        if (!keepAlive) {
+        m_connection->write(http1::formatResponse(response.head, response.body, terms));
+        if (!terms.keepAlive) {
             m_connection->closeAfterWrite();
             return;
         }
--- a/tests/incident_cut_stream_test.cpp
+++ b/tests/incident_cut_stream_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 const std::string streamPath = "/stream/n20";
+constexpr std::chrono::seconds waitTimeout { 15 };
 
 target_faults cutStreams(response_cut cut, bool isUnframed)
 {
@@ -45,17 +46,30 @@
 // Guards against a stream that ends within an event and is passed on as complete.
 TEST_CASE("cut stream: a target's stream that ends within an event never reaches its caller as whole", "[incident]")
 {
-    const auto cut = GENERATE(response_cut::Reset, response_cut::Close, response_cut::ProperEnd);
-    const bool isUnframed = GENERATE(true, false);
-    CAPTURE(static_cast<int>(cut), isUnframed);
     gateway_cluster cluster(1);
     REQUIRE(cluster.start());
-    for (const auto engine : cluster.engines())
-        cluster.fleet().setFaults(engine, cutStreams(cut, isUnframed));
-    for (int number = 0; number < 2; ++number) {
-        const auto response
-            = cluster.call(cluster.gateways().front(), "POST", streamPath, "cut-" + std::to_string(number));
-        checkNeverWronglyWhole(response, gateway_cluster::streamBody(streamPath, 20));
+    document_options options;
+    stream_route route;
+    route.name = "once";
+    route.isResumable = false;
+    options.streamRoutes.push_back(route);
+    REQUIRE(cluster.publish(2, cluster.leader(), options) == 200);
+    const std::string path = "/once/n20";
+    REQUIRE(waitUntil(
+        [&] { return cluster.call(cluster.gateways().front(), "POST", path, "first").status == 200; }, waitTimeout));
+    for (const auto cut : { response_cut::Reset, response_cut::Close, response_cut::ProperEnd }) {
+        for (const bool isUnframed : { true, false }) {
+            CAPTURE(static_cast<int>(cut), isUnframed);
+            for (const auto engine : cluster.engines())
+                cluster.fleet().setFaults(engine, cutStreams(cut, isUnframed));
+            for (int number = 0; number < 10; ++number) {
+                const std::string id
+                    = std::to_string(static_cast<int>(cut)) + (isUnframed ? "u" : "f") + std::to_string(number);
+                const auto response = cluster.call(cluster.gateways().front(), "POST", path, id);
+                CHECK_FALSE(response.isComplete);
+                checkNeverWronglyWhole(response, gateway_cluster::streamBody(path, 20));
+            }
+        }
     }
 }
 
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -41,6 +41,7 @@
         stream["priority"] = route.priority;
         stream["target-latency-ms"] = route.latencyTarget.count();
         stream["timeout-ms"] = route.timeout.count();
+        stream["resumable"] = route.isResumable;
         routes.push_back(std::move(stream));
     }
     std::mt19937 random(1);
--- a/tests/support/gateway_cluster.hpp
+++ b/tests/support/gateway_cluster.hpp
@@ -30,6 +30,7 @@
     std::uint32_t priority = 5; ///< 0 is the highest; 5 is that of the route "stream"
     std::chrono::milliseconds latencyTarget { 200 };
     std::chrono::milliseconds timeout { 8000 };
+    bool isResumable = true;
 };
 
 /// Options of a configuration document to publish.
--- a/tests/support/stand_in_session.hpp
+++ b/tests/support/stand_in_session.hpp
@@ -441,7 +441,8 @@
     void respond(int status, const std::string& body, std::vector<http1::field> fields)
     {
         addPushback(fields);
-        m_connection->write(http1::formatResponse({ status, "Status", std::move(fields) }, body, true));
+        m_connection->write(
+            http1::formatResponse({ status, "Status", std::move(fields) }, body, http1::termsFor(m_parser.head())));
         if (m_hasExtraBytes)
             m_connection->write(extraBytes);
         close();
