Entries, sidecars and their clients: a break is never framed as an end, nor a whole answer called broken

Now the chunk is withheld and the connection closed. - A plain service's event stream that ended within an event was whole for httplib; the client reads the borders of events now. - A target that had sent its finish reason and was then reset was called failed: its answer is whole. - Events that end in CR LF were not seen by sidecars at all: one reader of events for all. - A request in chunks that broke off was served with the part that had come; one without length and chunks was waited for. - HEAD and HTTP/1.0 as at gateways. CivetWeb has no reset, so there the content tells: [DONE] or an error event. The soak's faulty targets draw how they break off, whether they state lengths, and bytes after the end.

--- a/include/buckthornrail/http/http_server.hpp
+++ b/include/buckthornrail/http/http_server.hpp
@@ -44,13 +44,16 @@
     virtual ~http_exchange() = default;
     /// @brief Sends a complete response.
     virtual void respond(int status, const std::vector<header_field>& headers, const std::string& body) = 0;
-    /// @brief Starts a response with chunked transfer encoding.
+    /// @brief Starts a response with chunked transfer encoding. A client that speaks HTTP/1.0 gets the bytes without
+    /// it, and the response ends with the connection: its content has to show whether it is whole.
     virtual void beginStream(int status, const std::vector<header_field>& headers) = 0;
     /// @brief Sends one chunk; an empty one is skipped.
     /// @return false when the connection is closed
     virtual bool writeChunk(const std::string& bytes) = 0;
     /// @brief Sends the last chunk.
     virtual void endStream() = 0;
+    /// @brief Ends a stream that isn't whole: the connection is closed without the last chunk.
+    virtual void abortStream() = 0;
 };
 
 /// Handles a request on one of the server's threads; may block.
--- a/src/app/entry/entry_api.cpp
+++ b/src/app/entry/entry_api.cpp
@@ -232,7 +232,7 @@
     {
         if (m_hasStreamStarted) {
             m_exchange.writeChunk("event: error\ndata: " + http::errorBody(end.result, end.ran) + "\n\n");
-            m_exchange.endStream();
+            m_exchange.abortStream();
             return;
         }
         http::respondError(m_exchange, end.result, end.ran, m_request.id);
@@ -292,6 +292,7 @@
                 return;
             }
             if (!writer.write(std::get<dispatch::response_frame>(*event))) {
+                exchange.abortStream();
                 m_loop.post([this, id = parsed->id] { m_role.callerGone(id); });
                 return;
             }
--- a/src/app/sidecar/target_adapter.cpp
+++ b/src/app/sidecar/target_adapter.cpp
@@ -3,6 +3,7 @@
 #include "app/sidecar/target_adapter.hpp"
 
 #include "app/shared/process.hpp"
+#include "buckthornrail/http1/event_stream.hpp"
 
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -88,25 +89,41 @@
     return outcome;
 }
 
-/// Splits a stream of server-sent events.
+/// Takes the data out of a stream of server-sent events.
 class event_splitter {
 public:
     /// @param onEvent receives the data of each complete event; returns false to stop
     /// @return false if onEvent stopped
     bool add(const char* data, std::size_t size, const std::function<bool(const std::string&)>& onEvent)
     {
-        m_buffer.append(data, size);
-        for (auto end = m_buffer.find("\n\n"); end != std::string::npos; end = m_buffer.find("\n\n")) {
-            std::string event = m_buffer.substr(0, end);
-            m_buffer.erase(0, end + 2);
-            if (event.starts_with("data: ") && !onEvent(event.substr(std::string_view("data: ").size())))
+        for (const auto& event : m_reader.parse(std::string_view(data, size))) {
+            const auto text = dataOf(event.bytes);
+            if (text && !onEvent(*text))
                 return false;
         }
         return true;
     }
 
 private:
-    std::string m_buffer;
+    /// @return the first data line of an event; empty: it has none
+    static std::optional<std::string> dataOf(std::string_view event)
+    {
+        constexpr std::string_view prefix = "data: ";
+        while (!event.empty()) {
+            const auto end = event.find('\n');
+            std::string_view line = event.substr(0, end);
+            event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+            if (!line.starts_with(prefix))
+                continue;
+            line.remove_prefix(prefix.size());
+            if (line.ends_with('\r'))
+                line.remove_suffix(1);
+            return std::string(line);
+        }
+        return std::nullopt;
+    }
+
+    http1::event_stream_reader m_reader;
 };
 
 /// Orders to load a model, accepted in the same form by all kinds of targets that run one.
@@ -169,6 +186,9 @@
         const auto onBody = [&](const char* data, std::size_t size) { return splitter.add(data, size, takeEvent); };
         const auto response = http::call(request, {}, onBody, &canceller);
         work_outcome outcome = outcomeOf(response);
+        // A target that has said how its answer finished owes nothing more.
+        if (!finishReason.empty() && response.outcome == http::client_outcome::Broken)
+            outcome = {};
         outcome.finishReason = finishReason;
         if (!parseError.empty())
             return { result_code::TargetFailed, "malformed event in the stream: " + parseError, "", false };
--- a/src/buckthornrail/http/http_client.cpp
+++ b/src/buckthornrail/http/http_client.cpp
@@ -2,6 +2,8 @@
 /// @brief HTTP calls with deadline and cancellation on cpp-httplib.
 #include "buckthornrail/http/http_client.hpp"
 
+#include "buckthornrail/http1/event_stream.hpp"
+
 #include <algorithm>
 #include <atomic>
 #include <httplib.h>
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr milliseconds minTimeout { 1 };
+constexpr std::string_view eventStreamType = "text/event-stream";
 
 std::vector<header_field> copyHeaders(const httplib::Headers& headers)
 {
@@ -87,9 +90,12 @@
     if (!request.contentType.empty())
         outgoing.headers.emplace("Content-Type", request.contentType);
     bool isPastDeadline = false;
+    std::optional<http1::event_stream_reader> events; // empty: the body isn't an event stream
     outgoing.response_handler = [&](const httplib::Response& head) {
         response.status = head.status;
         response.headers = copyHeaders(head.headers);
+        if (head.get_header_value("Content-Type").starts_with(eventStreamType))
+            events.emplace();
         if (onHead)
             onHead(head.status, response.headers);
         return true;
@@ -98,6 +104,8 @@
         isPastDeadline = boot_clock::now() >= request.deadline;
         if (isPastDeadline)
             return false;
+        if (events)
+            (void)events->parse(std::string_view(data, size));
         if (onBody)
             return onBody(data, size);
         response.body.append(data, size);
@@ -105,6 +113,9 @@
     };
     const auto result = client.send(outgoing);
     response.outcome = outcomeOf(result.error());
+    // Its sender broke off an event stream that ends within an event, however the response is framed.
+    if (response.outcome == client_outcome::Ok && events && events->hasPartialEvent())
+        response.outcome = client_outcome::Broken;
     if (isPastDeadline || (response.outcome == client_outcome::Broken && boot_clock::now() >= request.deadline))
         response.outcome = client_outcome::TimedOut;
     if (canceller != nullptr) {
--- a/src/buckthornrail/http/http_server.cpp
+++ b/src/buckthornrail/http/http_server.cpp
@@ -28,26 +28,44 @@
 public:
     explicit civet_exchange(mg_connection* connection)
         : m_connection(connection)
+        , m_acceptsChunks(std::strcmp(mg_get_request_info(connection)->http_version, "1.0") != 0)
+        , m_isHead(std::strcmp(mg_get_request_info(connection)->request_method, "HEAD") == 0)
     {
     }
 
     void respond(int status, const std::vector<header_field>& headers, const std::string& body) override
     {
         writeHead(status, headers, "Content-Length: " + std::to_string(body.size()));
-        mg_write(m_connection, body.data(), body.size());
+        if (!m_isHead)
+            mg_write(m_connection, body.data(), body.size());
     }
 
     void beginStream(int status, const std::vector<header_field>& headers) override
     {
-        writeHead(status, headers, "Transfer-Encoding: chunked");
+        if (m_acceptsChunks) {
+            writeHead(status, headers, "Transfer-Encoding: chunked");
+            return;
+        }
+        mg_disable_connection_keep_alive(m_connection);
+        writeHead(status, headers, "Connection: close");
     }
 
     bool writeChunk(const std::string& bytes) override
     {
-        return bytes.empty() || mg_send_chunk(m_connection, bytes.data(), static_cast<unsigned>(bytes.size())) > 0;
+        if (bytes.empty())
+            return true;
+        if (!m_acceptsChunks)
+            return mg_write(m_connection, bytes.data(), bytes.size()) > 0;
+        return mg_send_chunk(m_connection, bytes.data(), static_cast<unsigned>(bytes.size())) > 0;
     }
 
-    void endStream() override { mg_send_chunk(m_connection, "", 0); }
+    void endStream() override
+    {
+        if (m_acceptsChunks)
+            mg_send_chunk(m_connection, "", 0);
+    }
+
+    void abortStream() override { mg_disable_connection_keep_alive(m_connection); }
 
     [[nodiscard]] int status() const { return m_status; }
 
@@ -63,6 +81,8 @@
     }
 
     mg_connection* m_connection;
+    bool m_acceptsChunks;
+    bool m_isHead;
     int m_status = 200;
 };
 
@@ -71,6 +91,11 @@
 tl::expected<std::string, result_code> readBody(mg_connection* connection, const server_options& options)
 {
     const auto* info = mg_get_request_info(connection);
+    if (info->content_length < 0 && mg_get_header(connection, "Transfer-Encoding") == nullptr) {
+        // Neither a length nor chunks: there is no body. CivetWeb would wait for one.
+        mg_disable_connection_keep_alive(connection);
+        return std::string();
+    }
     if (info->content_length > 0 && static_cast<std::size_t>(info->content_length) > options.maxBodyBytes)
         return tl::make_unexpected(result_code::BodyTooLarge);
     const steady_time deadline = boot_clock::now() + milliseconds(options.bodyTimeoutMs);
@@ -82,7 +107,9 @@
             body.append(chunk.data(), static_cast<std::size_t>(count));
         if (body.size() > options.maxBodyBytes)
             return tl::make_unexpected(result_code::BodyTooLarge);
-        if (count <= 0)
+        if (count < 0)
+            return tl::make_unexpected(result_code::MalformedRequest); // the body isn't whole
+        if (count == 0)
             break;
         if (boot_clock::now() >= deadline)
             return tl::make_unexpected(result_code::SlowSender);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,6 +4,7 @@
 /// soak --seed N [--seconds S] [--gateways G] [--engines E] [--pushback] [--ranked]. Exits with 0 if no invariant
 /// was violated, with 1 after a violation (it is printed, and the logs are kept), with 2 after an error.
 #include "soak/ranked_callers.hpp"
+#include "soak/response_faults.hpp"
 #include "soak/soak_options.hpp"
 #include "support/rate_limit_bounds.hpp"
 
@@ -45,6 +46,7 @@
         : m_options(options)
         , m_random(options.seed)
         , m_pushbackRandom(options.seed + 1)
+        , m_responseRandom(options.seed + 2)
         , m_cluster(options.gateways, options.enginesPerDomain)
     {
     }
@@ -263,7 +265,7 @@
         const std::size_t target = randomTarget();
         if (!reserve("target" + std::to_string(target)))
             return;
-        m_cluster.fleet().setFaults(target, { 0.1, 0.1, 0.1, 0.1, 3 });
+        m_cluster.fleet().setFaults(target, drawResponseFaults(m_responseRandom));
         beginFault("faulty responses from target " + std::to_string(target), randomDuration(), [this, target] {
             m_cluster.fleet().setFaults(target, {});
             m_reserved.erase("target" + std::to_string(target));
@@ -455,6 +457,7 @@
     soak_options m_options;
     std::mt19937_64 m_random;
     std::mt19937_64 m_pushbackRandom;
+    std::mt19937_64 m_responseRandom; ///< of its own, so that the other faults of a seed stay as they are
     gateway_cluster m_cluster;
     violation_log m_violations;
     std::optional<ranked_callers> m_rankedCallers; ///< empty: no route is ranked
