--- a/tests/caller_framing_test.cpp
+++ b/tests/caller_framing_test.cpp
@@ -14,13 +14,15 @@
 constexpr seconds waitTimeout { 15 };
 const std::string lastChunkBytes = "\r\n0\r\n\r\n";
 
-std::string requestBytes(const std::string& method, const std::string& path, const std::string& version)
+/// @param rest further header fields, the blank line and the body
+std::string requestBytes(
+    const std::string& method, const std::string& path, const std::string& version, const std::string& rest = "\r\n")
 {
     static int number = 0;
     std::string bytes = method + " " + path + " HTTP/" + version + "\r\n";
     for (const auto& [name, value] : gateway_cluster::callerFields("raw-" + std::to_string(++number), seconds(8)))
         bytes += name + ": " + value + "\r\n";
-    return bytes + "\r\n";
+    return bytes + rest;
 }
 
 std::string bodyOf(const std::string& response) { return response.substr(response.find("\r\n\r\n") + 4); }
@@ -132,3 +134,28 @@
         CHECK(bodyOf(next) == stand_in_fleet::plainBody("/safe/b"));
     }
 }
+
+// Guards against a request that its caller broke off and that runs with the part that had arrived.
+TEST_CASE("caller framing: a request that isn't whole never runs", "[caller_framing]")
+{
+    gateway_cluster cluster(1);
+    start(cluster);
+    const auto address = cluster.addressOf(cluster.gateways().front());
+    const std::size_t runsBefore = cluster.fleet().runs().size();
+    for (const std::string rest :
+        { "Content-Length: 9\r\n\r\nabc", "Content-Length: 9\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+            "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "X-Cut: " }) {
+        for (const auto end : { raw_end::Closed, raw_end::Reset }) {
+            CAPTURE(rest, static_cast<int>(end));
+            auto caller = raw_connection::to(address);
+            caller.send(requestBytes("POST", "/unsafe/cut", "1.1", rest));
+            caller.finish(end);
+        }
+    }
+    // The same with its rest runs once, over a connection that stays silent afterwards.
+    auto caller = raw_connection::to(address);
+    caller.send(requestBytes("POST", "/unsafe/whole", "1.1", "Content-Length: 3\r\n\r\nabc"));
+    CHECK(caller.receiveUntil(stand_in_fleet::plainBody("/unsafe/whole")).starts_with("HTTP/1.1 200"));
+    CHECK(cluster.fleet().runs().size() == runsBefore + 1);
+}
