--- a/src/app/gateway/gateway_call_response.cpp
+++ b/src/app/gateway/gateway_call_response.cpp
@@ -64,6 +64,7 @@
 {
     m_streamHead = m_response->head();
     m_streamHead.fields = responseFields(m_streamHead);
+    http1::removeFields(m_streamHead.fields, "Content-Length"); // of a response to HEAD
     m_isStreamHeadPending = true; // written together with the first event
 }
 
--- a/src/buckthornrail/net/tcp.cpp
+++ b/src/buckthornrail/net/tcp.cpp
@@ -256,7 +256,7 @@
 
     void deliverReceived()
     {
-        std::array<char, 4096> buffer;
+        std::array<char, readBufferBytes> buffer;
         std::error_code error;
         while (!m_hasEnded && m_isReading && !m_isClosing && m_handlers.received) {
             const std::size_t count = m_socket.read_some(asio::buffer(buffer), error);
--- a/tests/caller_framing_test.cpp
+++ b/tests/caller_framing_test.cpp
@@ -123,7 +123,7 @@
     gateway_cluster cluster(1);
     start(cluster);
     auto caller = raw_connection::to(cluster.addressOf(cluster.gateways().front()));
-    for (const std::string path : { "/safe/a", "/nowhere/a" }) {
+    for (const std::string path : { "/safe/a", "/nowhere/a", "/stream/n3" }) {
         CAPTURE(path);
         caller.send(requestBytes("HEAD", path, "1.1"));
         const auto head = caller.receiveUntil("\r\n\r\n");
