--- a/include/buckthornrail/gateway/dialect.hpp
+++ b/include/buckthornrail/gateway/dialect.hpp
@@ -17,6 +17,7 @@
     std::optional<milliseconds> timeout; ///< how long the caller waits for the final response
     std::optional<std::uint64_t> lastEventId; ///< last event that the caller has received of a stream
     request_size size;
+    std::vector<std::string> sharedParts; ///< ids of the parts of its prompt that other requests may have too, in order
 };
 
 /// What a gateway adds to a request that it forwards.
--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -29,6 +29,7 @@
     steady_time deadline {}; ///< of the final response: the caller's or the route's, whichever is sooner
     std::optional<std::uint64_t> lastEventId; ///< last event of the stream that the caller has received
     request_size size;
+    std::vector<std::string> sharedParts; ///< ids of the parts of its prompt that other requests may have too
     std::uint64_t call = 0; ///< number at this gateway, see admission_ticket::call
     std::size_t bytes = 0; ///< of the body
     std::optional<std::uint32_t> priority; ///< see priority_table; empty: the service isn't ranked
--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -97,6 +97,7 @@
     request.deadline = m_arrivedAt + std::min(route->timeout, m_caller.timeout.value_or(route->timeout));
     request.lastEventId = m_caller.lastEventId;
     request.size = m_caller.size;
+    request.sharedParts = m_caller.sharedParts;
     request.isCounted = std::exchange(m_isCounted, true);
     addAdmission(request, workspace.get());
     auto& budget = m_context.budgets.forService(request.service);
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -5,6 +5,17 @@
 #include <utility>
 
 namespace buckthornrail::gateway {
+namespace {
+
+std::string joined(const std::vector<std::string>& ids)
+{
+    std::string text;
+    for (const auto& id : ids)
+        text += (text.empty() ? "" : ",") + id;
+    return text;
+}
+
+} // namespace
 
 exchange::exchange(exchange_request request, exchange_port& port, target_pool& pool, shared_retry_budget& budget,
     const exchange_options& options)
@@ -199,7 +210,7 @@
         { { "request", m_request.id }, { "attempt", std::to_string(m_attempts) }, { "reason", last.reason },
             { "ran", std::string(nameOf(last.ran)) }, { "events", std::to_string(m_events) },
             { "first_event", m_hasFirstEvent ? "seen" : "none" }, { "open_ms", inMs(between(m_attemptStart, now)) },
-            { "fingerprint", text(m_port.fingerprint()) } });
+            { "fingerprint", text(m_port.fingerprint()) }, { "parts", joined(m_request.sharedParts) } });
 }
 
 std::string exchange::whyNotRetryable(const attempt_end& last, steady_time now)
