--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -62,6 +62,16 @@
     return document.dump();
 }
 
+/// Value of the header field that states the parts of a prompt: "ID:TOKENS,ID:TOKENS".
+std::string promptPrefix(const std::vector<std::string>& parts)
+{
+    constexpr const char* tokensOfPart = ":40";
+    std::string value;
+    for (const auto& part : parts)
+        value += (value.empty() ? "" : ",") + part + tokensOfPart;
+    return value;
+}
+
 http::client_response sendRequest(const std::string& address, const std::string& method, const std::string& path,
     const std::string& body, std::vector<http::header_field> headers, milliseconds timeout)
 {
@@ -261,11 +271,19 @@
 
 caller_response gateway_cluster::call(const std::string& gateway, const std::string& method, const std::string& path,
     const std::string& requestId, std::chrono::milliseconds timeout, const std::string& key)
+{
+    return call(gateway, { method, path, requestId, timeout, key, {}, {} });
+}
+
+caller_response gateway_cluster::call(const std::string& gateway, const caller_request& request)
 {
     std::vector<http::header_field> headers;
-    for (auto& [name, value] : callerFields(requestId, timeout, key, m_promptTokens))
+    for (auto& [name, value] : callerFields(request.id, request.timeout, request.key, m_promptTokens))
         headers.push_back({ name, value });
-    const auto response = sendRequest(m_addresses.at(gateway), method, path, "", std::move(headers), timeout);
+    if (!request.promptParts.empty())
+        headers.push_back({ "X-Buckthornrail-Prompt-Prefix", promptPrefix(request.promptParts) });
+    const auto response = sendRequest(
+        m_addresses.at(gateway), request.method, request.path, request.body, std::move(headers), request.timeout);
     caller_response result;
     result.status = response.status;
     result.isComplete = response.outcome == http::client_outcome::Ok;
--- a/tests/support/gateway_cluster.hpp
+++ b/tests/support/gateway_cluster.hpp
@@ -24,6 +24,17 @@
     std::string retryAfter; ///< Retry-After; empty: none
 };
 
+/// A caller's request to a gateway.
+struct caller_request {
+    std::string method = "POST";
+    std::string path;
+    std::string id; ///< sent as the attempt's id, unique
+    std::chrono::milliseconds timeout = defaultCallTimeout; ///< also sent as the request's deadline
+    std::string key = "key-1"; ///< API key of the tenant
+    std::vector<std::string> promptParts; ///< ids of the parts of its prompt, in order; empty: not stated
+    std::string body;
+};
+
 /// A streaming route to the layered service, its path prefix is its name.
 struct stream_route {
     std::string name;
@@ -92,6 +103,8 @@
     caller_response call(const std::string& gateway, const std::string& method, const std::string& path,
         const std::string& requestId, std::chrono::milliseconds timeout = defaultCallTimeout,
         const std::string& key = "key-1");
+    /// @brief Sends one request to a gateway over a new connection.
+    caller_response call(const std::string& gateway, const caller_request& request);
     /// @return names and values of the header fields that a caller sends
     static std::vector<std::pair<std::string, std::string>> callerFields(const std::string& requestId,
         std::chrono::milliseconds timeout, const std::string& key = "key-1", std::size_t promptTokens = 10);
--- a/tests/support/stand_in_fleet.cpp
+++ b/tests/support/stand_in_fleet.cpp
@@ -41,11 +41,13 @@
         session->reset();
 }
 
-void stand_in_fleet::implementation::crash(target& standIn, const std::string& requestId, const std::string& path)
+void stand_in_fleet::implementation::crash(target& standIn, fleet_crash cause)
 {
-    if (std::exchange(standIn.crashedIncarnation, standIn.incarnation) == standIn.incarnation)
-        return; // two attempts of the request at one target crash it once
-    crashes.push_back({ requestId, path, standIn.id });
+    if (!standIn.isUp || std::exchange(standIn.crashedIncarnation, standIn.incarnation) == standIn.incarnation)
+        return; // two attempts at one target crash it once
+    cause.target = standIn.id;
+    cause.crashedAt = std::chrono::steady_clock::now();
+    crashes.push_back(std::move(cause));
     // Posted, because terminating the target also ends the session that called this.
     loop.post([this, &standIn, incarnation = standIn.incarnation] {
         if (isShuttingDown || standIn.incarnation != incarnation)
@@ -239,6 +241,11 @@
     });
 }
 
+std::vector<fleet_arrival> stand_in_fleet::allArrivals() const
+{
+    return m_implementation->runOnLoop([this] { return m_implementation->arrivals; });
+}
+
 std::vector<fleet_arrival> stand_in_fleet::arrivalsAt(std::size_t target) const
 {
     return m_implementation->runOnLoop([&] {
@@ -256,6 +263,11 @@
     return m_implementation->runOnLoop([this] { return m_implementation->runs; });
 }
 
+void stand_in_fleet::setCrashingParts(std::vector<crashing_part> parts)
+{
+    m_implementation->runOnLoop([&] { m_implementation->crashingParts = std::move(parts); });
+}
+
 std::vector<fleet_crash> stand_in_fleet::crashes() const
 {
     return m_implementation->runOnLoop([this] { return m_implementation->crashes; });
--- a/tests/support/stand_in_fleet.hpp
+++ b/tests/support/stand_in_fleet.hpp
@@ -51,13 +51,23 @@
     std::string requestId;
     std::string target;
     std::chrono::steady_clock::time_point arrivedAt;
+    std::vector<std::string> promptParts; ///< ids of the parts of its prompt, in order
 };
 
-/// A target's crash, caused by a request whose path contains "/crash".
+/// A target's crash, caused by a request whose path contains "/crash", or by a part of its prompt.
 struct fleet_crash {
     std::string requestId;
     std::string path;
     std::string target;
+    std::string promptPart; ///< that caused the crash; empty: the request as a whole did
+    std::chrono::steady_clock::time_point crashedAt;
+};
+
+/// A part of prompts that crashes each target that begins to respond to a request with it.
+struct crashing_part {
+    std::string id;
+    /// Whether the last member of the request's path crashes, rather than the first.
+    bool crashesLastMember = false;
 };
 
 /// @brief Runs all targets on one thread. Member functions may be called from any other thread.
@@ -97,12 +107,16 @@
     void setLimit(std::size_t target, std::optional<double> perSecond);
 
     [[nodiscard]] std::vector<fleet_run> runs() const;
+    /// @brief Sets the parts of prompts that crash the targets that begin to respond to a request with them.
+    void setCrashingParts(std::vector<crashing_part> parts);
     /// @brief Crashes so far, in order. A request whose path contains "/crash" crashes its target 100 ms after it has
     /// started there. The target restarts 600 ms later, with no layers loaded.
     [[nodiscard]] std::vector<fleet_crash> crashes() const;
     /// @return the attempt id of each request that arrived at a target, including refused requests except those meant
     /// for another instance
     [[nodiscard]] std::vector<std::string> arrivals() const;
+    /// @brief The same arrivals, with targets and times.
+    [[nodiscard]] std::vector<fleet_arrival> allArrivals() const;
     /// @brief The same arrivals for a target under its current id.
     [[nodiscard]] std::vector<fleet_arrival> arrivalsAt(std::size_t target) const;
     /// @return when report requests and orders arrived at a target
--- a/tests/support/stand_in_session.hpp
+++ b/tests/support/stand_in_session.hpp
@@ -66,6 +66,19 @@
     return parts;
 }
 
+/// @brief Parses "id:tokens,id:tokens". @return the ids
+inline std::vector<std::string> parsePromptParts(std::string_view text)
+{
+    std::vector<std::string> ids;
+    while (!text.empty()) {
+        const auto comma = text.find(',');
+        const auto part = text.substr(0, comma);
+        ids.emplace_back(part.substr(0, part.find(':')));
+        text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+    }
+    return ids;
+}
+
 struct stand_in_fleet::implementation {
     struct target {
         std::size_t index = 0;
@@ -124,7 +137,16 @@
     void start(target& standIn);
     void terminate(target& standIn);
     /// @brief Crashes a target while it executes a request, and restarts it after restartDelay.
-    void crash(target& standIn, const std::string& requestId, const std::string& path);
+    void crash(target& standIn, fleet_crash cause);
+    /// @return the crashing part that a request has; null: none
+    [[nodiscard]] const crashing_part* crashingPartOf(const std::vector<std::string>& promptParts) const
+    {
+        for (const auto& part : crashingParts) {
+            if (std::find(promptParts.begin(), promptParts.end(), part.id) != promptParts.end())
+                return &part;
+        }
+        return nullptr;
+    }
     void scheduleHeartbeat(std::size_t index, std::size_t incarnation);
     void sendHeartbeat(target& standIn);
     static json announcement(const target& standIn);
@@ -145,6 +167,7 @@
     std::vector<fleet_run> runs;
     std::vector<fleet_arrival> arrivals;
     std::vector<fleet_crash> crashes;
+    std::vector<crashing_part> crashingParts;
     std::mt19937_64 random { 7 };
     std::size_t lastIncarnation = 0;
     bool keepsIds = false;
@@ -220,7 +243,8 @@
             applyOrder(m_parser.takeBody());
             return;
         }
-        m_fleet.arrivals.push_back({ m_requestId, m_target.id, std::chrono::steady_clock::now() });
+        m_promptParts = parsePromptParts(http1::valueOf(head.fields, "X-Buckthornrail-Prompt-Prefix").value_or(""));
+        m_fleet.arrivals.push_back({ m_requestId, m_target.id, std::chrono::steady_clock::now(), m_promptParts });
         if (m_target.retryAfter) {
             refuseWithRetryAfter();
             return;
@@ -314,7 +338,9 @@
         m_isUnframed = m_fleet.drawFault(m_target.faults.unframedRate);
         m_hasExtraBytes = !m_isUnframed && m_fleet.drawFault(m_target.faults.extraBytesRate);
         if (m_path.find(crashMarker) != std::string::npos) {
-            runAfter(crashDelay, [this] { m_fleet.crash(m_target, m_requestId, m_path); });
+            runAfter(crashDelay, [this] { m_fleet.crash(m_target, { m_requestId, m_path, {}, {}, {} }); });
+        } else if (const auto* part = m_fleet.crashingPartOf(m_promptParts)) {
+            runAfter(crashDelay, [this, part = *part] { crashByPart(part); });
         } else if (fails) {
             runAfter(plainResponseTime, [this] { respond(500, "failed", responseFields()); });
         } else if (!isStream) {
@@ -332,6 +358,17 @@
         }
     }
 
+    void crashByPart(const crashing_part& part)
+    {
+        auto* member
+            = part.crashesLastMember && !m_parts.empty() ? m_fleet.findByAddress(m_parts.back().address) : nullptr;
+        m_fleet.crash(member == nullptr ? m_target : *member, { m_requestId, m_path, {}, part.id, {} });
+        if (member == nullptr || member == &m_target)
+            return;
+        m_target.stalled[m_requestId] = member->address;
+        runAfter(stallTimeout, [this] { reset(); });
+    }
+
     void respondPlain()
     {
         const std::string body = stand_in_fleet::plainBody(m_path);
@@ -475,6 +512,7 @@
     bool m_hasExtraBytes = false;
     std::string m_requestId;
     std::string m_path;
+    std::vector<std::string> m_promptParts;
     std::vector<path_part> m_parts;
     std::size_t m_runIndex = 0;
     std::uint64_t m_eventCount = 0;
