Parts of prompts are blamed for the targets that end under them, by evidence

Callers saw: for 30 s nearly no stream was served, twice; targets that hold the first layers ended as soon as they were back, 38 and 47 times. Cause: a crash was counted for a digest of the whole request. Requests that share nothing but one part of their prompts are new each time, so each was let in at once, and three ends later the next one; sound requests that had begun beside them three times were refused in their place. Evidence: the failing test's logs name one part in 517 lost attempts of 111 requests. Class: what is to blame was looked for at the level of the request only.

Change: the same list, reports, trials and terms now hold parts too. How much a part's presence at a crash says follows from its share of sound requests; of several parts on trial the likelier one is proven, or all are contested; a proven part explains its crashes, so that innocents come free at once. A call that has outlived its start once is no suspect any more. A trial may end at any member of its path.

Why it works: a part that ends each target never has an answer, and is at each of its crashes; a sound one is there by chance only, and is cleared by the first answer that begins later.

--- a/include/buckthornrail/core/request_fingerprint.hpp
+++ b/include/buckthornrail/core/request_fingerprint.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace buckthornrail {
 
@@ -18,6 +19,21 @@
     auto operator<=>(const request_fingerprint&) const = default;
 };
 
+/// What can be blamed when a target crashes while it executes a request.
+struct request_fingerprints {
+    request_fingerprint whole; ///< of the whole request
+    std::vector<request_fingerprint> parts; ///< of the parts of its prompt that other requests may have too
+
+    request_fingerprints() = default;
+    /// Implicit, as most requests have no shared parts.
+    request_fingerprints( // NOLINT(google-explicit-constructor)
+        const request_fingerprint& request, std::vector<request_fingerprint> sharedParts = {})
+        : whole(request)
+        , parts(std::move(sharedParts))
+    {
+    }
+};
+
 /// @brief Formats a fingerprint as hexadecimal digits.
 std::string text(const request_fingerprint& fingerprint);
 
--- a/include/buckthornrail/gateway/crash_watch.hpp
+++ b/include/buckthornrail/gateway/crash_watch.hpp
@@ -2,11 +2,13 @@
 /// @brief Tracks which requests had just started on a target when it crashed. Does no I/O.
 #pragma once
 
+#include "buckthornrail/gateway/sound_parts.hpp"
 #include "buckthornrail/gateway/target_pool.hpp"
 #include "buckthornrail/registry/quarantine.hpp"
 
 #include <deque>
 #include <functional>
+#include <set>
 
 namespace buckthornrail::gateway {
 
@@ -25,6 +27,7 @@
     milliseconds lostTtl { 3000 };
     std::size_t maxLost = 1024;
     std::size_t maxSuspects = 256; ///< suspects of one crash; those that started last take precedence
+    sound_parts_options parts;
 };
 
 /// @brief Tracks attempts from their start until they can no longer be the cause of a crash.
@@ -35,12 +38,22 @@
 
     explicit crash_watch(const crash_watch_options& options = {})
         : m_options(options)
+        , m_soundParts(options.parts)
     {
     }
 
     /// @param parts of its path; the request may crash the target of any part
-    void onAttemptOpened(call_number call, const std::vector<selected_part>& parts, steady_time now);
+    /// @param promptParts fingerprints of the parts of its prompt that other requests may have too
+    void onAttemptOpened(call_number call, const std::vector<selected_part>& parts, steady_time now,
+        std::vector<request_fingerprint> promptParts = {});
     void onFirstEvent(call_number call, steady_time now);
+    /// @brief Checks whether an open attempt has outlived the time in which its request could crash its target. From
+    /// then on the request is no suspect, also not in later attempts, and counts as a sound one with its parts.
+    /// @param isComplete whether the response is complete, which shows the same
+    /// @return when the response began, the first time that the attempt is found to have outlived that time
+    std::optional<steady_time> takeSurvival(call_number call, bool isComplete, steady_time now);
+    /// @brief The call is over.
+    void forgetCall(call_number call);
     /// @brief The connection to the attempt's first target ended before the response was complete.
     /// @return whether the request is a suspect if that target turns out to have crashed
     bool onConnectionLost(call_number call, const request_fingerprint& fingerprint, steady_time now);
@@ -56,6 +69,8 @@
     /// @return for each of them, the requests that had just started there
     std::vector<registry::crash_report> onTargetsEnded(const std::string& address,
         const registry::target_incarnation& replacement, const fingerprint_source& fingerprintOf, steady_time now);
+    /// @brief Sets the number of gateways, each of which reports the requests that had begun through it.
+    void setGatewayCount(std::size_t count) { m_gatewayCount = count; }
     /// @brief The target at an address accepts connections: calls that lost a connection to it need not wait any
     /// longer.
     void onTargetAlive(const std::string& address);
@@ -63,7 +78,9 @@
 private:
     struct attempt {
         std::vector<selected_part> parts;
+        std::vector<request_fingerprint> promptParts;
         steady_time openedAt {};
+        steady_time firstEventAt {};
         steady_time suspectUntil {}; ///< set at the first event; unlimited before it
         bool hasEvent = false;
     };
@@ -71,6 +88,7 @@
         call_number call = 0;
         request_fingerprint fingerprint;
         std::vector<selected_part> parts;
+        std::vector<request_fingerprint> promptParts;
         steady_time probeDeadline {};
         steady_time expiresAt {};
     };
@@ -78,9 +96,21 @@
     /// @return targets of a path at an address, except for the replacement
     [[nodiscard]] static std::vector<registry::target_incarnation> endedTargets(const std::vector<selected_part>& parts,
         const std::string& address, const registry::target_incarnation& replacement);
+    /// Parts of the prompts of open attempts at targets that haven't crashed.
+    struct open_parts {
+        std::size_t attempts = 0;
+        std::map<request_fingerprint, std::size_t> attemptsWith;
+    };
+    [[nodiscard]] open_parts partsOpenElsewhere(const std::string& crashedAddress) const;
+    /// @param requests that had begun at the crashed target, over all gateways
+    [[nodiscard]] std::vector<registry::suspect_part> suspectPartsOf(
+        const std::vector<request_fingerprint>& promptParts, const open_parts& elsewhere, double requests) const;
     void dropExpired(steady_time now);
 
     crash_watch_options m_options;
+    sound_parts m_soundParts;
+    std::size_t m_gatewayCount = 1;
+    std::set<call_number> m_soundCalls; ///< calls in progress whose requests crash no target
     std::map<call_number, attempt> m_open;
     std::deque<lost_attempt> m_lost;
 };
--- a/include/buckthornrail/gateway/fingerprint_request.hpp
+++ b/include/buckthornrail/gateway/fingerprint_request.hpp
@@ -18,4 +18,8 @@
 /// @return the same value for the same request at every gateway. Takes 20 us for a body of 4 KB, linear in its size.
 request_fingerprint fingerprintOf(const request_identity& request);
 
+/// @brief Fingerprint of a part of prompts. Blame of a part holds for one service: another model may run it well.
+/// @param part id of the part
+request_fingerprint fingerprintOfPart(std::string_view service, std::string_view part);
+
 } // namespace buckthornrail::gateway
--- a/include/buckthornrail/gateway/quarantine_gate.hpp
+++ b/include/buckthornrail/gateway/quarantine_gate.hpp
@@ -50,7 +50,7 @@
     }
 
     /// @brief Applies changes sent by the controllers.
-    void applyDelta(const registry::quarantine_delta& delta) { m_view.apply(delta); }
+    void applyDelta(const registry::quarantine_delta& delta, steady_time now = {}) { m_view.apply(delta, now); }
     /// @brief A batch has been committed to the log. Its claims that the receipt doesn't refuse are granted.
     void onReceipt(const registry::quarantine_receipt& receipt, steady_time now);
     [[nodiscard]] std::uint64_t revision() const { return m_view.revision(); }
@@ -58,15 +58,26 @@
     /// @return whether no request is quarantined or reported, so that none needs a check
     [[nodiscard]] bool isEmpty() const { return m_view.isEmpty() && m_reported.empty(); }
     [[nodiscard]] registry::quarantine_stage stageOf(const request_fingerprint& fingerprint) const;
+    /// @return stage of a request, which is the highest one of its fingerprints that restricts it
+    [[nodiscard]] registry::quarantine_stage stageOf(const request_fingerprints& request) const;
+    /// @return the fingerprints that restrict a request
+    [[nodiscard]] std::vector<request_fingerprint> blamedIn(const request_fingerprints& request) const;
     [[nodiscard]] std::size_t size() const { return m_view.size(); }
 
     /// @brief Decides on the next attempt of a call, and claims a trial if it needs one. For Wait, call it again after
     /// a receipt or a delta.
-    dispatch_verdict requestDispatch(call_number call, const request_fingerprint& fingerprint,
-        const registry::target_incarnation& target, steady_time now);
+    /// @param path targets of the attempt, the first one first
+    dispatch_verdict requestDispatch(call_number call, const request_fingerprints& request,
+        const std::vector<registry::target_incarnation>& path, steady_time now);
+    /// @copydoc requestDispatch
+    dispatch_verdict requestDispatch(call_number call, const request_fingerprints& request,
+        const registry::target_incarnation& target, steady_time now)
+    {
+        return requestDispatch(call, request, std::vector { target }, now);
+    }
     /// @return whether an attempt without a response must be cancelled, as the request may only run elsewhere or
     /// nowhere
-    [[nodiscard]] bool mustCancel(call_number call, const request_fingerprint& fingerprint) const;
+    [[nodiscard]] bool mustCancel(call_number call, const request_fingerprints& request) const;
     /// @brief A call's attempt is over, or can no longer be the cause of a crash.
     void endTrial(call_number call);
     /// @return calls whose attempts on trial have started
@@ -77,6 +88,10 @@
     /// @brief The request received a complete response, so it doesn't crash targets.
     /// @return whether it was quarantined or reported
     bool reportCompleted(const request_fingerprint& fingerprint);
+    /// @brief An attempt has run for so long that it can no longer crash its target by its start, or is complete: its
+    /// parts don't crash targets. @param begunAt when its response began
+    /// @return the parts that were quarantined
+    std::vector<request_fingerprint> reportSurvived(const std::vector<request_fingerprint>& parts, steady_time begunAt);
 
     /// @return whether there are changes that have not been sent
     [[nodiscard]] bool hasUnsentChanges() const { return !m_unsentChanges.isEmpty(); }
@@ -86,8 +101,9 @@
 private:
     enum class claim_state : std::uint8_t { Pending, Granted, Refused };
     struct local_trial {
-        request_fingerprint fingerprint;
-        registry::trial_claim claim;
+        std::vector<request_fingerprint> fingerprints; ///< claimed under one number
+        registry::trial_number number = 0;
+        registry::target_incarnation target;
         registry::quarantine_stage stage = registry::quarantine_stage::None; ///< when it was claimed
         claim_state state = claim_state::Pending;
         registry::trial_refusal why = registry::trial_refusal::None;
@@ -101,12 +117,18 @@
     };
 
     /// @brief Claims a trial for a call. @return Wait
-    dispatch_verdict claim(call_number call, const request_fingerprint& fingerprint,
-        const registry::target_incarnation& target, steady_time now);
+    dispatch_verdict claim(call_number call, const request_fingerprints& request,
+        const std::vector<registry::target_incarnation>& path, steady_time now);
+    /// @brief Gives up a trial's claims, granted or not.
+    void withdrawClaims(const local_trial& trial);
+    /// @return whether a trial covers all that restricts a request now
+    [[nodiscard]] bool isCovered(const local_trial& trial, const request_fingerprints& request) const;
+    /// @return stage by which a part of prompts restricts requests: a suspect one doesn't
+    [[nodiscard]] registry::quarantine_stage stageOfPart(const request_fingerprint& part) const;
     /// @brief Drops reports that have expired or exceed the maximum number.
     void dropExpiredReports(steady_time now);
-    /// @return verdict on a call whose trial was claimed
-    dispatch_verdict trialVerdict(call_number call, local_trial& trial, steady_time now);
+    /// @return verdict on a call whose trial was claimed; empty: it is to be claimed again
+    std::optional<dispatch_verdict> trialVerdict(call_number call, local_trial& trial, steady_time now);
 
     quarantine_gate_options m_options;
     std::mt19937_64 m_random;
--- a/include/buckthornrail/link/state_json.hpp
+++ b/include/buckthornrail/link/state_json.hpp
@@ -112,14 +112,80 @@
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(target_incarnation, id, startedMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(crash_report, target, begun)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(trial_claim, fingerprint, trial, target)
+
+// Fields that processes of earlier versions don't send are optional: parts of prompts and members of paths.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(suspect_part, part, presence)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(crash_evidence, presence, hits, ends, trials)
+inline void to_json(nlohmann::json& out, const crash_report& value)
+{
+    out = { { "target", value.target }, { "begun", value.begun } };
+    if (!value.parts.empty())
+        out["parts"] = value.parts;
+}
+inline void from_json(const nlohmann::json& in, crash_report& value)
+{
+    in.at("target").get_to(value.target);
+    in.at("begun").get_to(value.begun);
+    value.parts = in.value("parts", std::vector<std::vector<suspect_part>>());
+}
+inline void to_json(nlohmann::json& out, const trial_claim& value)
+{
+    out = { { "fingerprint", value.fingerprint }, { "trial", value.trial }, { "target", value.target } };
+    if (!value.members.empty())
+        out["members"] = value.members;
+}
+inline void from_json(const nlohmann::json& in, trial_claim& value)
+{
+    in.at("fingerprint").get_to(value.fingerprint);
+    in.at("trial").get_to(value.trial);
+    in.at("target").get_to(value.target);
+    value.members = in.value("members", std::vector<target_incarnation>());
+}
+inline void to_json(nlohmann::json& out, const quarantine_entry& value)
+{
+    out = { { "stage", value.stage }, { "isPart", value.isPart }, { "isContested", value.isContested },
+        { "ended", value.ended }, { "presences", value.presences }, { "crashes", value.crashes },
+        { "evidence", value.evidence }, { "related", value.related }, { "proofs", value.proofs },
+        { "trial", value.trial }, { "trialTarget", value.trialTarget }, { "trialMembers", value.trialMembers },
+        { "revision", value.revision }, { "stageRevision", value.stageRevision } };
+}
+inline void from_json(const nlohmann::json& in, quarantine_entry& value)
+{
+    in.at("stage").get_to(value.stage);
+    value.isPart = in.value("isPart", false);
+    value.isContested = in.value("isContested", false);
+    in.at("ended").get_to(value.ended);
+    in.at("crashes").get_to(value.crashes);
+    value.presences = in.value("presences", std::vector<surprise>());
+    value.presences.resize(value.ended.size());
+    value.evidence = in.value("evidence", crash_evidence());
+    value.related = in.value("related", std::vector<request_fingerprint>());
+    in.at("proofs").get_to(value.proofs);
+    in.at("trial").get_to(value.trial);
+    in.at("trialTarget").get_to(value.trialTarget);
+    value.trialMembers = in.value("trialMembers", std::vector<target_incarnation>());
+    in.at("revision").get_to(value.revision);
+    in.at("stageRevision").get_to(value.stageRevision);
+}
+inline void to_json(nlohmann::json& out, const quarantine_status& value)
+{
+    out = { { "fingerprint", value.fingerprint }, { "stage", value.stage } };
+    if (value.isPart)
+        out["isPart"] = true;
+    if (value.isContested)
+        out["isContested"] = true;
+}
+inline void from_json(const nlohmann::json& in, quarantine_status& value)
+{
+    in.at("fingerprint").get_to(value.fingerprint);
+    in.at("stage").get_to(value.stage);
+    value.isPart = in.value("isPart", false);
+    value.isContested = in.value("isContested", false);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(trial_end, fingerprint, trial)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_expiry, fingerprint, revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_change, crashes, claims, ends, cleared, expired)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
-    quarantine_entry, stage, ended, crashes, proofs, trial, trialTarget, revision, stageRevision)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_status, fingerprint, stage)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(quarantine_delta, to, full, standings)
 } // namespace registry
 
--- a/include/buckthornrail/registry/quarantine.hpp
+++ b/include/buckthornrail/registry/quarantine.hpp
@@ -1,17 +1,26 @@
 /// @file
 /// @brief Replicated quarantine of requests that crash the targets that run them.
 ///
-/// Requests are identified by fingerprint, since a retry arrives under another id and at any gateway. Each target that
-/// ends shortly after starting a request counts as a crash of that request. After the first crash the request is a
-/// suspect and runs at one target at a time. After the second it is held: its target runs no other held request, so
-/// that one more crash proves it and costs a single target. A complete response clears a fingerprint at once, as a
-/// request that crashes every target never gets one.
+/// Blamed are whole requests and parts of prompts, each identified by fingerprint: a retry arrives under another id and
+/// at any gateway, and requests with a part that crashes targets need have nothing else in common. Each target that
+/// ends shortly after starting a request counts as a crash of that request and of its parts.
+///
+/// - A whole request is a suspect after the first crash and runs at one target at a time. After the second it is held:
+///   its target runs no other held request, so that one more crash proves it and costs a single target.
+/// - A part is shared by requests that crash nothing, so a suspect part restricts none of them. When its presence at
+///   several crashes in a row would be too much of a coincidence it is held, and requests with it run one at a time. A
+///   crash in such a trial proves the part if other requests with it had crashed targets before. Parts that the same
+///   crashes speak against equally are contested until a trial of a request with only one of them.
+/// - A response clears the fingerprints of its request at once, as what crashes every target never gets one.
+/// - A proven part explains its crashes: they no longer speak against anything else.
 #pragma once
 
 #include "buckthornrail/core/request_fingerprint.hpp"
+#include "buckthornrail/registry/crash_evidence.hpp"
 #include "buckthornrail/registry/target_record.hpp"
 
 #include <optional>
+#include <span>
 
 namespace buckthornrail::registry {
 
@@ -30,21 +39,37 @@
     enum_name<quarantine_stage> { quarantine_stage::Proven, "proven" },
 };
 
+/// A part of the prompt of a request that had started on a target shortly before its end.
+struct suspect_part {
+    request_fingerprint part;
+    surprise presence = 0; ///< if something else ended the target
+};
+
 /// A target that ended, with the requests that had started there shortly before.
 struct crash_report {
     target_incarnation target;
     std::vector<request_fingerprint> begun;
+    /// For each request in `begun`, the parts of its prompt. Shorter when the last ones have none.
+    std::vector<std::vector<suspect_part>> parts = {};
+
+    /// @return the parts of a request in `begun`, by its index
+    [[nodiscard]] std::span<const suspect_part> partsOf(std::size_t index) const
+    {
+        return index < parts.size() ? std::span(parts[index]) : std::span<const suspect_part>();
+    }
 };
 
 /// Identifies a trial: one run of a quarantined request by one gateway. Drawn at random, so it is unique across
 /// gateways and calls. 0 stands for no trial.
 using trial_number = std::uint64_t;
 
-/// A gateway's request to run a quarantined request at a target.
+/// A gateway's request to run a quarantined request at a target. A request with several quarantined fingerprints claims
+/// each of them, under the same number.
 struct trial_claim {
     request_fingerprint fingerprint;
     trial_number trial = 0;
     target_incarnation target; ///< where the request would start
+    std::vector<target_incarnation> members = {}; ///< other targets of its path
 };
 
 /// The end of a trial, reported by its gateway.
@@ -75,11 +100,19 @@
 /// State of one fingerprint in the table.
 struct quarantine_entry {
     quarantine_stage stage = quarantine_stage::Suspect;
+    bool isPart = false; ///< of prompts; otherwise a whole request
+    /// Of a held part: as much speaks against another part. A request with several contested parts is rejected.
+    bool isContested = false;
     std::vector<target_incarnation> ended; ///< the most recent targets that ended while running it
-    std::uint32_t crashes = 0; ///< total number of such targets
+    std::vector<surprise> presences; ///< for each of `ended`, as counted in `evidence`
+    std::uint32_t crashes = 0; ///< number of such targets that nothing proven explains
+    crash_evidence evidence; ///< against a part
+    /// Of a part: the most recent requests with it under which targets ended. Of a request: its parts.
+    std::vector<request_fingerprint> related;
     std::uint32_t proofs = 0; ///< crashes during a trial while held; each after the first doubles the proven timeout
     trial_number trial = 0; ///< in progress; 0: none
     target_incarnation trialTarget;
+    std::vector<target_incarnation> trialMembers; ///< other targets of the path of the request on trial
     std::uint64_t revision = 0; ///< of the table at the entry's last change
     std::uint64_t stageRevision = 0; ///< of the table at the last change of its stage
 };
@@ -88,6 +121,8 @@
 struct quarantine_status {
     request_fingerprint fingerprint;
     quarantine_stage stage = quarantine_stage::None; ///< None: removed from the table
+    bool isPart = false;
+    bool isContested = false;
 };
 
 /// Changes of stages after a revision.
@@ -132,8 +167,20 @@
     std::vector<refused_trial> refused;
 };
 
-/// Bounds of the table's memory.
+/// Thresholds of parts, and bounds of the table's memory.
 struct quarantine_options {
+    /// Evidence from which on a part is held, at two crashes at least. A part that targets have often responded to
+    /// before gathers evidence more slowly.
+    surprise heldEvidence = 800;
+    /// Evidence that suffices after three crashes, which one request alone may have caused.
+    surprise heldEvidenceOfThree = 250;
+    surprise provenEvidence = 1400; ///< from which on a crash in a trial proves a part
+    surprise untriedEvidence = 1800; ///< from which on a part is proven without a trial
+    /// Less evidence than this against another part of the same requests doesn't decide between the two.
+    surprise decisiveMargin = 200;
+    /// Different requests under which targets crashed before a part that they share is proven: in a trial, and without.
+    std::size_t minRequestsOfPart = 2;
+    std::size_t minRequestsOfUntriedPart = 3;
     /// Separate from the bound of suspects: a caller that sends many different crashing requests must neither evict the
     /// proven entries of others nor exhaust memory.
     std::size_t maxProven = 1024;
@@ -169,7 +216,42 @@
     void restore(std::map<request_fingerprint, quarantine_entry> entries, std::uint64_t revision);
 
 private:
-    void applyCrash(const request_fingerprint& fingerprint, const target_incarnation& target);
+    /// Trials that a crash ended: the parts on trial at the target, by trial.
+    using ended_trials = std::map<trial_number, std::vector<request_fingerprint>>;
+
+    void applyCrash(const crash_report& report);
+    /// @brief Counts a crash of a whole request.
+    void applyCrash(
+        const request_fingerprint& fingerprint, const target_incarnation& target, std::span<const suspect_part> parts);
+    /// @brief Counts a crash of a part. @param request that had the part
+    void applyPartCrash(const suspect_part& suspect, const target_incarnation& target,
+        const request_fingerprint& request, ended_trials& trials);
+    /// @return whether no entry has recorded the end of a target yet
+    [[nodiscard]] bool isNewEnd(const target_incarnation& target) const;
+    /// @return whether the evidence suffices to hold a part
+    [[nodiscard]] bool isHeldPart(const quarantine_entry& entry) const;
+    /// @brief Decides which of the parts that a crashed trial ran is proven.
+    void decideTrial(const std::vector<request_fingerprint>& parts);
+    /// @brief Decides about a part whose crashes happened outside of trials.
+    void decideUntried(const request_fingerprint& part);
+    /// @brief Several trials run through a crashed target: none of them proves anything.
+    void endMeetingTrials(const target_incarnation& target);
+    /// @return other unproven parts that at least all crashes of a part speak against, with about the same evidence
+    [[nodiscard]] std::vector<request_fingerprint> rivalsOf(const request_fingerprint& part) const;
+    /// @return proven parts that explain a crash
+    [[nodiscard]] std::vector<request_fingerprint> explanationsOf(const crash_report& report) const;
+    /// @brief The crashes of a proven part no longer speak against anything else.
+    void explainCrashes(const request_fingerprint& proven);
+    /// @brief Takes explained crashes out of an entry. @return whether any is left
+    bool forgiveCrashes(quarantine_entry& entry, const std::vector<target_incarnation>& explained);
+    /// @return the entry of a fingerprint, which is created if it is unknown
+    quarantine_entry& entryOf(const request_fingerprint& fingerprint, bool isPart);
+    /// @brief Records the end of a target in an entry. @return false when it was recorded before
+    bool recordEnd(quarantine_entry& entry, const target_incarnation& target);
+    void prove(const request_fingerprint& fingerprint, quarantine_entry& entry);
+    void setContested(quarantine_entry& entry, bool isContested);
+    /// @brief Removes a fingerprint that was cleared. If it was one of two contested parts, the other one is proven.
+    void applyClearance(const request_fingerprint& fingerprint);
     void applyClaim(const trial_claim& claim);
     void applyEnd(const trial_end& end);
     void applyExpiry(const quarantine_expiry& expiry);
@@ -181,7 +263,6 @@
 
     quarantine_options m_options;
     std::map<request_fingerprint, quarantine_entry> m_entries;
-    std::map<target_incarnation, request_fingerprint> m_trialTargets; ///< trials of held entries, by target
     std::map<std::uint64_t, request_fingerprint> m_removed; ///< by revision of the removal
     std::size_t m_provenCount = 0;
     std::uint64_t m_revision = 0;
@@ -216,15 +297,23 @@
 /// @ingroup registry
 class quarantine_view {
 public:
-    void apply(const quarantine_delta& delta);
+    /// What the gateway knows of a fingerprint in quarantine.
+    struct known_status {
+        quarantine_status status;
+        steady_time knownSince {}; ///< when this gateway learnt of it
+    };
+
+    void apply(const quarantine_delta& delta, steady_time now = {});
     /// @return None for a fingerprint that isn't in quarantine
     [[nodiscard]] quarantine_stage stageOf(const request_fingerprint& fingerprint) const;
-    [[nodiscard]] bool isEmpty() const { return m_stages.empty(); }
-    [[nodiscard]] std::size_t size() const { return m_stages.size(); }
+    /// @return null for a fingerprint that isn't in quarantine
+    [[nodiscard]] const known_status* find(const request_fingerprint& fingerprint) const;
+    [[nodiscard]] bool isEmpty() const { return m_known.empty(); }
+    [[nodiscard]] std::size_t size() const { return m_known.size(); }
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
 
 private:
-    std::map<request_fingerprint, quarantine_stage> m_stages;
+    std::map<request_fingerprint, known_status> m_known;
     std::uint64_t m_revision = 0;
 };
 
--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -31,6 +31,27 @@
 
 bool isAdmissionOn(const settings::settings& settings) { return settings.admissionMode == "auto"; }
 
+/// @return for logs: the first few fingerprints
+std::string listed(const std::vector<request_fingerprint>& fingerprints)
+{
+    constexpr std::size_t maxFingerprints = 8;
+    std::string names;
+    for (std::size_t i = 0; i < std::min(fingerprints.size(), maxFingerprints); ++i)
+        names += (i == 0 ? "" : ",") + text(fingerprints[i]);
+    return names;
+}
+
+/// @return the parts of the requests in a report, each once
+std::vector<request_fingerprint> suspectParts(const registry::crash_report& report)
+{
+    std::set<request_fingerprint> parts;
+    for (const auto& suspects : report.parts) {
+        for (const auto& suspect : suspects)
+            parts.insert(suspect.part);
+    }
+    return { parts.begin(), parts.end() };
+}
+
 gateway::shared_retry_budget_options budgetOptions(const settings::settings& settings)
 {
     gateway::shared_retry_budget_options options;
@@ -171,6 +192,7 @@
     const auto now = steadyNow();
     m_context.pool.setOtherGateways(std::max<std::size_t>(update.gateways, 1), update.othersOpenAttempts);
     m_context.admission.setGatewayCount(std::max<std::size_t>(update.gateways, 1));
+    m_context.crashes.setGatewayCount(std::max<std::size_t>(update.gateways, 1));
     if (!update.earlierRepeats.empty() && !m_context.budgets.isComplete(now))
         m_context.budgets.restoreSpent(update.earlierRepeats.front(), now);
     if (update.budgetSharers == 0)
@@ -303,14 +325,11 @@
             continue;
         hasCrashes = true;
         m_context.metrics.count("crashes_blamed");
-        constexpr std::size_t maxFingerprints = 8;
-        std::string fingerprints;
-        for (std::size_t i = 0; i < std::min(report.begun.size(), maxFingerprints); ++i)
-            fingerprints += (i == 0 ? "" : ",") + text(report.begun[i]);
         telemetry::logEvent(event_code::CrashBlamed,
             { { "target", text(report.target) }, { "address", address },
                 { "how", replacement.empty() ? "refused" : "replaced" },
-                { "begun", std::to_string(report.begun.size()) }, { "fingerprints", fingerprints } },
+                { "begun", std::to_string(report.begun.size()) }, { "fingerprints", listed(report.begun) },
+                { "parts", listed(suspectParts(report)) } },
             telemetry::severity::Warning);
         m_context.quarantine.reportCrash(report, steadyNow());
     }
@@ -334,7 +353,7 @@
 void gateway_role::onQuarantine(const link::gateway_update& update)
 {
     for (const auto& delta : update.quarantine)
-        m_context.quarantine.applyDelta(delta);
+        m_context.quarantine.applyDelta(delta, steadyNow());
     for (const auto& receipt : update.quarantineReceipts)
         m_context.quarantine.onReceipt(receipt, steadyNow());
     if (!update.quarantine.empty() || !update.quarantineReceipts.empty())
--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -34,6 +34,7 @@
 {
     cancelAttempt();
     m_context.quarantine.endTrial(m_number);
+    m_context.crashes.forgetCall(m_number);
     m_context.openCalls.erase(this);
     m_context.queuedCalls.erase(m_number);
     m_context.admission.remove(m_number);
@@ -98,6 +99,7 @@
     request.lastEventId = m_caller.lastEventId;
     request.size = m_caller.size;
     request.sharedParts = m_caller.sharedParts;
+    m_partFingerprints.clear(); // they depend on the service
     request.isCounted = std::exchange(m_isCounted, true);
     addAdmission(request, workspace.get());
     auto& budget = m_context.budgets.forService(request.service);
@@ -179,7 +181,7 @@
         for (const auto& part : selected.parts)
             m_context.reachability->watch(part.address);
     }
-    m_context.crashes.onAttemptOpened(m_number, selected.parts, now);
+    m_context.crashes.onAttemptOpened(m_number, selected.parts, now, partFingerprints());
     m_connection->write(http1::formatRequest(m_context.dialect.writeForwarded(m_head, added), m_body));
     m_connectTimer.set(now + connectTimeout, [ifCurrent] {
         ifCurrent([](gateway_call& self) {
@@ -315,6 +317,9 @@
         return;
     }
     m_context.metrics.count("response_ends", std::string(nameIn(http1::messageEndNames, end)));
+    constexpr int firstErrorStatus = 300;
+    if (m_response->head().status < firstErrorStatus)
+        recordSurvival(true);
     if (m_isStream)
         m_exchange->onStreamEnd(end, steadyNow());
     else
@@ -328,6 +333,7 @@
         if (!m_connection || m_attempt != attempt)
             return;
         m_context.crashes.onFirstEvent(m_number, steadyNow());
+        recordSurvival(false);
         m_exchange->onEvent(event.bytes, event.id, steadyNow());
     }
     if (m_connection && m_sink != nullptr && m_sink->pendingBytes() > maxPendingBytes)
--- a/src/app/gateway/gateway_call.hpp
+++ b/src/app/gateway/gateway_call.hpp
@@ -139,6 +139,15 @@
     [[nodiscard]] milliseconds retryDelay(result_code code) const;
     /// @brief Clears the request of suspicion: a target that completes its response wasn't crashed by it.
     void recordCompleted();
+    /// @brief Clears the parts of the prompt of suspicion once their target has survived the start of the response.
+    void recordSurvival(bool isComplete);
+    /// @return fingerprints of the shared parts of the prompt, in its order; empty before the request is routed
+    const std::vector<request_fingerprint>& partFingerprints();
+    [[nodiscard]] request_fingerprints fingerprints();
+    /// @return the id of a part of the prompt; empty: the prompt doesn't have it
+    std::string idOfPart(const request_fingerprint& part);
+    /// @return for logs: what of the request is quarantined
+    std::string namesOfBlamed();
     /// @brief Logs a change of the verdict.
     void logVerdict(gateway::dispatch_verdict verdict, const gateway::selection& selected);
     void onBytes(std::string_view bytes);
@@ -165,6 +174,7 @@
     std::string m_workspace;
     bool m_isCounted = false; ///< counted for the retry budget, and as an arrival if its service was ranked
     std::optional<request_fingerprint> m_fingerprint; ///< empty: not computed yet
+    std::vector<request_fingerprint> m_partFingerprints; ///< empty: not computed yet
     gateway::dispatch_verdict m_verdict = gateway::dispatch_verdict::Go; ///< as last logged
     std::unique_ptr<gateway::exchange> m_exchange;
     std::optional<steady_time> m_queuedAt; ///< empty: not in the admission queue
--- a/src/app/registry/registry_quarantine.cpp
+++ b/src/app/registry/registry_quarantine.cpp
@@ -25,6 +25,8 @@
     return std::string(nameIn(registry::quarantineStageNames, stage));
 }
 
+std::string subjectOf(const registry::quarantine_entry& entry) { return entry.isPart ? "part" : "request"; }
+
 std::string namesOf(const std::vector<registry::target_incarnation>& targets)
 {
     std::string names;
@@ -117,7 +119,8 @@
         if (entry.stageRevision <= m_loggedStageRevision || ++lines > maxLinesLogged)
             continue;
         telemetry::logEvent(event_code::QuarantineChanged,
-            { { "fingerprint", text(fingerprint) }, { "stage", stageName(entry.stage) },
+            { { "fingerprint", text(fingerprint) }, { "subject", subjectOf(entry) },
+                { "stage", stageName(entry.stage) }, { "contested", entry.isContested ? "yes" : "no" },
                 { "crashes", std::to_string(entry.crashes) }, { "proofs", std::to_string(entry.proofs) },
                 { "ended", namesOf(entry.ended) }, { "revision", std::to_string(entry.stageRevision) } },
             entry.stage == registry::quarantine_stage::Proven ? telemetry::severity::Warning
@@ -144,8 +147,9 @@
 {
     nlohmann::json rows = nlohmann::json::array();
     for (const auto& [fingerprint, entry] : m_state.quarantine().entries()) {
-        rows.push_back({ { "fingerprint", text(fingerprint) }, { "stage", stageName(entry.stage) },
-            { "crashes", entry.crashes }, { "proofs", entry.proofs }, { "ended", namesOf(entry.ended) },
+        rows.push_back({ { "fingerprint", text(fingerprint) }, { "subject", subjectOf(entry) },
+            { "stage", stageName(entry.stage) }, { "contested", entry.isContested }, { "crashes", entry.crashes },
+            { "proofs", entry.proofs }, { "ended", namesOf(entry.ended) },
             { "on_trial_at", entry.trial == 0 ? "" : text(entry.trialTarget) } });
     }
     return nlohmann::json { { "requests", rows } }.dump();
--- a/src/app/shell/control_shell.cpp
+++ b/src/app/shell/control_shell.cpp
@@ -226,13 +226,13 @@
 int quarantineList(const shell_options& options)
 {
     const auto response = callAny(options, "GET", "/quarantine");
-    std::string text = "fingerprint                       stage    crashes  proofs  ended targets";
+    std::string text = "fingerprint                       subject  stage    crashes  proofs  ended targets";
     for (const auto& row : response.body.is_object() ? response.body.value("requests", json::array()) : json::array()) {
         std::ostringstream line;
         line << "\n"
-             << std::left << std::setw(34) << row.value("fingerprint", "") << std::setw(9) << row.value("stage", "")
-             << std::setw(9) << row.value("crashes", 0) << std::setw(8) << row.value("proofs", 0)
-             << row.value("ended", "");
+             << std::left << std::setw(34) << row.value("fingerprint", "") << std::setw(9)
+             << row.value("subject", "request") << std::setw(9) << row.value("stage", "") << std::setw(9)
+             << row.value("crashes", 0) << std::setw(8) << row.value("proofs", 0) << row.value("ended", "");
         text += line.str();
     }
     return report(options, response, text);
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -90,13 +90,13 @@
     if (verdict == dispatch_verdict::Refuse) {
         m_pendingAttempt.reset();
         finish(result_code::RequestQuarantined, m_mayHaveRun ? ran_state::Unknown : ran_state::No,
-            "targets crash when they execute this request", now);
+            "targets crash when they execute this request, or others with a part of its prompt", now);
         return;
     }
     if (now >= m_dispatchDeadline) {
         m_pendingAttempt.reset();
         const std::string reason
-            = "targets crashed when they executed this request: it may only run on one target at a time";
+            = "targets crashed when they executed this request or similar ones: one of these runs at a time";
         if (m_mayHaveRun)
             finish(result_code::TargetFailed, ran_state::Unknown, reason, now);
         else
--- a/src/buckthornrail/gateway/fingerprint_request_test.cpp
+++ b/src/buckthornrail/gateway/fingerprint_request_test.cpp
@@ -20,6 +20,15 @@
     CHECK(fingerprintOf({ "a", "b", "c", "d", "e" }) != fingerprintOf({ "a", "bc", "", "d", "e" }));
 }
 
+TEST_CASE("request fingerprint: of a part, depends on its id and its service, and is no request's", "[fingerprint]")
+{
+    CHECK(fingerprintOfPart("s", "5c1e") == fingerprintOfPart("s", "5c1e"));
+    CHECK(fingerprintOfPart("s", "5c1e") != fingerprintOfPart("s", "5c1f"));
+    CHECK(fingerprintOfPart("s", "5c1e") != fingerprintOfPart("t", "5c1e"));
+    CHECK(fingerprintOfPart("s5", "c1e") != fingerprintOfPart("s", "5c1e"));
+    CHECK(fingerprintOfPart("s", "5c1e") != fingerprintOf({ "prompt part", "s", "5c1e", "", "" }));
+}
+
 TEST_CASE("request fingerprint: text form round-trips, malformed text is rejected", "[fingerprint]")
 {
     rc::prop("any fingerprint", [](const std::string& body) {
--- a/src/buckthornrail/gateway/quarantine_gate.cpp
+++ b/src/buckthornrail/gateway/quarantine_gate.cpp
@@ -20,27 +20,68 @@
     return std::max(confirmed, reported->second.expected);
 }
 
-dispatch_verdict quarantine_gate::requestDispatch(call_number call, const request_fingerprint& fingerprint,
-    const registry::target_incarnation& target, steady_time now)
+quarantine_stage quarantine_gate::stageOfPart(const request_fingerprint& part) const
 {
-    const auto stage = stageOf(fingerprint);
+    const auto stage = m_view.stageOf(part);
+    return stage == quarantine_stage::Suspect ? quarantine_stage::None : stage;
+}
+
+quarantine_stage quarantine_gate::stageOf(const request_fingerprints& request) const
+{
+    auto stage = stageOf(request.whole);
+    std::size_t contested = 0;
+    for (const auto& part : request.parts) {
+        stage = std::max(stage, stageOfPart(part));
+        const auto* known = m_view.find(part);
+        contested += known != nullptr && known->status.isContested ? 1 : 0;
+    }
+    // Requests with all of these parts have crashed targets, whichever of them is to blame.
+    return contested > 1 ? quarantine_stage::Proven : stage;
+}
+
+std::vector<request_fingerprint> quarantine_gate::blamedIn(const request_fingerprints& request) const
+{
+    std::vector<request_fingerprint> blamed;
+    if (stageOf(request.whole) != quarantine_stage::None)
+        blamed.push_back(request.whole);
+    for (const auto& part : request.parts) {
+        if (stageOfPart(part) != quarantine_stage::None)
+            blamed.push_back(part);
+    }
+    return blamed;
+}
+
+dispatch_verdict quarantine_gate::requestDispatch(call_number call, const request_fingerprints& request,
+    const std::vector<registry::target_incarnation>& path, steady_time now)
+{
+    const auto stage = stageOf(request);
     if (stage == quarantine_stage::None)
         return dispatch_verdict::Go;
     if (stage == quarantine_stage::Proven)
         return dispatch_verdict::Refuse;
     const auto found = m_trials.find(call);
     if (found == m_trials.end())
-        return claim(call, fingerprint, target, now);
+        return claim(call, request, path, now);
     auto& trial = found->second;
-    const bool isSameTarget = trial.claim.target == target || stage == quarantine_stage::Suspect;
-    if (trial.stage != stage || !isSameTarget) {
+    const bool isSameTarget = trial.target == path.front() || stage == quarantine_stage::Suspect;
+    if (!isSameTarget || !isCovered(trial, request)) {
         endTrial(call);
-        return claim(call, fingerprint, target, now);
+        return claim(call, request, path, now);
     }
-    return trialVerdict(call, trial, now);
+    const auto verdict = trialVerdict(call, trial, now);
+    return verdict ? *verdict : claim(call, request, path, now);
 }
 
-dispatch_verdict quarantine_gate::trialVerdict(call_number call, local_trial& trial, steady_time now)
+bool quarantine_gate::isCovered(const local_trial& trial, const request_fingerprints& request) const
+{
+    const auto& claimed = trial.fingerprints;
+    const auto blamed = blamedIn(request);
+    return stageOf(request) <= trial.stage && std::all_of(blamed.begin(), blamed.end(), [&claimed](const auto& each) {
+        return std::find(claimed.begin(), claimed.end(), each) != claimed.end();
+    });
+}
+
+std::optional<dispatch_verdict> quarantine_gate::trialVerdict(call_number call, local_trial& trial, steady_time now)
 {
     if (trial.state == claim_state::Granted) {
         trial.hasStarted = now >= trial.startsAt;
@@ -50,7 +91,7 @@
         trial.hasStarted = trial.stage == quarantine_stage::Suspect && now >= trial.decideBy;
         return trial.hasStarted ? dispatch_verdict::Go : dispatch_verdict::Wait;
     }
-    if (trial.why == trial_refusal::Unknown)
+    if (trial.why == trial_refusal::Unknown && trial.fingerprints.size() == 1)
         return dispatch_verdict::Go;
     if (trial.why == trial_refusal::TargetTaken) {
         m_trials.erase(call);
@@ -58,47 +99,49 @@
     }
     if (now < trial.decideBy)
         return dispatch_verdict::Wait;
-    const auto again = trial;
     m_trials.erase(call);
-    return claim(call, again.fingerprint, again.claim.target, now);
+    return std::nullopt;
 }
 
-dispatch_verdict quarantine_gate::claim(call_number call, const request_fingerprint& fingerprint,
-    const registry::target_incarnation& target, steady_time now)
+dispatch_verdict quarantine_gate::claim(call_number call, const request_fingerprints& request,
+    const std::vector<registry::target_incarnation>& path, steady_time now)
 {
-    const registry::trial_number number = std::max<std::uint64_t>(m_random(), 1);
-    const registry::trial_claim newClaim { fingerprint, number, target };
-    m_unsentChanges.claims.push_back(newClaim);
     local_trial trial;
-    trial.fingerprint = fingerprint;
-    trial.claim = newClaim;
-    trial.stage = stageOf(fingerprint);
+    trial.fingerprints = blamedIn(request);
+    trial.number = std::max<std::uint64_t>(m_random(), 1);
+    trial.target = path.front();
+    trial.stage = stageOf(request);
     trial.decideBy = now + m_options.grantTimeout;
-    m_trials[call] = trial;
+    for (const auto& fingerprint : trial.fingerprints)
+        m_unsentChanges.claims.push_back({ fingerprint, trial.number, path.front(), { path.begin() + 1, path.end() } });
+    m_trials[call] = std::move(trial);
     return dispatch_verdict::Wait;
 }
 
-bool quarantine_gate::mustCancel(call_number call, const request_fingerprint& fingerprint) const
+bool quarantine_gate::mustCancel(call_number call, const request_fingerprints& request) const
 {
-    const auto stage = stageOf(fingerprint);
-    if (stage == quarantine_stage::None)
+    if (stageOf(request) == quarantine_stage::None)
         return false;
     const auto found = m_trials.find(call);
     const bool isOnTrial
-        = found != m_trials.end() && found->second.state != claim_state::Refused && found->second.stage == stage;
+        = found != m_trials.end() && found->second.state != claim_state::Refused && isCovered(found->second, request);
     return !isOnTrial;
 }
 
 void quarantine_gate::endTrial(call_number call)
 {
     const auto ended = m_trials.extract(call);
-    if (!ended || ended.mapped().state == claim_state::Refused)
-        return;
-    const auto trial = ended.mapped().claim.trial;
-    const bool wasUnsent
-        = std::erase_if(m_unsentChanges.claims, [trial](const auto& pending) { return pending.trial == trial; }) > 0;
-    if (!wasUnsent)
-        m_unsentChanges.ends.push_back({ ended.mapped().fingerprint, trial });
+    if (ended && ended.mapped().state != claim_state::Refused)
+        withdrawClaims(ended.mapped());
+}
+
+void quarantine_gate::withdrawClaims(const local_trial& trial)
+{
+    const auto isOwn = [&trial](const auto& pending) { return pending.trial == trial.number; };
+    if (std::erase_if(m_unsentChanges.claims, isOwn) > 0)
+        return; // never sent
+    for (const auto& fingerprint : trial.fingerprints)
+        m_unsentChanges.ends.push_back({ fingerprint, trial.number });
 }
 
 std::vector<call_number> quarantine_gate::callsOnTrial() const
@@ -149,6 +192,21 @@
     return isHeld;
 }
 
+std::vector<request_fingerprint> quarantine_gate::reportSurvived(
+    const std::vector<request_fingerprint>& parts, steady_time begunAt)
+{
+    std::vector<request_fingerprint> cleared;
+    for (const auto& part : parts) {
+        const auto* known = m_view.find(part);
+        // A response that began before the first crash tells nothing: the part may have crashed targets since.
+        if (known == nullptr || begunAt < known->knownSince)
+            continue;
+        cleared.push_back(part);
+        m_unsentChanges.cleared.push_back(part);
+    }
+    return cleared;
+}
+
 void quarantine_gate::onReceipt(const registry::quarantine_receipt& receipt, steady_time now)
 {
     const auto found = std::find_if(
@@ -165,14 +223,17 @@
     const auto& claims = found->batch.change.claims;
     for (auto& item : m_trials) {
         auto& trial = item.second;
-        const auto isOwn = [&trial](const auto& entry) { return entry.trial == trial.claim.trial; };
+        const auto isOwn = [&trial](const auto& entry) { return entry.trial == trial.number; };
         if (trial.state != claim_state::Pending || std::none_of(claims.begin(), claims.end(), isOwn))
             continue;
         const auto refusal = std::find_if(receipt.refused.begin(), receipt.refused.end(), isOwn);
         trial.startsAt = now + m_options.trialStartDelay;
         trial.state = refusal == receipt.refused.end() ? claim_state::Granted : claim_state::Refused;
-        if (refusal != receipt.refused.end())
-            trial.why = refusal->why;
+        if (refusal == receipt.refused.end())
+            continue;
+        trial.why = refusal->why;
+        if (trial.fingerprints.size() > 1)
+            withdrawClaims(trial); // others may be granted
     }
     m_sent.erase(found);
 }
--- a/src/buckthornrail/gateway/quarantine_gate_test.cpp
+++ b/src/buckthornrail/gateway/quarantine_gate_test.cpp
@@ -218,6 +218,123 @@
     CHECK(gate.isEmpty());
 }
 
+TEST_CASE(
+    "crash watch: a part counts less the more sound requests have it; a request that has run is no suspect", "[crash]")
+{
+    crash_watch watch;
+    watch.setGatewayCount(5);
+    const auto common = fingerprintWith(100);
+    const auto rare = fingerprintWith(101);
+    for (call_number call = 10; call < 110; ++call) {
+        watch.onAttemptOpened(call, { partAt("b", "b:1") }, zero, { common });
+        watch.onFirstEvent(call, zero);
+        CHECK_FALSE(watch.takeSurvival(call, false, zero + milliseconds(499)));
+        CHECK(watch.takeSurvival(call, false, zero + milliseconds(500)) == zero);
+        CHECK_FALSE(watch.takeSurvival(call, false, zero + milliseconds(510))); // only once
+    }
+    watch.onAttemptOpened(2, { partAt("a", "a:1") }, zero, { common, rare });
+    const auto reports = watch.onTargetsEnded("a:1", {}, fingerprintOfCall, zero + milliseconds(600));
+    REQUIRE(reports.size() == 1);
+    const auto parts = reports.front().partsOf(0);
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0].part == common);
+    CHECK(parts[0].presence == 0);
+    CHECK(parts[1].part == rare);
+    CHECK(parts[1].presence > 400);
+    // A call that has run moves to another target, which crashes.
+    watch.onAttemptClosed(10);
+    watch.onAttemptOpened(10, { partAt("c", "c:1") }, zero + milliseconds(700), { common });
+    CHECK_FALSE(watch.mayHaveCrashedTarget(10, zero + milliseconds(710)));
+    CHECK(watch.onTargetsEnded("c:1", {}, fingerprintOfCall, zero + milliseconds(720)).empty());
+    watch.forgetCall(10);
+    watch.onAttemptOpened(10, { partAt("c", "c:1") }, zero + milliseconds(800));
+    CHECK(watch.mayHaveCrashedTarget(10, zero + milliseconds(810)));
+}
+
+TEST_CASE("sound parts: shares are those of the most recent requests", "[crash]")
+{
+    sound_parts_options options;
+    options.maxRequests = 10;
+    sound_parts parts(options);
+    CHECK(parts.shareOf(fingerprintWith(1)) > 0.01); // nothing is known yet
+    CHECK(parts.shareOf(fingerprintWith(1), 30, 30) > 0.8);
+    for (int count = 0; count < 10; ++count)
+        parts.record({ fingerprintWith(1), fingerprintWith(2) });
+    CHECK(parts.shareOf(fingerprintWith(1)) > 0.6);
+    CHECK(parts.shareOf(fingerprintWith(3)) < 0.02);
+    for (int count = 0; count < 50; ++count)
+        parts.record({ fingerprintWith(3) });
+    CHECK(parts.shareOf(fingerprintWith(1)) < 0.02);
+    CHECK(parts.shareOf(fingerprintWith(3)) > 0.6);
+    CHECK(parts.size() == 10);
+}
+
+TEST_CASE(
+    "quarantine gate: a suspect part restricts nothing, a held one makes requests with it run on trial", "[quarantine]")
+{
+    quarantine_gate gate(1);
+    const request_fingerprints request { fingerprintWith(1), { fingerprintWith(100), fingerprintWith(101) } };
+    const auto partDelta = [](std::uint64_t revision, std::uint8_t part, quarantine_stage stage, bool isContested) {
+        return registry::quarantine_delta { revision, false, { { fingerprintWith(part), stage, true, isContested } } };
+    };
+    gate.applyDelta(partDelta(1, 100, quarantine_stage::Suspect, false));
+    CHECK(gate.requestDispatch(1, request, "a", zero) == dispatch_verdict::Go);
+    CHECK_FALSE(gate.mustCancel(1, request));
+    gate.applyDelta(partDelta(2, 100, quarantine_stage::Held, false));
+    CHECK(gate.mustCancel(1, request));
+    CHECK(gate.requestDispatch(1, request, "a", zero) == dispatch_verdict::Wait);
+    auto batches = gate.takeBatches(false, zero);
+    REQUIRE(batches.size() == 1);
+    REQUIRE(batches.front().change.claims.size() == 1);
+    CHECK(batches.front().change.claims.front().fingerprint == fingerprintWith(100));
+    gate.onReceipt({ batches.front().number, {} }, zero);
+    CHECK(gate.requestDispatch(1, request, "a", zero + milliseconds(40)) == dispatch_verdict::Go);
+    CHECK_FALSE(gate.mustCancel(1, request));
+    SECTION("its other part is held too: both are claimed together")
+    {
+        gate.applyDelta(partDelta(3, 101, quarantine_stage::Held, false));
+        CHECK(gate.mustCancel(1, request));
+        CHECK(gate.requestDispatch(1, request, "a", zero + milliseconds(41)) == dispatch_verdict::Wait);
+        batches = gate.takeBatches(false, zero + milliseconds(42));
+        REQUIRE(batches.size() == 1);
+        const auto& claims = batches.front().change.claims;
+        REQUIRE(claims.size() == 2);
+        CHECK(claims[0].trial == claims[1].trial);
+        // One of them is refused: the other one is given back.
+        gate.onReceipt({ batches.front().number, { { claims[0].trial, trial_refusal::Running } } }, zero);
+        batches = gate.takeBatches(false, zero + milliseconds(50));
+        REQUIRE(batches.size() == 1);
+        CHECK(batches.front().change.ends.size() == 2);
+    }
+    SECTION("two contested parts together are refused, one alone runs on trial")
+    {
+        gate.applyDelta(partDelta(3, 100, quarantine_stage::Held, true));
+        CHECK(gate.requestDispatch(2, request, "a", zero) == dispatch_verdict::Wait);
+        gate.applyDelta(partDelta(4, 101, quarantine_stage::Held, true));
+        CHECK(gate.requestDispatch(2, request, "a", zero) == dispatch_verdict::Refuse);
+        const request_fingerprints other { fingerprintWith(2), { fingerprintWith(101) } };
+        CHECK(gate.requestDispatch(3, other, "a", zero) == dispatch_verdict::Wait);
+    }
+    SECTION("it is proven")
+    {
+        gate.applyDelta(partDelta(3, 100, quarantine_stage::Proven, false));
+        CHECK(gate.requestDispatch(2, request, "a", zero) == dispatch_verdict::Refuse);
+    }
+}
+
+TEST_CASE("quarantine gate: only a response that began after a part came under suspicion clears it", "[quarantine]")
+{
+    quarantine_gate gate(1);
+    const auto part = fingerprintWith(100);
+    gate.applyDelta({ 1, false, { { part, quarantine_stage::Suspect, true, false } } }, zero + milliseconds(100));
+    CHECK(gate.reportSurvived({ part, fingerprintWith(101) }, zero + milliseconds(99)).empty());
+    CHECK_FALSE(gate.hasUnsentChanges());
+    // A full copy, as after a change of the session, doesn't begin the suspicion anew.
+    gate.applyDelta({ 2, true, { { part, quarantine_stage::Held, true, false } } }, zero + milliseconds(500));
+    CHECK(gate.reportSurvived({ part, fingerprintWith(101) }, zero + milliseconds(100)) == std::vector { part });
+    CHECK(gate.takeBatches(false, zero).front().change.cleared == std::vector { part });
+}
+
 TEST_CASE("quarantine gate: the end of an unsent claim is not sent", "[quarantine]")
 {
     quarantine_gate gate(1);
