A gateway that gets nearly all new connections keeps descriptors for the requests that it reads

Cause: callers' connections were bounded by nothing but the process's descriptors; an accept that failed for want of one was tried again at once, for ever; a connection that we had ended held its descriptor until the peer ended it too. Change: at most half of the descriptors, less 128, for callers; from half of that on connections close after their responses; beyond it new ones are closed unread (E219, metric connections_closed_unread), so that callers go elsewhere at once; accept waits 20 ms without descriptors; an ended connection is closed after 2 s.

--- a/include/buckthornrail/core/event_code.hpp
+++ b/include/buckthornrail/core/event_code.hpp
@@ -37,6 +37,7 @@
     TargetPushback = 216,
     RequestQueued = 217,
     QueueLeft = 218,
+    ConnectionsClosedUnread = 219,
     WorkStarted = 300,
     WorkFinished = 301,
     WorkCancelled = 302,
--- a/src/app/gateway/caller_connection.cpp
+++ b/src/app/gateway/caller_connection.cpp
@@ -103,6 +103,7 @@
 {
     m_timeoutTimer.cancel();
     m_terms = http1::termsFor(m_parser.head());
+    m_terms.keepAlive = m_terms.keepAlive && !m_gateway.isCrowded();
     m_call = std::make_shared<gateway_call>(m_gateway.context(), *this, m_parser.head(), m_parser.takeBody());
     const auto call = m_call;
     call->start(m_firstByteAt);
--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "app/shared/admission_page.hpp"
 #include "app/shared/pushback_page.hpp"
 #include "app/shared/role_runner.hpp"
+#include "buckthornrail/net/descriptors.hpp"
 
 #include <algorithm>
 
@@ -19,6 +20,13 @@
 constexpr milliseconds stallCheckPeriod { 200 };
 /// Time after the start in which calls wait for the first document instead of being refused.
 constexpr milliseconds startupGracePeriod { 4000 };
+/// Descriptors that aren't for requests: listeners, sessions, watched and probed targets.
+constexpr std::size_t reservedDescriptors = 128;
+constexpr std::size_t descriptorsPerRequest = 2; ///< its caller's connection and the one to its target
+/// From this part of the allowed connections on, each closes after its response: callers that keep theirs would
+/// otherwise use up what new ones need.
+constexpr std::size_t crowdedDivisor = 2;
+constexpr milliseconds crowdedLogInterval { 1000 };
 /// Part of the platform's termination grace period that is reserved for the exit of the process.
 constexpr milliseconds exitReserve { 400 };
 
@@ -180,8 +188,34 @@
     return m_context.document ? m_context.document->rest()->limits : gateway::caller_limits {};
 }
 
+std::size_t gateway_role::maxConnections()
+{
+    const std::size_t limit = net::descriptorLimit();
+    return limit > reservedDescriptors + descriptorsPerRequest ? (limit - reservedDescriptors) / descriptorsPerRequest
+                                                               : 1;
+}
+
+bool gateway_role::isCrowded() const { return m_connections.size() >= maxConnections() / crowdedDivisor; }
+
+void gateway_role::closeUnread(const net::connection_pointer& connection)
+{
+    connection->abort(true);
+    m_context.metrics.count("connections_closed_unread");
+    const auto now = steadyNow();
+    if (now < m_nextCrowdedLogAt)
+        return;
+    m_nextCrowdedLogAt = now + crowdedLogInterval;
+    telemetry::logEvent(event_code::ConnectionsClosedUnread,
+        { { "open", std::to_string(m_connections.size()) }, { "max", std::to_string(maxConnections()) } },
+        telemetry::severity::Warning);
+}
+
 void gateway_role::onConnection(net::connection_pointer connection)
 {
+    if (m_connections.size() >= maxConnections()) {
+        closeUnread(connection);
+        return;
+    }
     auto caller = std::make_shared<caller_connection>(*this, std::move(connection));
     m_connections.insert(caller);
     caller->begin();
--- a/src/app/gateway/gateway.hpp
+++ b/src/app/gateway/gateway.hpp
@@ -37,12 +37,18 @@
     [[nodiscard]] link::event_loop& loop() { return m_loop; }
     /// @return the limits of the active document; defaults before the first one
     [[nodiscard]] gateway::caller_limits limits() const;
+    /// @return whether connections are to be closed after their responses, as there are many
+    [[nodiscard]] bool isCrowded() const;
     /// @brief Removes a caller's connection that has closed.
     void removeConnection(const std::shared_ptr<caller_connection>& connection) { m_connections.erase(connection); }
 
 private:
     /// @brief Accepts a caller's connection.
     void onConnection(net::connection_pointer connection);
+    /// @brief Closes a caller's connection before anything of it is read, so that the caller can use another gateway.
+    void closeUnread(const net::connection_pointer& connection);
+    /// @return most connections of callers for which there are file descriptors
+    [[nodiscard]] static std::size_t maxConnections();
     /// @brief Applies what the leader reports about the other gateways.
     void onSessionUpdate(const link::gateway_update& update);
     /// @brief Applies rate limits that targets have reported to other gateways.
@@ -107,6 +113,7 @@
     std::set<std::string> m_engines; ///< services with an engine set in the pool
     std::shared_ptr<const gateway::document_rest> m_services; ///< as last applied to the pool
     std::set<std::shared_ptr<caller_connection>> m_connections;
+    steady_time m_nextCrowdedLogAt {};
     net::tcp_listener m_listener;
     net::http_service m_health;
     gateway_session m_session;
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -64,6 +64,9 @@
     event_info { event_code::QueueLeft, "queue_left",
         "A request has left the queue; fields: as of request_queued, with outcome started, expired, displaced, "
         "shutting_down, caller_left, deadline_passed or routed_again." },
+    event_info { event_code::ConnectionsClosedUnread, "connections_closed_unread",
+        "A gateway closes new connections unread, as its file descriptors are needed for open ones; at most one line a "
+        "second." },
     event_info { event_code::WorkStarted, "work_started", "A sidecar passed an attempt to its target." },
     event_info { event_code::WorkFinished, "work_finished", "An attempt ended at the target." },
     event_info { event_code::WorkCancelled, "work_cancelled", "An attempt was cancelled at the target." },
--- a/src/buckthornrail/net/tcp.cpp
+++ b/src/buckthornrail/net/tcp.cpp
@@ -21,6 +21,8 @@
 constexpr int keepAliveIntervalSeconds = 1; ///< idle time before, and interval between, TCP keep-alive probes
 constexpr int listenBacklog = 1024; ///< a full queue drops the SYN, which the client retransmits after seconds
 constexpr std::size_t maxAcceptsPerWakeUp = 16;
+constexpr std::chrono::milliseconds peerCloseTimeout { 2000 }; ///< from the end of sending
+constexpr std::chrono::milliseconds acceptRetryInterval { 20 }; ///< while no file descriptor is free
 
 std::optional<tcp::endpoint> parseEndpoint(const std::string& address)
 {
@@ -45,6 +47,7 @@
 public:
     asio_connection(tcp::socket socket, const connection_options& options)
         : m_socket(std::move(socket))
+        , m_closeTimer(m_socket.get_executor())
         , m_options(options)
     {
     }
@@ -133,6 +136,7 @@
             setLinger(true);
         std::error_code ignored;
         m_socket.close(ignored);
+        m_closeTimer.cancel();
         release();
     }
 
@@ -241,6 +245,17 @@
         }
         release();
         setReading(true);
+        awaitPeerClose();
+    }
+
+    /// Frees the descriptor although the peer keeps its side open.
+    void awaitPeerClose()
+    {
+        m_closeTimer.expires_at(boot_clock::now() + peerCloseTimeout);
+        m_closeTimer.async_wait([self = shared_from_this()](const std::error_code& error) {
+            if (!error)
+                self->abort(false);
+        });
     }
 
     /// Reports a write error from the event loop, because write() must not call `ended`. What the peer sent before it
@@ -272,6 +287,7 @@
             return;
         std::error_code ignored;
         m_socket.close(ignored);
+        m_closeTimer.cancel();
         const auto ended = std::move(m_handlers.ended);
         release();
         if (ended)
@@ -287,6 +303,7 @@
     }
 
     tcp::socket m_socket;
+    link::boot_timer m_closeTimer;
     connection_options m_options;
     connection_handlers m_handlers;
     std::string m_pending;
@@ -313,6 +330,7 @@
     implementation(
         link::event_loop& loop, std::function<void(connection_pointer)> callback, const connection_options& limits)
         : acceptor(loop.implementation().io)
+        , retryTimer(loop.implementation().io)
         , accepted(std::move(callback))
         , options(limits)
     {
@@ -323,26 +341,43 @@
         acceptor.async_wait(tcp::acceptor::wait_read, [self = shared_from_this()](const std::error_code& error) {
             if (error || self->stopped)
                 return;
-            self->acceptPending();
-            self->awaitAccept();
+            if (self->acceptPending())
+                self->awaitAccept();
+            else
+                self->awaitDescriptors();
+        });
+    }
+
+    /// Connections are pending, but no descriptor is free: waiting for them again would return at once.
+    void awaitDescriptors()
+    {
+        retryTimer.expires_at(boot_clock::now() + acceptRetryInterval);
+        retryTimer.async_wait([self = shared_from_this()](const std::error_code& error) {
+            if (!error && !self->stopped)
+                self->awaitAccept();
         });
     }
 
-    void acceptPending()
+    /// @return false when descriptors have run out
+    bool acceptPending()
     {
         for (std::size_t count = 0; count < maxAcceptsPerWakeUp; ++count) {
             std::error_code error;
             tcp::socket socket(acceptor.get_executor());
             acceptor.accept(socket, error);
+            if (error == asio::error::no_descriptors || error == std::errc::too_many_files_open_in_system)
+                return false;
             if (error)
-                return; // no pending connection, or out of file descriptors; retried on the next wake-up
+                return true; // no pending connection
             auto connection = std::make_shared<asio_connection>(std::move(socket), options);
             accepted(connection);
             connection->start();
         }
+        return true;
     }
 
     tcp::acceptor acceptor;
+    link::boot_timer retryTimer;
     std::function<void(connection_pointer)> accepted;
     connection_options options;
     bool stopped = false;
@@ -382,6 +417,7 @@
         return;
     std::error_code ignored;
     m_implementation->acceptor.close(ignored);
+    m_implementation->retryTimer.cancel();
 }
 
 struct loop_timer::implementation {
--- a/tests/support/gateway_cluster.cpp
+++ b/tests/support/gateway_cluster.cpp
@@ -10,6 +10,8 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <sstream>
+#include <stdexcept>
+#include <sys/resource.h>
 
 namespace test_support {
 namespace {
@@ -198,6 +200,13 @@
     m_pids[name] = spawnProcess(m_commands.at(name), m_folder + "/" + name + ".log");
 }
 
+void gateway_cluster::limitDescriptors(const std::string& name, std::size_t count)
+{
+    const rlimit limit { count, count };
+    if (prlimit(m_pids.at(name), RLIMIT_NOFILE, &limit, nullptr) != 0)
+        throw std::runtime_error("can't limit the descriptors of " + name);
+}
+
 void gateway_cluster::signal(const std::string& name, int number) { ::kill(m_pids.at(name), number); }
 
 int gateway_cluster::waitForExit(const std::string& name, std::chrono::milliseconds timeout)
--- a/tests/support/gateway_cluster.hpp
+++ b/tests/support/gateway_cluster.hpp
@@ -80,6 +80,8 @@
     void signal(const std::string& name, int number);
     /// @return the exit status, or the negated signal that ended the process; -1: it still runs after the timeout
     int waitForExit(const std::string& name, std::chrono::milliseconds timeout);
+    /// @brief Limits the file descriptors that a running process may have open.
+    void limitDescriptors(const std::string& name, std::size_t count);
     /// @brief Sends SIGKILL and waits for the end of the process.
     void killHard(const std::string& name);
     /// @brief Deletes the storage of a registry that isn't running, which joins as a blank member at its next start.
