--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -44,12 +44,16 @@
     event_info { event_code::TargetUnreachable, "target_unreachable",
         "A target on the path of a silent stream accepts no connections; fields: target, address, how." },
     event_info { event_code::CrashBlamed, "crash_blamed",
-        "A target ended shortly after requests had started there; fields: target, address, how, begun, fingerprints." },
+        "A target ended shortly after requests had started there; fields: target, address, how, begun, fingerprints, "
+        "parts (of their prompts)." },
     event_info { event_code::TrialDecided, "trial_decided",
-        "The quarantine decided whether a request may run; fields: request, fingerprint, workspace, path, target, "
-        "stage, outcome." },
+        "The quarantine decided whether a request may run; fields: request, fingerprint, blamed (the request, or parts "
+        "of "
+        "its prompt with their fingerprints), workspace, path, target, stage, outcome." },
     event_info { event_code::RequestCleared, "request_cleared",
-        "A quarantined request got a complete response; fields: request, fingerprint, stage." },
+        "A quarantined request got a complete response, or a part of its prompt a response that lasted; fields: "
+        "request, "
+        "fingerprint, stage, part." },
     event_info { event_code::AttemptKept, "attempt_kept",
         "A stalled attempt is not moved; fields: request, attempt, because (cause of the stall), reason (why it can't "
         "be moved)." },
--- a/tests/soak/caller_pool.hpp
+++ b/tests/soak/caller_pool.hpp
@@ -46,6 +46,12 @@
     }
 
 private:
+    /// Parts of a prompt: one that all have, one that some have, and one of its own.
+    static std::vector<std::string> promptOf(std::size_t callNumber)
+    {
+        return { "5e", "d" + std::to_string(callNumber % 7), "a" + std::to_string(callNumber) };
+    }
+
     void run(std::size_t number, std::uint64_t seed)
     {
         std::mt19937_64 random(seed * 100 + number);
@@ -58,8 +64,9 @@
                 : kind == 1                    ? "/unsafe/" + id
                                                : "/safe/" + id;
             const auto& gateway = m_cluster.gateways()[random() % m_cluster.gateways().size()];
-            auto response = keepsConnections ? keepAliveCaller.call(gateway, "POST", path, id, callerTimeout)
-                                             : m_cluster.call(gateway, "POST", path, id, callerTimeout);
+            auto response = keepsConnections
+                ? keepAliveCaller.call(gateway, "POST", path, id, callerTimeout)
+                : m_cluster.call(gateway, { "POST", path, id, callerTimeout, "key-1", promptOf(callNumber), {} });
             if (response.status == 0)
                 std::this_thread::sleep_for(std::chrono::milliseconds(20)); // no process is listening
             const std::scoped_lock lock(m_mutex);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,8 +1,9 @@
 /// @file
 /// @brief Randomized soak test with real processes: injects overlapping faults and checks the invariants meanwhile.
 ///
-/// soak --seed N [--seconds S] [--gateways G] [--engines E] [--pushback] [--ranked]. Exits with 0 if no invariant
-/// was violated, with 1 after a violation (it is printed, and the logs are kept), with 2 after an error.
+/// soak --seed N [--seconds S] [--gateways G] [--engines E] [--pushback] [--ranked] [--parts]. Exits with 0 if no
+/// invariant was violated, with 1 after a violation (it is printed, and the logs are kept), with 2 after an error.
+#include "soak/crashing_part_check.hpp"
 #include "soak/ranked_callers.hpp"
 #include "soak/response_faults.hpp"
 #include "soak/soak_options.hpp"
@@ -61,6 +62,8 @@
             m_cluster.fleet().keepIds();
         if (m_options.withRanks)
             beginRanking();
+        if (m_options.withCrashingPart)
+            m_crashingPart.emplace(m_cluster, m_options.seed);
         caller_pool callers(m_cluster, m_options.seed);
         const auto end = clock_type::now() + m_options.duration;
         while (clock_type::now() < end) {
@@ -74,6 +77,10 @@
         }
         endDueFaults(clock_type::time_point::max());
         checkRecovery();
+        if (m_crashingPart) {
+            m_crashingPart->stop();
+            m_crashingPart->check(m_violations);
+        }
         checkCalls(callers.stop());
         if (m_rankedCallers) {
             const auto records = m_rankedCallers->stop();
@@ -460,6 +467,7 @@
     std::mt19937_64 m_responseRandom; ///< of its own, so that the other faults of a seed stay as they are
     gateway_cluster m_cluster;
     violation_log m_violations;
+    std::optional<crashing_part_check> m_crashingPart; ///< empty: no part crashes targets
     std::optional<ranked_callers> m_rankedCallers; ///< empty: no route is ranked
     std::vector<active_fault> m_activeFaults;
     std::set<std::string> m_reserved; ///< processes, targets, links and pushbacks with an active fault
@@ -483,10 +491,11 @@
             "", "engines", "Targets with layers in each failure domain", false, 4, "number", line);
         TCLAP::SwitchArg pushback("", "pushback", "Targets also name rate limits and request backoffs", line);
         TCLAP::SwitchArg ranked("", "ranked", "More callers than fit, on routes of different priorities", line);
+        TCLAP::SwitchArg parts("", "parts", "A part of prompts crashes targets", line);
         line.parse(argc, argv);
         std::cout << "soak: seed " << seed.getValue() << std::endl;
         const soak_options options { seed.getValue(), seconds(duration.getValue()), gateways.getValue(),
-            engines.getValue(), pushback.getValue(), ranked.getValue() };
+            engines.getValue(), pushback.getValue(), parts.getValue(), ranked.getValue() };
         const bool isPassed = soak_run(options).run();
         std::cout << "soak: seed " << seed.getValue() << (isPassed ? " held" : " BROKEN") << std::endl;
         return isPassed ? 0 : 1;
--- a/tests/soak/soak_options.hpp
+++ b/tests/soak/soak_options.hpp
@@ -13,6 +13,7 @@
     std::size_t gateways = 3;
     std::size_t enginesPerDomain = 4;
     bool withPushback = false; ///< targets name rate limits and request backoffs
+    bool withCrashingPart = false; ///< a part of prompts crashes targets throughout
     bool withRanks = false; ///< callers of routes with different priorities exceed the engines' memory
 };
 
--- a/tools/bench_core.cpp
+++ b/tools/bench_core.cpp
@@ -8,6 +8,8 @@
 #include "buckthornrail/dispatch/target_gate.hpp"
 #include "buckthornrail/gateway/admission.hpp"
 #include "buckthornrail/gateway/admission_queue.hpp"
+#include "buckthornrail/gateway/fingerprint_request.hpp"
+#include "buckthornrail/gateway/quarantine_gate.hpp"
 #include "buckthornrail/gateway/return_schedule.hpp"
 #include "buckthornrail/link/message.hpp"
 #include "buckthornrail/routing/route_table.hpp"
@@ -350,6 +352,35 @@
     reportAllocations(state, before);
 }
 
+/// What the quarantine costs a request with three shared parts, while a number of other parts are quarantined.
+void quarantineOfRequest(benchmark::State& state)
+{
+    gateway::crash_watch watch;
+    gateway::quarantine_gate gate(1);
+    registry::quarantine_delta delta { 1, false, {} };
+    for (std::int64_t number = 0; number < state.range(0); ++number) {
+        const auto part = gateway::fingerprintOfPart("other", std::to_string(number));
+        delta.standings.push_back({ part, registry::quarantine_stage::Proven, true, false });
+    }
+    gate.applyDelta(delta);
+    const std::vector<gateway::selected_part> path { { { "target" }, "10.0.0.1:1", { 0, 8 }, 0 } };
+    steady_time now {};
+    gateway::call_number call = 0;
+    for ([[maybe_unused]] const auto& iteration : state) {
+        ++call;
+        now += milliseconds(1);
+        std::vector<request_fingerprint> parts;
+        for (const std::uint64_t kind : { 0U, 100U, 200U })
+            parts.push_back(gateway::fingerprintOfPart("service", std::to_string(kind + call % 60)));
+        benchmark::DoNotOptimize(gate.requestDispatch(call, { {}, parts }, path.front().target, now));
+        watch.onAttemptOpened(call, path, now, parts);
+        watch.onFirstEvent(call, now);
+        benchmark::DoNotOptimize(watch.takeSurvival(call, true, now));
+        watch.forgetCall(call);
+    }
+}
+
+BENCHMARK(quarantineOfRequest)->Arg(0)->Arg(1000);
 BENCHMARK(admissionDecision);
 BENCHMARK(tableEncode)->Arg(30)->Arg(300)->Arg(3000)->Unit(benchmark::kMillisecond);
 BENCHMARK(tableDecode)->Arg(30)->Arg(300)->Arg(3000)->Unit(benchmark::kMillisecond);
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -81,6 +81,7 @@
     std::string pipeline = "essay-summary";
     std::uint32_t timeoutMs = 10000;
     double highPriorityShare = 0; ///< fraction of the requests, 0 to 1
+    double funnelShare = 0; ///< fraction of the requests that go to the first entry, besides its part of the others
     std::uint64_t seed = 1;
     std::string jsonFile;
     bool timeline = false;
@@ -92,6 +93,7 @@
     std::string prompt;
     std::string workspace;
     bool isHighPriority = false;
+    bool isFunnelled = false; ///< goes to the first entry, whichever's turn it is
 };
 
 /// Counts and latencies of the requests of one priority class.
@@ -141,6 +143,9 @@
         request.sendOffsetUs = sendOffsetUs;
         request.workspace = m_options.workspaces[m_random() % m_options.workspaces.size()];
         request.isHighPriority = std::uniform_real_distribution<>(0, 1)(m_random) < m_options.highPriorityShare;
+        const bool mayBeFunnelled = m_options.funnelShare > 0; // otherwise nothing is drawn: a seed's schedule stays
+        request.isFunnelled
+            = mayBeFunnelled && std::uniform_real_distribution<>(0, 1)(m_random) < m_options.funnelShare;
         if (m_options.prefixes > 0) {
             const auto number = m_random() % m_options.prefixes;
             request.prompt = request.workspace + " shared beginning " + std::to_string(number) + " ";
@@ -164,7 +169,8 @@
                 std::this_thread::sleep_for(std::chrono::microseconds(waitUs));
             else if (waitUs < -100'000)
                 ++m_sentLate;
-            send(request, m_options.entries[number % m_options.entries.size()]);
+            send(request,
+                request.isFunnelled ? m_options.entries.front() : m_options.entries[number % m_options.entries.size()]);
         }
     }
 
@@ -332,6 +338,8 @@
     TCLAP::ValueArg<double> seconds(
         "", "seconds", "Length of the schedule in seconds", false, options.seconds, "number", line);
     TCLAP::ValueArg<double> high("", "high", "Fraction of requests with high priority", false, 0, "0 to 1", line);
+    TCLAP::ValueArg<double> funnel(
+        "", "funnel", "Fraction of requests that the first entry gets besides its turn", false, 0, "0 to 1", line);
     const auto numberArg = [&line](const char* flag, const char* meaning, std::uint32_t fallback) {
         return std::make_unique<TCLAP::ValueArg<std::uint32_t>>("", flag, meaning, false, fallback, "number", line);
     };
@@ -350,6 +358,7 @@
     options.jsonFile = file.getValue();
     options.rate = rate.getValue();
     options.seconds = seconds.getValue();
+    options.funnelShare = funnel.getValue();
     options.highPriorityShare = high.getValue();
     options.threads = threads->getValue();
     options.tokens = tokens->getValue();
