--- a/src/buckthornrail/registry/quarantine.cpp
+++ b/src/buckthornrail/registry/quarantine.cpp
@@ -71,9 +71,11 @@
 {
     const auto explanations = explanationsOf(report);
     for (const auto& proven : explanations) {
-        auto& entry = m_entries.at(proven);
-        if (recordEnd(entry, report.target))
-            entry.revision = ++m_revision;
+        const auto found = m_entries.find(proven);
+        if (found == m_entries.end())
+            continue; // another one explains all its crashes
+        if (recordEnd(found->second, report.target))
+            found->second.revision = ++m_revision;
         explainCrashes(proven);
     }
     if (!explanations.empty())
@@ -211,16 +213,19 @@
 void quarantine_table::decideTrial(const std::vector<request_fingerprint>& parts)
 {
     surprise most = 0;
-    for (const auto& part : parts)
-        most = std::max(most, m_entries.at(part).evidence.total());
+    for (const auto& part : parts) {
+        const auto* entry = find(part);
+        if (entry != nullptr) // otherwise it was evicted
+            most = std::max(most, entry->evidence.total());
+    }
     std::vector<request_fingerprint> likeliest;
     for (const auto& part : parts) {
-        const auto& entry = m_entries.at(part);
-        const auto evidence = entry.evidence.total();
+        const auto* entry = find(part);
         // One request alone may crash targets for another reason than its parts.
-        const bool isShown
-            = evidence >= m_options.provenEvidence && entry.related.size() >= m_options.minRequestsOfPart;
-        if (isShown && evidence + m_options.decisiveMargin > most)
+        if (entry == nullptr || entry->related.size() < m_options.minRequestsOfPart)
+            continue;
+        const auto evidence = entry->evidence.total();
+        if (evidence >= m_options.provenEvidence && evidence + m_options.decisiveMargin > most)
             likeliest.push_back(part);
     }
     for (const auto& part : likeliest) {
@@ -259,13 +264,13 @@
     const auto& own = m_entries.at(part);
     std::vector<request_fingerprint> rivals;
     for (const auto& [fingerprint, entry] : m_entries) {
-        const bool isEqual = entry.evidence.total() + m_options.decisiveMargin > own.evidence.total();
-        if (!entry.isPart || entry.stage != quarantine_stage::Held || fingerprint == part || !isEqual)
+        const bool isAsLikely = entry.evidence.total() + m_options.decisiveMargin > own.evidence.total();
+        if (!entry.isPart || entry.stage != quarantine_stage::Held || fingerprint == part || !isAsLikely)
             continue;
-        const bool coversAll = std::all_of(own.ended.begin(), own.ended.end(), [&entry](const auto& target) {
-            return std::find(entry.ended.begin(), entry.ended.end(), target) != entry.ended.end();
-        });
-        if (coversAll)
+        const auto& ended = entry.ended;
+        const bool hasAll = std::all_of(own.ended.begin(), own.ended.end(),
+            [&ended](const auto& target) { return std::find(ended.begin(), ended.end(), target) != ended.end(); });
+        if (hasAll)
             rivals.push_back(fingerprint);
     }
     return rivals;
--- a/src/buckthornrail/registry/quarantine_test.cpp
+++ b/src/buckthornrail/registry/quarantine_test.cpp
@@ -411,6 +411,41 @@
     CHECK(stageAfter(20) == quarantine_stage::Suspect);
 }
 
+TEST_CASE("quarantine: two proven parts that come together both explain their crashes", "[quarantine]")
+{
+    quarantine_table table;
+    std::uint16_t number = 0;
+    for (const std::uint16_t part : { 100, 101 }) {
+        for (int crash = 0; crash < 4; ++crash) {
+            const std::string target = "t" + std::to_string(++number);
+            table.apply(claimOf(named(part), number, target));
+            table.apply(crashOf(target, { begun(number, { part }, 500) }));
+        }
+        CHECK(stageOf(table, named(part)) == quarantine_stage::Proven);
+    }
+    for (int crash = 0; crash < 40; ++crash) {
+        ++number;
+        table.apply(crashOf("t" + std::to_string(number), { begun(number, { 100, 101, 102 }, 500) }));
+        CHECK(stageOf(table, named(102)) == quarantine_stage::None);
+    }
+    const bool isOneProven = stageOf(table, named(100)) == quarantine_stage::Proven
+        || stageOf(table, named(101)) == quarantine_stage::Proven;
+    CHECK(isOneProven);
+}
+
+TEST_CASE("quarantine: a full table evicts parts while their trial crashes", "[quarantine]")
+{
+    quarantine_options options;
+    options.maxSuspects = 1;
+    quarantine_table table(options);
+    for (std::uint16_t number = 1; number < 60; ++number) {
+        const std::string target = "t" + std::to_string(number);
+        table.apply(claimOf(named(100), number, target));
+        table.apply(crashOf(target, { begun(number, { 100, 101, 102 }, 500) }));
+        CHECK(table.entries().size() <= 2);
+    }
+}
+
 TEST_CASE("quarantine: a view updated by deltas equals the table", "[quarantine][property]")
 {
     rc::prop("any changes, with deltas at any time", [] {
--- a/tools/blame_simulation.cpp
+++ b/tools/blame_simulation.cpp
@@ -597,6 +597,7 @@
     std::printf("%-28s %-40s", day.name, used.name);
     for (const auto& shown : columns) {
         std::vector<double> values;
+        values.reserve(outcomes.size());
         for (const auto& each : outcomes)
             values.push_back(each.*shown.value);
         std::sort(values.begin(), values.end());
@@ -621,6 +622,7 @@
         for (const auto& day : scenarios) {
             for (const auto& used : policies) {
                 std::vector<outcome> outcomes;
+                outcomes.reserve(seeds.getValue());
                 for (unsigned seed = 1; seed <= seeds.getValue(); ++seed)
                     outcomes.push_back(simulated_day(day, used, seconds.getValue(), seed).run());
                 printRow(day, used, outcomes);
