An ended connection is kept while its peer still sends

Found by reading: two seconds after the end of sending a connection was closed although its caller was still sending a body, which could have reset it before the answer was read.

--- a/src/buckthornrail/net/tcp.cpp
+++ b/src/buckthornrail/net/tcp.cpp
@@ -21,7 +21,7 @@
 constexpr int keepAliveIntervalSeconds = 1; ///< idle time before, and interval between, TCP keep-alive probes
 constexpr int listenBacklog = 1024; ///< a full queue drops the SYN, which the client retransmits after seconds
 constexpr std::size_t maxAcceptsPerWakeUp = 16;
-constexpr std::chrono::milliseconds peerCloseTimeout { 2000 }; ///< from the end of sending
+constexpr std::chrono::milliseconds peerCloseTimeout { 2000 }; ///< of a silent peer, from the end of sending
 constexpr std::chrono::milliseconds acceptRetryInterval { 20 }; ///< while no file descriptor is free
 
 std::optional<tcp::endpoint> parseEndpoint(const std::string& address)
@@ -190,6 +190,8 @@
             return;
         }
         if (m_isClosing) {
+            if (m_awaitsPeerClose)
+                awaitPeerClose(); // it still sends
             awaitRead(); // discard received data: closing with unread bytes would reset the connection
             return;
         }
@@ -248,9 +250,10 @@
         awaitPeerClose();
     }
 
-    /// Frees the descriptor although the peer keeps its side open.
+    /// Frees the descriptor when the peer keeps its side open and sends nothing more.
     void awaitPeerClose()
     {
+        m_awaitsPeerClose = true;
         m_closeTimer.expires_at(boot_clock::now() + peerCloseTimeout);
         m_closeTimer.async_wait([self = shared_from_this()](const std::error_code& error) {
             if (!error)
@@ -310,6 +313,7 @@
     bool m_isOpen = false;
     bool m_hasEnded = false;
     bool m_isClosing = false;
+    bool m_awaitsPeerClose = false; ///< all is sent, and the sending side is shut down
     bool m_isReading = true;
     bool m_isAwaitingRead = false;
     bool m_hasWriteFailed = false;
