A registry that leads again begins the quarantine's timeouts anew

Cause: reset() forgot the timers but not the revision that they were made for, so a registry that led again over an unchanged table timed nothing: a trial claimed under the lost leader stayed for ever, and every further claim was refused.

--- a/include/buckthornrail/registry/quarantine.hpp
+++ b/include/buckthornrail/registry/quarantine.hpp
@@ -279,7 +279,11 @@
 class quarantine_timers {
 public:
     /// @brief Restarts all timeouts when this controller becomes the leader.
-    void reset() { m_timers.clear(); }
+    void reset()
+    {
+        m_timers.clear();
+        m_seenRevision.reset();
+    }
     /// @brief Finds entries whose timeout has passed. An entry that stays unchanged is returned again after a retry
     /// period, in case its expiry was not committed.
     [[nodiscard]] std::vector<quarantine_expiry> takeExpired(const quarantine_table& table, steady_time now);
--- a/src/buckthornrail/registry/quarantine_test.cpp
+++ b/src/buckthornrail/registry/quarantine_test.cpp
@@ -216,6 +216,19 @@
     CHECK(table.entries().empty());
 }
 
+// Guards against trials that never end: a registry leads again and the table hasn't changed since it led before.
+TEST_CASE("quarantine: timeouts begin anew at a registry that leads again", "[quarantine]")
+{
+    quarantine_table table;
+    quarantine_timers timers;
+    table.apply(crashOf("a", { named(1) }));
+    table.apply(claimOf(named(1), 11, "b"));
+    CHECK(timers.takeExpired(table, zero).empty());
+    timers.reset();
+    CHECK(timers.takeExpired(table, zero + milliseconds(1000)).empty());
+    CHECK(timers.takeExpired(table, zero + milliseconds(6000)).size() == 1);
+}
+
 TEST_CASE("quarantine: an expiry of an outdated revision has no effect", "[quarantine]")
 {
     quarantine_table table;
