--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases into target/review/. Runs after the build command of deploy/system.toml.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review
