--- a/review/stand_ins/drain_case.cpp
+++ b/review/stand_ins/drain_case.cpp
@@ -43,7 +43,7 @@
         return 2;
     std::this_thread::sleep_for(std::chrono::seconds(3));
 
-    consumers load(gateway, "POST /p/x", "Host: a.example\r\n", 1500, record);
+    consumers load({ gateway }, "POST /p/x", "Host: a.example\r\n", 1500, record);
     const long begin = nowMs();
     std::thread traffic([&] { load.run(perSecond, begin + 3000 + lingerMs); });
     std::this_thread::sleep_until(startedAt + milliseconds(begin + 3000));
--- a/review/stand_ins/stand_ins.hpp
+++ b/review/stand_ins/stand_ins.hpp
@@ -406,11 +406,13 @@
     int status = 0; ///< 0: no whole answer
 };
 
-/// @brief Consumers that send requests at a steady rate, each on a new channel and with an id of its own.
+/// @brief Consumers that send requests at a steady rate, each on a new channel and with an id of its own,
+/// to the gateways in turn.
 class consumers {
 public:
-    consumers(std::string gateway, std::string requestLine, std::string fields, int timeoutMs, recorder& record)
-        : m_gateway(std::move(gateway))
+    consumers(
+        std::vector<std::string> gateways, std::string requestLine, std::string fields, int timeoutMs, recorder& record)
+        : m_gateways(std::move(gateways))
         , m_requestLine(std::move(requestLine))
         , m_fields(std::move(fields))
         , m_timeoutMs(timeoutMs)
@@ -440,11 +442,12 @@
     void send()
     {
         outcome seen;
+        const auto number = ++m_lastId;
         char id[24];
-        std::snprintf(id, sizeof id, "%016llx", 0x5a00000000000000ULL + ++m_lastId);
+        std::snprintf(id, sizeof id, "%016llx", 0x5a00000000000000ULL + number);
         seen.id = id;
         seen.sentMs = nowMs();
-        const int fd = dial(m_gateway);
+        const int fd = dial(m_gateways[number % m_gateways.size()]);
         if (fd >= 0) {
             const std::string text = m_requestLine + " HTTP/1.1\r\n" + m_fields
                 + "X-Buckthornrail-Attempt-Id: " + seen.id
@@ -462,7 +465,7 @@
         m_outcomes.push_back(seen);
     }
 
-    std::string m_gateway;
+    std::vector<std::string> m_gateways;
     std::string m_requestLine;
     std::string m_fields;
     int m_timeoutMs;
