--- a/review/stand_ins/stand_ins.hpp
+++ b/review/stand_ins/stand_ins.hpp
@@ -214,16 +214,7 @@
         : m_options(std::move(options))
         , m_record(record)
     {
-        m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const int on = 1;
-        ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        const auto own = addressOf(m_options.address);
-        if (::bind(m_listener, reinterpret_cast<const sockaddr*>(&own), sizeof own) != 0
-            || ::listen(m_listener, 512) != 0) {
-            std::perror("server");
-            std::exit(2);
-        }
-        std::thread([this] { accept(); }).detach();
+        listen();
         std::thread([this] { sendHeartbeats(); }).detach();
     }
 
@@ -236,6 +227,31 @@
         return nowMs();
     }
 
+    /// @brief Crashes: the port closes, all channels are reset, nothing more is sent.
+    void crash()
+    {
+        m_isDown = true;
+        ::shutdown(m_listener, SHUT_RDWR);
+        ::close(m_listener);
+        const std::lock_guard lock(m_mutex);
+        for (const int fd : m_open) {
+            resetOnClose(fd);
+            ::shutdown(fd, SHUT_RDWR);
+        }
+    }
+
+    /// @brief Starts again after a crash, as a new lifetime with a new id.
+    void restart(const std::string& id)
+    {
+        {
+            const std::lock_guard lock(m_beatMutex);
+            m_options.id = id;
+            m_sequence = 0;
+        }
+        listen();
+        m_isDown = false;
+    }
+
     /// @brief Cuts the server off from the machines of the core, silently and in both directions.
     void cutFromCore(bool isCut) { m_isCut = isCut; }
 
@@ -250,14 +266,42 @@
     [[nodiscard]] const std::string& id() const { return m_options.id; }
 
 private:
-    void accept()
+    static void resetOnClose(int fd)
+    {
+        const linger reset { 1, 0 };
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+
+    void listen()
+    {
+        m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int on = 1;
+        ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        const auto own = addressOf(m_options.address);
+        if (::bind(m_listener, reinterpret_cast<const sockaddr*>(&own), sizeof own) != 0
+            || ::listen(m_listener, 512) != 0) {
+            std::perror("server");
+            std::_Exit(2);
+        }
+        std::thread([this, listener = m_listener.load()] { accept(listener); }).detach();
+    }
+
+    void accept(int listener)
     {
         while (true) {
-            const int fd = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+            const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0)
-                continue;
+                return;
+            {
+                const std::lock_guard lock(m_mutex);
+                m_open.insert(fd);
+            }
             std::thread([this, fd] {
                 serve(fd);
+                const std::lock_guard lock(m_mutex);
+                if (m_isDown)
+                    resetOnClose(fd);
+                m_open.erase(fd);
                 ::close(fd);
             }).detach();
         }
@@ -308,9 +352,10 @@
         note(id, "run");
         std::this_thread::sleep_for(milliseconds(m_options.workMs));
         releaseSlot();
+        if (m_isDown)
+            return;
         if (losesAnswer && losesAnswer()) {
-            const linger reset { 1, 0 };
-            ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+            resetOnClose(fd);
             return;
         }
         respond("200 OK",
@@ -348,7 +393,7 @@
     void sendHeartbeats()
     {
         while (true) {
-            if (!m_isCut)
+            if (!m_isCut && !m_isDown)
                 (void)beat();
             std::this_thread::sleep_for(milliseconds(m_options.heartbeatMs));
         }
@@ -384,9 +429,11 @@
 
     server_options m_options;
     recorder& m_record;
-    int m_listener = -1;
+    std::atomic<int> m_listener = -1;
     std::atomic<const char*> m_state = "ready";
     std::atomic<bool> m_isCut = false;
+    std::atomic<bool> m_isDown = false;
+    std::set<int> m_open; ///< channels
     mutable std::mutex m_mutex;
     std::mutex m_beatMutex;
     std::condition_variable m_freed;
