--- a/review/stand_ins/denied_case.cpp
+++ b/review/stand_ins/denied_case.cpp
@@ -9,7 +9,7 @@
 constexpr std::size_t serverCount = 3;
 constexpr long downMs = 4500; ///< the length of srv_crash in the site file
 constexpr long afterMs = 12000;
-constexpr int perSecond = 200; ///< the servers can serve 600
+constexpr int perSecond = 300; ///< the servers can serve 600
 
 } // namespace
 
