Sight: E402 lists the members, E409 names the voters that are missing

Without a leader, no log line told whether the voters are dead, refuse each other or can't be reached: /status shows members only as voter or learner, E402 only their number. Each replica now keeps when it last heard the others (contact_table), also while it follows, and a voter that has known no leader for 3 s logs voters, needed, heard and who is silent for how long.

--- a/include/buckthornrail/core/event_code.hpp
+++ b/include/buckthornrail/core/event_code.hpp
@@ -55,6 +55,7 @@
     CommandForwardedAgain = 406,
     LogOpened = 407,
     SnapshotInstalled = 408,
+    QuorumMissing = 409,
     ConfigurationAccepted = 500,
     ConfigurationRejected = 501,
     ConfigurationApplied = 502,
--- a/src/app/shared/replicated_log.cpp
+++ b/src/app/shared/replicated_log.cpp
@@ -25,6 +25,8 @@
 constexpr link::link_number ownLink = ~link::link_number { 0 };
 /// Members send a hello every 200 ms.
 constexpr milliseconds helloLifetime { 2000 };
+/// Longer than an election takes: without a leader for this long, a voter reports which voters are silent.
+constexpr milliseconds quorumReportInterval { 3000 };
 
 agreement::replica_options replicaOptions(std::uint32_t electionTimeoutMs)
 {
@@ -36,6 +38,15 @@
     return options;
 }
 
+/// @return the addresses, separated by commas, with the role of those that don't vote
+std::string describeMembers(const std::vector<agreement::member>& members)
+{
+    std::string text;
+    for (const auto& member : members)
+        text += (text.empty() ? "" : ",") + member.address + (member.voter ? "" : "(learner)");
+    return text;
+}
+
 } // namespace
 
 replicated_log::replicated_log(
@@ -136,6 +147,7 @@
 bool replicated_log::onMessage(link::link_number linkNumber, const link::message& message)
 {
     if (const auto* peer = std::get_if<agreement::peer_message>(&message)) {
+        m_contacts.record(peer->from, steadyNow());
         m_replica->receive(*peer, steadyNow());
     } else if (const auto* forwarded = std::get_if<link::forward_command>(&message)) {
         m_replica->propose(forwarded->bytes);
@@ -143,6 +155,7 @@
         recordJoinRequest(join->member, join->address);
     } else if (const auto* hello = std::get_if<link::controller_hello>(&message)) {
         m_acceptedLinks[linkNumber] = hello->member;
+        m_contacts.record(hello->member, steadyNow());
         m_hellos[hello->member]
             = { { hello->address, hello->controlAddress, hello->failureDomain }, steadyNow() + helloLifetime };
         m_peers[hello->address].initialized = hello->initialized;
@@ -175,9 +188,14 @@
 
 void replicated_log::slowTick()
 {
+    const steady_time now = steadyNow();
+    if (m_stallWatch.check(now) > milliseconds(0))
+        m_contacts.restart(now);
+    m_contacts.retain(m_replica->members(), now);
     tryRecover();
     dialPeers();
     updateMembers();
+    reportMissingQuorum(now);
     forwardCommands();
     scheduleFlush();
 }
@@ -246,7 +264,7 @@
         m_applied = entry.index;
         if (entry.kind == agreement::entry_kind::Members)
             telemetry::logEvent(event_code::MemberChanged,
-                { { "members", std::to_string(entry.members.size()) }, { "index", std::to_string(entry.index) } });
+                { { "members", describeMembers(entry.members) }, { "index", std::to_string(entry.index) } });
         if (entry.kind != agreement::entry_kind::Command)
             continue;
         const std::string id = m_stateMachine.applyCommand(entry.command);
@@ -367,6 +385,35 @@
         (void)m_replica->proposeMembers(std::move(*next)); // rejected while another change is pending; retried
 }
 
+void replicated_log::reportMissingQuorum(steady_time now)
+{
+    if (m_replica->leader() != 0 || !m_replica->isVoter(m_replica->self())) {
+        m_nextQuorumReportAt = now + quorumReportInterval;
+        return;
+    }
+    if (now < m_nextQuorumReportAt)
+        return;
+    m_nextQuorumReportAt = now + quorumReportInterval;
+    std::size_t voters = 0;
+    std::size_t heard = 0;
+    std::string silent;
+    for (const auto& member : m_replica->members()) {
+        if (!member.voter)
+            continue;
+        ++voters;
+        const auto silence = between(m_contacts.heardAt(member.id, now), now);
+        if (member.id == m_replica->self() || silence < helloLifetime)
+            ++heard;
+        else
+            silent += (silent.empty() ? "" : ",") + member.address + " " + std::to_string(silence.count());
+    }
+    telemetry::logEvent(event_code::QuorumMissing,
+        { { "voters", std::to_string(voters) }, { "needed", std::to_string(voters / 2 + 1) },
+            { "heard", std::to_string(heard) }, { "silent_ms", silent }, { "term", std::to_string(m_replica->term()) },
+            { "last", std::to_string(m_replica->lastIndex()) } },
+        telemetry::severity::Warning);
+}
+
 void replicated_log::checkLeadership()
 {
     const bool leads = isLeader();
--- a/src/app/shared/replicated_log.hpp
+++ b/src/app/shared/replicated_log.hpp
@@ -3,7 +3,9 @@
 #pragma once
 
 #include "app/shared/process.hpp"
+#include "buckthornrail/agreement/contact_table.hpp"
 #include "buckthornrail/agreement/replica.hpp"
+#include "buckthornrail/core/stall_watch.hpp"
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/link/message.hpp"
 #include "buckthornrail/storage/log_store.hpp"
@@ -168,6 +170,8 @@
     void updateMembers();
     /// @brief Records a request to join, and forwards it to the leader.
     void recordJoinRequest(agreement::member_id id, const std::string& address);
+    /// @brief At a voter that has known no leader for a while: logs which voters are silent.
+    void reportMissingQuorum(steady_time now);
     /// @brief Logs and reports when this member has gained or lost the leadership.
     void checkLeadership();
     /// @brief Takes the replica out of the protocol until tryRecover() succeeds.
@@ -191,6 +195,9 @@
     std::map<agreement::member_id, received_hello> m_hellos;
     std::map<link::link_number, agreement::member_id> m_acceptedLinks; ///< the other end of each accepted link
     std::map<agreement::member_id, steady_time> m_unreachableSince; ///< at the leader: unreachable members
+    agreement::contact_table m_contacts;
+    stall_watch m_stallWatch;
+    steady_time m_nextQuorumReportAt {}; ///< a missing quorum isn't logged before
     bool m_wasLeader = false;
     bool m_flushScheduled = false;
     steady_time m_nextRecoveryAt {}; ///< a failed disk is not reopened before
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -83,7 +83,8 @@
         event_code::OrderEnded, "order_ended", "An order to the target has ended; fields: fence, code, reason." },
     event_info { event_code::LeaderElected, "leader_elected", "This controller is the leader; field: term." },
     event_info { event_code::LeaderLost, "leader_lost", "This controller is no longer the leader." },
-    event_info { event_code::MemberChanged, "member_changed", "The set of controllers changed." },
+    event_info { event_code::MemberChanged, "member_changed",
+        "The set of controllers changed; fields: members (addresses; learners don't vote), index." },
     event_info { event_code::SnapshotSaved, "snapshot_saved", "A snapshot was saved and the log compacted." },
     event_info { event_code::StorageFault, "storage_fault", "The data folder failed; the controller stops voting." },
     event_info { event_code::StorageRegained, "storage_regained", "The data folder is writable again." },
@@ -93,6 +94,9 @@
         "A controller loaded its log from disk; fields: snapshot (last index that it covers), last (index), term." },
     event_info { event_code::SnapshotInstalled, "snapshot_installed",
         "A snapshot from the leader replaced this controller's state; fields: leader, index, bytes, before (index)." },
+    event_info { event_code::QuorumMissing, "quorum_missing",
+        "A voter has known no leader for 3 s, and again every 3 s; fields: voters, needed (for a quorum), heard, "
+        "silent_ms (silent voters and for how long), term, last (index)." },
     event_info { event_code::ConfigurationAccepted, "configuration_accepted", "A change was committed." },
     event_info {
         event_code::ConfigurationRejected, "configuration_rejected", "A change was rejected, with the reason." },
