Voters: one decision on who belongs to the log; dead ones never stay because others join

What callers saw: after two core machines had been replaced, the next disk loss that must be borne left no leader for good. Reads of the configuration got 503, no change was acknowledged, the acknowledged version couldn't be read back.

A dead voter was removed only from an even number of voters (four at least) or a full set of seven, and newcomers were admitted first, any number of them; timers began anew with each leader.

Change: agreement::planChange decides every change, in one order: dead voters out, learners promoted, leaving voters out, learners out, learners in. With f losses to be borne (registry setting tolerated_losses, fault-tolerance.machines on the platform) a removal leaves 2 f + 1 voters, or a learner is ready to take the place; a quorum of both sets has answered this leader. A learner votes once each voter has been heard since it joined, so that a successor never counts beside the dead voter that it replaces. Every replica keeps when it heard the others. A process that is told to end hands its vote over first if others are there to take it (optional fields of the hello between controllers). Controllers of the product's own interface use the same decision. Contact with a new disk no longer counts for the old member at its address. ctl members, GET /members, metrics and E410 to E413 show who votes, who is silent, and what can be borne.

Why this holds: 2 f + 1 voters or more of which none is gone bear f losses, whatever their number; design/agreement.md.

--- a/include/buckthornrail/agreement/contact_table.hpp
+++ b/include/buckthornrail/agreement/contact_table.hpp
@@ -24,10 +24,13 @@
 
     /// @return when the member was last heard, or its record began; `now` for a member without a record
     [[nodiscard]] steady_time heardAt(member_id id, steady_time now) const;
+    /// @return when the record of a member began, soon after it was added; `now` for a member without a record
+    [[nodiscard]] steady_time knownSince(member_id id, steady_time now) const;
     [[nodiscard]] bool isLeaving(member_id id) const;
 
 private:
     struct contact {
+        steady_time knownSince {};
         steady_time heardAt {};
         bool isLeaving = false;
     };
--- a/include/buckthornrail/agreement/replica.hpp
+++ b/include/buckthornrail/agreement/replica.hpp
@@ -106,7 +106,8 @@
     snapshot compact(log_index index, std::string state);
 
     /// @brief At the leader: asks the reachable voter with the most complete log to start an election.
-    void transferLeadership();
+    /// @param unfit members that are asked only if there is no other
+    void transferLeadership(std::span<const member_id> unfit = {});
 
     /// @brief Leaves the protocol for good, after a disk failure. Effects that were not taken yet are discarded.
     void markFaulted();
@@ -124,6 +125,8 @@
     /// @return index of the last snapshot; 0: none
     [[nodiscard]] log_index snapshotIndex() const { return m_snapshot.index; }
     [[nodiscard]] const std::vector<member>& members() const { return m_members; }
+    /// @brief Whether the last membership change, which members() includes, isn't known to be committed yet.
+    [[nodiscard]] bool hasPendingMembers() const { return m_membersIndex > m_commit; }
     [[nodiscard]] const hard_state& hardState() const { return m_hard; }
     /// @return entries after the last snapshot
     [[nodiscard]] const std::vector<log_entry>& entriesAfterSnapshot() const { return m_entries; }
--- a/include/buckthornrail/link/message.hpp
+++ b/include/buckthornrail/link/message.hpp
@@ -111,6 +111,9 @@
     bool initialized = false;
     std::string controlAddress; ///< of the sender, for HTTP calls
     std::string failureDomain; ///< of the sender
+    bool isLeaving = false; ///< the sender's process ends; optional on the wire
+    /// From the leader: a leaving member whose removal has been committed; 0: none. Optional on the wire.
+    agreement::member_id releasedMember = 0;
 };
 
 /// Addresses and failure domain of a controller. Without recent contact to it only `address` is set.
--- a/include/buckthornrail/settings/settings.hpp
+++ b/include/buckthornrail/settings/settings.hpp
@@ -55,6 +55,7 @@
     std::string admissionMode = "auto"; ///< auto: priorities of routes order requests; off: they don't
 
     std::string bootstrap = "false";
+    std::uint32_t toleratedLosses = 0; ///< registries that may be lost at once; 0: as many as the addresses allow
     std::uint32_t targetHeartbeatMs = 1200;
     std::uint32_t linkPort = 0; ///< 0: the port in each address
     std::uint32_t linkKeepAliveMs = 2000;
--- a/src/app/controller/controller.cpp
+++ b/src/app/controller/controller.cpp
@@ -3,6 +3,7 @@
 #include "app/controller/controller.hpp"
 
 #include "app/controller/controller_api.hpp"
+#include "app/shared/members_page.hpp"
 #include "app/shared/role_runner.hpp"
 
 namespace buckthornrail::app {
@@ -17,7 +18,6 @@
 constexpr milliseconds maxLeaseCheckGap { 1000 };
 constexpr milliseconds claimTimeout { 2500 };
 constexpr milliseconds commandTimeout { 10000 };
-constexpr milliseconds handOverDelay { 300 };
 
 } // namespace
 
@@ -67,6 +67,7 @@
         reportRenewals();
         expireLeases();
         proposeTransitions();
+        updateMemberMetrics(*m_log, m_metrics, steadyNow());
         m_log->scheduleFlush();
     });
     return {};
@@ -75,8 +76,7 @@
 void controller::stop(std::function<void()> done)
 {
     m_isReady = false;
-    m_log->stop();
-    m_loop.runAt(steadyNow() + handOverDelay, std::move(done));
+    m_log->leave(std::move(done));
 }
 
 tl::expected<void, failure> controller::initialize() { return m_log->initialize(); }
--- a/src/app/registry/registry.cpp
+++ b/src/app/registry/registry.cpp
@@ -4,6 +4,7 @@
 #include "app/registry/registry.hpp"
 
 #include "app/shared/control_response.hpp"
+#include "app/shared/members_page.hpp"
 #include "app/shared/pushback_page.hpp"
 #include "app/shared/role_runner.hpp"
 
@@ -79,7 +80,7 @@
     options.electionTimeoutMs = m_settings.electionTimeoutMs;
     options.snapshotEntries = m_settings.snapshotEntries;
     options.admitsUnlisted = true;
-    options.dropsDeadMembers = true;
+    options.toleratedLosses = m_settings.toleratedLosses;
     m_log = std::make_unique<replicated_log>(m_loop, *m_hub, m_state, std::move(options));
     m_log->changed = [this] { onChanged(); };
     m_log->leadershipChanged = [this](bool leads) {
@@ -105,12 +106,7 @@
     return {};
 }
 
-void registry_role::stop(std::function<void()> done)
-{
-    constexpr milliseconds handoverPeriod { 300 };
-    m_log->stop();
-    m_loop.runAt(steadyNow() + handoverPeriod, std::move(done));
-}
+void registry_role::stop(std::function<void()> done) { m_log->leave(std::move(done)); }
 
 void registry_role::bootstrapIfFirst()
 {
@@ -140,6 +136,10 @@
         respond(statusPage());
         return;
     }
+    if (request.head.target == membersPath) {
+        respond(net::plainResponse(200, membersPage(*m_log, steadyNow())));
+        return;
+    }
     if (request.head.target == pushbackPath) {
         respond(net::plainResponse(200, pushbackPage(restrictedTargets(steadyNow()))));
         return;
@@ -273,6 +273,7 @@
     }
     m_metrics.gauge("is_leader", m_log->isLeader() ? 1 : 0);
     m_metrics.gauge("commit_index", static_cast<double>(m_log->replica().commitIndex()));
+    updateMemberMetrics(*m_log, m_metrics, now);
     m_metrics.gauge("sums_of_others_age_ms", static_cast<double>(ageOfTotals().value_or(milliseconds(0)).count()));
     m_metrics.gauge("sessions", static_cast<double>(m_sessions.size()));
     m_metrics.gauge("link_bytes_sent", static_cast<double>(m_hub->bytesSent()));
--- a/src/app/shared/replicated_log.cpp
+++ b/src/app/shared/replicated_log.cpp
@@ -2,8 +2,6 @@
 /// @brief Passes events to the replica and applies its effects.
 #include "app/shared/replicated_log.hpp"
 
-#include "buckthornrail/agreement/admission.hpp"
-
 #include <algorithm>
 
 namespace buckthornrail::app {
@@ -11,22 +9,10 @@
 
 constexpr milliseconds tickPeriod { 20 };
 constexpr milliseconds slowTickPeriod { 200 };
-constexpr milliseconds joinRequestLifetime { 2000 };
 /// Interval between attempts to reopen a failed disk, which may have been full or unresponsive only briefly.
 constexpr milliseconds recoveryInterval { 500 };
-/// Unreachable time after which a voter may be removed once a promoted learner has made the number of voters even.
-/// Longer than a restart takes.
-constexpr milliseconds replaceableAfter { 2500 };
-/// Unreachable time after which a learner, or any member of a full set, may be removed. Longer, as no learner
-/// is ready to replace it.
-constexpr milliseconds droppableAfter { 8000 };
-constexpr std::size_t maxPendingJoins = 16;
 /// Used instead of the number of the link to the leader when this member leads.
 constexpr link::link_number ownLink = ~link::link_number { 0 };
-/// Members send a hello every 200 ms.
-constexpr milliseconds helloLifetime { 2000 };
-/// Longer than an election takes: without a leader for this long, a voter reports which voters are silent.
-constexpr milliseconds quorumReportInterval { 3000 };
 
 agreement::replica_options replicaOptions(std::uint32_t electionTimeoutMs)
 {
@@ -109,12 +95,6 @@
     }
 }
 
-void replicated_log::stop()
-{
-    m_replica->transferLeadership();
-    flush();
-}
-
 tl::expected<void, failure> replicated_log::initialize()
 {
     for (const auto& [address, peer] : m_peers) {
@@ -154,17 +134,7 @@
     } else if (const auto* join = std::get_if<link::join_request>(&message)) {
         recordJoinRequest(join->member, join->address);
     } else if (const auto* hello = std::get_if<link::controller_hello>(&message)) {
-        m_acceptedLinks[linkNumber] = hello->member;
-        m_contacts.record(hello->member, steadyNow());
-        m_hellos[hello->member]
-            = { { hello->address, hello->controlAddress, hello->failureDomain }, steadyNow() + helloLifetime };
-        m_peers[hello->address].initialized = hello->initialized;
-        redial(hello->address);
-        const auto& members = m_replica->members();
-        const bool isMember = std::any_of(
-            members.begin(), members.end(), [hello](const auto& member) { return member.id == hello->member; });
-        if (hello->initialized && !isMember && isLeader() && m_options.admitsUnlisted)
-            recordJoinRequest(hello->member, hello->address); // it was removed while it was unreachable
+        onHello(linkNumber, *hello);
     } else {
         return false;
     }
@@ -172,17 +142,11 @@
     return true;
 }
 
-void replicated_log::recordJoinRequest(agreement::member_id id, const std::string& address)
-{
-    if (!isLeader())
-        sendToLeader(link::join_request { id, address });
-    if (m_pendingJoins.contains(id) || m_pendingJoins.size() < maxPendingJoins)
-        m_pendingJoins[id] = { address, steadyNow() + joinRequestLifetime };
-}
-
 void replicated_log::tick()
 {
-    m_replica->tick(steadyNow());
+    const steady_time now = steadyNow();
+    m_replica->tick(now);
+    continueLeaving(now);
     scheduleFlush();
 }
 
@@ -191,11 +155,11 @@
     const steady_time now = steadyNow();
     if (m_stallWatch.check(now) > milliseconds(0))
         m_contacts.restart(now);
-    m_contacts.retain(m_replica->members(), now);
     tryRecover();
     dialPeers();
     updateMembers();
     reportMissingQuorum(now);
+    reportTolerance(now);
     forwardCommands();
     scheduleFlush();
 }
@@ -351,69 +315,6 @@
     command.forwardedAt = now;
 }
 
-void replicated_log::updateMembers()
-{
-    const steady_time now = steadyNow();
-    std::erase_if(m_pendingJoins, [now](const auto& item) { return now >= item.second.deadline; });
-    if (!isLeader()) {
-        m_unreachableSince.clear();
-        return;
-    }
-    std::vector<agreement::joining_replica> joining;
-    for (const auto& [id, request] : m_pendingJoins) {
-        const auto& seeds = m_options.seeds;
-        if (m_options.admitsUnlisted || std::find(seeds.begin(), seeds.end(), request.address) != seeds.end())
-            joining.push_back({ id, request.address });
-    }
-    std::vector<agreement::member_id> replaceable;
-    std::vector<agreement::member_id> droppable;
-    for (const auto& member : m_replica->members()) {
-        if (!m_options.dropsDeadMembers || m_replica->isReachable(member.id, now)) {
-            m_unreachableSince.erase(member.id);
-            continue;
-        }
-        const steady_time since = m_unreachableSince.try_emplace(member.id, now).first->second;
-        if (now >= since + replaceableAfter)
-            replaceable.push_back(member.id);
-        if (now >= since + droppableAfter)
-            droppable.push_back(member.id);
-    }
-    auto next = agreement::nextMembers(*m_replica, joining, now);
-    if (!next)
-        next = agreement::withoutDeadMember(*m_replica, replaceable, droppable, now);
-    if (next)
-        (void)m_replica->proposeMembers(std::move(*next)); // rejected while another change is pending; retried
-}
-
-void replicated_log::reportMissingQuorum(steady_time now)
-{
-    if (m_replica->leader() != 0 || !m_replica->isVoter(m_replica->self())) {
-        m_nextQuorumReportAt = now + quorumReportInterval;
-        return;
-    }
-    if (now < m_nextQuorumReportAt)
-        return;
-    m_nextQuorumReportAt = now + quorumReportInterval;
-    std::size_t voters = 0;
-    std::size_t heard = 0;
-    std::string silent;
-    for (const auto& member : m_replica->members()) {
-        if (!member.voter)
-            continue;
-        ++voters;
-        const auto silence = between(m_contacts.heardAt(member.id, now), now);
-        if (member.id == m_replica->self() || silence < helloLifetime)
-            ++heard;
-        else
-            silent += (silent.empty() ? "" : ",") + member.address + " " + std::to_string(silence.count());
-    }
-    telemetry::logEvent(event_code::QuorumMissing,
-        { { "voters", std::to_string(voters) }, { "needed", std::to_string(voters / 2 + 1) },
-            { "heard", std::to_string(heard) }, { "silent_ms", silent }, { "term", std::to_string(m_replica->term()) },
-            { "last", std::to_string(m_replica->lastIndex()) } },
-        telemetry::severity::Warning);
-}
-
 void replicated_log::checkLeadership()
 {
     const bool leads = isLeader();
--- a/src/app/shared/replicated_log.hpp
+++ b/src/app/shared/replicated_log.hpp
@@ -3,8 +3,7 @@
 #pragma once
 
 #include "app/shared/process.hpp"
-#include "buckthornrail/agreement/contact_table.hpp"
-#include "buckthornrail/agreement/replica.hpp"
+#include "buckthornrail/agreement/membership_plan.hpp"
 #include "buckthornrail/core/stall_watch.hpp"
 #include "buckthornrail/link/link_hub.hpp"
 #include "buckthornrail/link/message.hpp"
@@ -41,7 +40,8 @@
     std::uint32_t electionTimeoutMs = 700;
     std::uint32_t snapshotEntries = 2000;
     bool admitsUnlisted = false; ///< replicas at other addresses than the seeds may join
-    bool dropsDeadMembers = false; ///< removes unreachable members; see agreement::withoutDeadMember()
+    /// Members that may be lost at once with a quorum left; see agreement::planChange(). 0: as many as the seeds allow.
+    std::size_t toleratedLosses = 0;
 };
 
 /// @brief Passes timer ticks and messages to a replica, and applies its effects in order. Used on the loop thread
@@ -59,8 +59,9 @@
     /// @brief Loads the data folder and starts to dial the other members.
     /// @return the failure to open or read the data folder, or to restore the state
     tl::expected<void, failure> start();
-    /// @brief Hands leadership over to another member if this one leads.
-    void stop();
+    /// @brief Hands over leadership if this member leads, and then its vote if enough other members vote.
+    /// @param done called on the loop thread once that is done, or after a timeout
+    void leave(std::function<void()> done);
     /// @brief Replaces the seeds.
     void setSeeds(std::vector<std::string> seeds);
 
@@ -101,6 +102,12 @@
     [[nodiscard]] std::vector<link::controller_endpoint> endpoints() const;
     /// @brief Whether another controller has reported that it has a log.
     [[nodiscard]] bool knowsOtherLog() const;
+    /// @return the members and this replica's knowledge of them; only a leader knows which learners have caught up
+    [[nodiscard]] std::vector<agreement::member_state> memberStates(steady_time now) const;
+    /// @return number of voters that a removal must leave
+    [[nodiscard]] std::size_t requiredVoters() const;
+    /// @return number of members that should be bearable as losses at any time
+    [[nodiscard]] std::size_t toleratedLosses() const { return (requiredVoters() - 1) / 2; }
 
     /// Called after entries were applied, a snapshot was installed or storage was reopened. May be empty.
     std::function<void()> changed;
@@ -134,6 +141,14 @@
         std::string address;
         steady_time deadline {}; ///< removed then, unless the request is sent again
     };
+    /// Handover of a member whose process ends.
+    struct leave_state {
+        std::function<void()> done; ///< empty: the member stays
+        steady_time beganAt {};
+        steady_time deadline {};
+        steady_time nextTransferAt {}; ///< while it leads, leadership is offered again then
+        bool isReleased = false; ///< the leader has confirmed that its vote is removed
+    };
     /// The last hello of a controller, which need not be a known member.
     struct received_hello {
         link::controller_endpoint endpoint;
@@ -141,8 +156,7 @@
     };
 
     tl::expected<void, failure> openStore();
-    /// @brief Dials peers without a link, and sends a hello, and a join request if this replica is blank, over open
-    /// links.
+    /// @brief Dials peers without a link, and says hello.
     void dialPeers();
     /// @brief Dials a peer that has sent a hello. An earlier attempt is closed, as the peer may have been down then.
     void redial(const std::string& address);
@@ -168,8 +182,20 @@
     [[nodiscard]] link::link_number leaderLink() const;
     /// @brief At the leader: proposes a membership change if one is due.
     void updateMembers();
+    [[nodiscard]] std::vector<agreement::joining_replica> joiningReplicas() const;
     /// @brief Records a request to join, and forwards it to the leader.
     void recordJoinRequest(agreement::member_id id, const std::string& address);
+    void onHello(link::link_number linkNumber, const link::controller_hello& hello);
+    [[nodiscard]] link::controller_hello ownHello() const;
+    /// @brief Sends a hello, and a join request if this replica is blank, over open links.
+    void sayHello();
+    /// @brief Retries the handover of a leaving member, and ends it when it is done or its deadline has passed.
+    void continueLeaving(steady_time now);
+    void finishLeaving(steady_time now);
+    /// @brief At the leader: logs when fewer losses can be borne than should be, and when that has ended.
+    void reportTolerance(steady_time now);
+    /// @brief Records contact with the member at the other end of a link.
+    void recordContact(agreement::member_id id, steady_time now);
     /// @brief At a voter that has known no leader for a while: logs which voters are silent.
     void reportMissingQuorum(steady_time now);
     /// @brief Logs and reports when this member has gained or lost the leadership.
@@ -194,10 +220,12 @@
     std::map<agreement::member_id, pending_join> m_pendingJoins;
     std::map<agreement::member_id, received_hello> m_hellos;
     std::map<link::link_number, agreement::member_id> m_acceptedLinks; ///< the other end of each accepted link
-    std::map<agreement::member_id, steady_time> m_unreachableSince; ///< at the leader: unreachable members
     agreement::contact_table m_contacts;
     stall_watch m_stallWatch;
     steady_time m_nextQuorumReportAt {}; ///< a missing quorum isn't logged before
+    steady_time m_toleranceReportAt {}; ///< a low tolerance that lasts until then is logged
+    bool m_isToleranceLow = false; ///< it was logged
+    leave_state m_leave;
     bool m_wasLeader = false;
     bool m_flushScheduled = false;
     steady_time m_nextRecoveryAt {}; ///< a failed disk is not reopened before
--- a/src/app/shared/replicated_log_links.cpp
+++ b/src/app/shared/replicated_log_links.cpp
@@ -9,6 +9,8 @@
 
 /// Delay before a peer is dialled again after a failed attempt.
 constexpr milliseconds dialBackoff { 300 };
+/// Members send a hello every 200 ms.
+constexpr milliseconds helloLifetime { 2000 };
 
 } // namespace
 
@@ -55,14 +57,24 @@
 void replicated_log::onProgress(link::link_number linkNumber)
 {
     if (const auto accepted = m_acceptedLinks.find(linkNumber); accepted != m_acceptedLinks.end()) {
-        m_replica->recordContact(accepted->second, steadyNow());
+        recordContact(accepted->second, steadyNow());
         return;
     }
+    // Of several members at the address, the one that joined last has the disk that is there now.
+    agreement::member_id newest = 0;
     for (const auto& member : m_replica->members()) {
         const auto peer = m_peers.find(member.address);
         if (peer != m_peers.end() && peer->second.linkNumber == linkNumber)
-            m_replica->recordContact(member.id, steadyNow());
+            newest = member.id;
     }
+    if (newest != 0)
+        recordContact(newest, steadyNow());
+}
+
+void replicated_log::recordContact(agreement::member_id id, steady_time now)
+{
+    m_contacts.record(id, now);
+    m_replica->recordContact(id, now);
 }
 
 bool replicated_log::sendToLeader(const link::message& message)
@@ -116,18 +128,62 @@
     std::erase_if(m_hellos, [now](const auto& item) { return now >= item.second.deadline; });
     std::erase_if(
         m_peers, [this](const auto& item) { return item.second.linkNumber == 0 && !isKnownAddress(item.first); });
-    const bool isBlank = members.empty();
     for (auto& [address, peer] : m_peers) {
         if (peer.linkNumber == 0 && now >= peer.nextDialAt)
             peer.linkNumber = m_hub.dial(address);
-        sendToPeer(address,
-            link::controller_hello {
-                m_replica->self(), m_options.ownAddress, !isBlank, m_options.controlAddress, m_options.failureDomain });
-        if (isBlank)
+    }
+    sayHello();
+}
+
+link::controller_hello replicated_log::ownHello() const
+{
+    link::controller_hello hello;
+    hello.member = m_replica->self();
+    hello.address = m_options.ownAddress;
+    hello.initialized = !m_replica->members().empty();
+    hello.controlAddress = m_options.controlAddress;
+    hello.failureDomain = m_options.failureDomain;
+    hello.isLeaving = m_leave.done != nullptr;
+    return hello;
+}
+
+void replicated_log::sayHello()
+{
+    const auto hello = ownHello();
+    for (const auto& [address, peer] : m_peers) {
+        sendToPeer(address, hello);
+        if (!hello.initialized && !hello.isLeaving)
             sendToPeer(address, link::join_request { m_replica->self(), m_options.ownAddress });
     }
 }
 
+void replicated_log::onHello(link::link_number linkNumber, const link::controller_hello& hello)
+{
+    const steady_time now = steadyNow();
+    m_acceptedLinks[linkNumber] = hello.member;
+    m_hellos[hello.member] = { { hello.address, hello.controlAddress, hello.failureDomain }, now + helloLifetime };
+    m_peers[hello.address].initialized = hello.initialized;
+    redial(hello.address);
+    m_contacts.record(hello.member, now);
+    m_contacts.recordLeaving(hello.member, hello.isLeaving);
+    if (hello.releasedMember == m_replica->self())
+        m_leave.isReleased = true;
+    if (!isLeader())
+        return;
+    const auto& members = m_replica->members();
+    const bool isMember = std::any_of(
+        members.begin(), members.end(), [&hello](const auto& member) { return member.id == hello.member; });
+    if (hello.isLeaving && isMember) {
+        updateMembers();
+    } else if (hello.isLeaving && !m_replica->hasPendingMembers()) {
+        auto reply = ownHello();
+        reply.releasedMember = hello.member;
+        sendToPeer(hello.address, reply);
+    } else if (hello.initialized && !isMember && !hello.isLeaving && m_options.admitsUnlisted) {
+        recordJoinRequest(hello.member, hello.address); // it was removed while it was unreachable
+    }
+}
+
 void replicated_log::redial(const std::string& address)
 {
     auto& peer = m_peers[address];
--- a/src/app/shell/control_shell.cpp
+++ b/src/app/shell/control_shell.cpp
@@ -5,6 +5,7 @@
 #include "app/controller/operator_access.hpp"
 #include "app/shared/process.hpp"
 #include "app/shell/admission_listing.hpp"
+#include "app/shell/member_listing.hpp"
 #include "app/shell/request_timeline.hpp"
 #include "buckthornrail/http/http_client.hpp"
 
@@ -267,6 +268,12 @@
     return report(options, response, response.status == httpOk ? admissionListing(response.body) : "");
 }
 
+int memberList(const shell_options& options)
+{
+    const auto response = callAny(options, "GET", "/members");
+    return report(options, response, response.status == httpOk ? memberListing(response.body) : "");
+}
+
 int quarantineClear(const shell_options& options)
 {
     const auto response = callAny(options, "DELETE", "/quarantine/" + options.words[2]);
@@ -339,6 +346,7 @@
         { { "order", "INSTANCE", "MODEL", "VERSION" }, order },
         { { "cluster", "init" }, initialize },
         { { "explain", "REQUEST" }, explain },
+        { { "members" }, memberList },
         { { "admission" }, admissionList },
         { { "admission", "list" }, admissionList },
         { { "pushback", "list" }, pushbackList },
--- a/src/buckthornrail/agreement/contact_table.cpp
+++ b/src/buckthornrail/agreement/contact_table.cpp
@@ -20,8 +20,8 @@
 
 void contact_table::restart(steady_time now)
 {
-    for (auto& [id, contact] : m_contacts)
-        contact.heardAt = now;
+    for (auto& [id, record] : m_contacts)
+        record.heardAt = now;
 }
 
 void contact_table::retain(std::span<const member> members, steady_time now)
@@ -31,7 +31,7 @@
             members.begin(), members.end(), [&item](const member& member) { return member.id == item.first; });
     });
     for (const auto& member : members)
-        m_contacts.try_emplace(member.id, contact { now, false });
+        m_contacts.try_emplace(member.id, contact { now, now, false });
 }
 
 steady_time contact_table::heardAt(member_id id, steady_time now) const
@@ -40,6 +40,12 @@
     return found == m_contacts.end() ? now : found->second.heardAt;
 }
 
+steady_time contact_table::knownSince(member_id id, steady_time now) const
+{
+    const auto found = m_contacts.find(id);
+    return found == m_contacts.end() ? now : found->second.knownSince;
+}
+
 bool contact_table::isLeaving(member_id id) const
 {
     const auto found = m_contacts.find(id);
--- a/src/buckthornrail/agreement/replica.cpp
+++ b/src/buckthornrail/agreement/replica.cpp
@@ -159,7 +159,7 @@
 {
     if (m_role != replica_role::Leader)
         return tl::make_unexpected(failure { result_code::NoQuorum, "this controller is not the leader" });
-    if (m_membersIndex > m_commit)
+    if (hasPendingMembers())
         return tl::make_unexpected(failure { result_code::NoQuorum, "another membership change is pending" });
     if (termAt(m_commit) != m_hard.term)
         return tl::make_unexpected(
--- a/src/buckthornrail/agreement/replica_election.cpp
+++ b/src/buckthornrail/agreement/replica_election.cpp
@@ -2,6 +2,8 @@
 /// @brief Replica: elections with pre-vote, role changes, leadership transfer.
 #include "buckthornrail/agreement/replica.hpp"
 
+#include <algorithm>
+
 namespace buckthornrail::agreement {
 
 void replica::onVoteRequest(const peer_message& message, const vote_request& request, steady_time now)
@@ -117,17 +119,19 @@
     return request.lastTerm > ownTerm || (request.lastTerm == ownTerm && request.lastIndex >= lastIndex());
 }
 
-void replica::transferLeadership()
+void replica::transferLeadership(std::span<const member_id> unfit)
 {
     if (m_role != replica_role::Leader)
         return;
     member_id best = 0;
-    log_index bestMatch = 0;
+    std::pair<bool, log_index> bestRank; ///< whether it is fit, and the end of its log
     for (const auto& [id, peer] : m_progress) {
-        if (!isVoter(id) || peer.match < bestMatch || m_now > peer.contactDeadline)
+        const bool isFit = std::find(unfit.begin(), unfit.end(), id) == unfit.end();
+        const std::pair<bool, log_index> rank { isFit, peer.match };
+        if (!isVoter(id) || rank < bestRank || m_now > peer.contactDeadline)
             continue;
         best = id;
-        bestMatch = peer.match;
+        bestRank = rank;
     }
     if (best != 0)
         send(best, election_request {});
--- a/src/buckthornrail/agreement/replica_replication.cpp
+++ b/src/buckthornrail/agreement/replica_replication.cpp
@@ -117,7 +117,7 @@
         return;
     m_commit = candidate;
     m_broadcastNeeded = true;
-    if (m_membersIndex <= m_commit && !isVoter(m_self))
+    if (!hasPendingMembers() && !isVoter(m_self))
         becomeFollower(m_hard.term, 0, m_now);
 }
 
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -97,6 +97,17 @@
     event_info { event_code::QuorumMissing, "quorum_missing",
         "A voter has known no leader for 3 s, and again every 3 s; fields: voters, needed (for a quorum), heard, "
         "silent_ms (silent voters and for how long), term, last (index)." },
+    event_info { event_code::MemberChangeProposed, "member_change_proposed",
+        "The leader proposes a change of the controllers; fields: change, member, id, because, voters, reachable (of "
+        "them), required (voters that a removal leaves), silent_ms." },
+    event_info { event_code::MemberLeft, "member_left",
+        "A controller that ends has handed over what it could; fields: released (whether its vote was removed), "
+        "waited_ms, voters, required." },
+    event_info { event_code::ToleranceLow, "tolerance_low",
+        "For 3 s, fewer losses could be borne than should be; fields: bearable, tolerated, voters, learners, silent_ms "
+        "(silent members and for how long)." },
+    event_info { event_code::ToleranceRegained, "tolerance_regained",
+        "As many losses as should be can be borne again; fields: as of tolerance_low." },
     event_info { event_code::ConfigurationAccepted, "configuration_accepted", "A change was committed." },
     event_info {
         event_code::ConfigurationRejected, "configuration_rejected", "A change was rejected, with the reason." },
--- a/src/buckthornrail/link/message.cpp
+++ b/src/buckthornrail/link/message.cpp
@@ -172,10 +172,29 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(forward_command, bytes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(lease_report, instances)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(join_request, member, address)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_hello, member, address, initialized, controlAddress, failureDomain)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(controller_endpoint, address, controlAddress, failureDomain)
 using registry::readOptional;
 
+static void to_json(nlohmann::json& out, const controller_hello& value)
+{
+    out = { { "member", value.member }, { "address", value.address }, { "initialized", value.initialized },
+        { "controlAddress", value.controlAddress }, { "failureDomain", value.failureDomain } };
+    if (value.isLeaving)
+        out["isLeaving"] = true;
+    if (value.releasedMember != 0)
+        out["releasedMember"] = value.releasedMember;
+}
+static void from_json(const nlohmann::json& in, controller_hello& value)
+{
+    in.at("member").get_to(value.member);
+    in.at("address").get_to(value.address);
+    in.at("initialized").get_to(value.initialized);
+    in.at("controlAddress").get_to(value.controlAddress);
+    in.at("failureDomain").get_to(value.failureDomain);
+    readOptional(in, "isLeaving", value.isLeaving);
+    readOptional(in, "releasedMember", value.releasedMember);
+}
+
 static void to_json(nlohmann::json& out, const gateway_heartbeat& value)
 {
     out = { { "instance", value.instance }, { "sequence", value.sequence },
--- a/src/buckthornrail/link/message_test.cpp
+++ b/src/buckthornrail/link/message_test.cpp
@@ -27,6 +27,26 @@
 
 } // namespace
 
+TEST_CASE("codec: a controller's hello says that it leaves only if it does, and is read without that", "[link]")
+{
+    controller_hello hello;
+    hello.member = 7;
+    hello.address = "127.0.0.1:7340";
+    hello.isLeaving = true;
+    hello.releasedMember = 9;
+    const auto decoded = decode(encode(hello));
+    REQUIRE(decoded);
+    CHECK(std::get<controller_hello>(*decoded).isLeaving);
+    CHECK(std::get<controller_hello>(*decoded).releasedMember == 9);
+    // Earlier versions neither send nor expect the two fields.
+    const auto plain = nlohmann::json::from_cbor(encode(controller_hello {}));
+    CHECK_FALSE(plain.at("b").contains("isLeaving"));
+    CHECK_FALSE(plain.at("b").contains("releasedMember"));
+    const auto old = decode(encode(controller_hello {}));
+    REQUIRE(old);
+    CHECK_FALSE(std::get<controller_hello>(*old).isLeaving);
+}
+
 TEST_CASE("codec: every type of message is decoded unchanged", "[link]")
 {
     for (const auto& message : defaultMessages()) {
--- a/src/buckthornrail/settings/settings.cpp
+++ b/src/buckthornrail/settings/settings.cpp
@@ -90,6 +90,10 @@
         "Whether requests to services whose routes differ in priority are ordered by it while capacity is short." },
     setting_rule { "registry", "bootstrap", registryRole, 0, type::Choice, &settings::bootstrap, 0, 0, "true|false",
         "Whether the system starts for the first time: the first of the addresses then creates the log." },
+    setting_rule { "registry", "tolerated_losses", registryRole, 0, type::Number, &settings::toleratedLosses, 0, 10, "",
+        "Registries that may be lost at once. The log keeps at least twice as many voters and one; a silent voter "
+        "beyond "
+        "that is removed. 0: (addresses - 1) / 2." },
     setting_rule { "registry", "target_heartbeat_ms", registryRole, 0, type::Number, &settings::targetHeartbeatMs, 50,
         60000, "", "Interval of the targets' heartbeats." },
     setting_rule { "target", "kind", sidecarRole, sidecarRole, type::Choice, &settings::targetKind, 0, 0,
--- a/tests/soak/soak_options.hpp
+++ b/tests/soak/soak_options.hpp
@@ -15,6 +15,7 @@
     bool withPushback = false; ///< targets name rate limits and request backoffs
     bool withCrashingPart = false; ///< a part of prompts crashes targets throughout
     bool withRanks = false; ///< callers of routes with different priorities exceed the engines' memory
+    bool withReplacements = false; ///< registries are replaced for good
 };
 
 } // namespace test_support
--- a/tests/support/gateway_cluster.hpp
+++ b/tests/support/gateway_cluster.hpp
@@ -86,6 +86,12 @@
     void killHard(const std::string& name);
     /// @brief Deletes the storage of a registry that isn't running, which joins as a blank member at its next start.
     void loseDisk(const std::string& registry);
+    /// @brief Starts a blank registry at a new address. @param seeds registries that its settings list @return its name
+    std::string addRegistry(const std::vector<std::string>& seeds);
+    /// @brief Forgets a registry whose process has ended for good. Targets no longer announce themselves there.
+    void retireRegistry(const std::string& name);
+    /// @brief Lists other registries in the settings of a process, which reads them on SIGHUP or at its next start.
+    void setSeeds(const std::string& process, const std::vector<std::string>& seeds);
     [[nodiscard]] bool isRunning(const std::string& name) const { return m_pids.contains(name); }
 
     /// @brief Publishes a document with this version at one registry. @return the status; 0: no response
@@ -156,6 +162,15 @@
 
 private:
     void writeSettings();
+    void writeFile(const std::string& name, const std::string& role, const std::string& text);
+    /// @param bootstrap whether the registry may form a new log
+    void writeRegistrySettings(
+        const std::string& name, const std::string& domain, const std::string& seeds, bool bootstrap);
+    /// @brief Reserves the addresses of a registry.
+    void addRegistryAddresses(const std::string& name);
+    /// @return link addresses, separated by commas
+    [[nodiscard]] std::string linkAddresses(const std::vector<std::string>& registries) const;
+    void announceControllers();
 
     std::string m_folder;
     bool m_keepsFolder = false;
@@ -165,6 +180,9 @@
     std::map<std::string, std::string> m_health; ///< addresses of the gateways' health pages
     std::map<std::string, std::unique_ptr<relay>> m_relays; ///< by registry
     std::vector<std::string> m_registries;
+    std::map<std::string, std::string> m_registryIps;
+    std::string m_linkPort; ///< of all registries
+    std::string m_controlPort; ///< of all registries
     std::vector<std::string> m_gateways;
     std::vector<std::size_t> m_engines;
     std::vector<std::size_t> m_plainTargets;
--- a/tests/support/stand_in_fleet.cpp
+++ b/tests/support/stand_in_fleet.cpp
@@ -109,6 +109,11 @@
 {
 }
 
+void stand_in_fleet::setControllers(std::vector<std::string> addresses)
+{
+    m_implementation->runOnLoop([&] { m_implementation->controllerAddresses = std::move(addresses); });
+}
+
 stand_in_fleet::~stand_in_fleet()
 {
     auto& fleet = *m_implementation;
--- a/tests/support/stand_in_fleet.hpp
+++ b/tests/support/stand_in_fleet.hpp
@@ -79,6 +79,8 @@
     stand_in_fleet& operator=(const stand_in_fleet&) = delete;
     ~stand_in_fleet();
 
+    /// @brief Replaces the addresses that the targets send their heartbeats to.
+    void setControllers(std::vector<std::string> addresses);
     /// @brief Starts a target. @param accelerator empty for a plain service @return its index
     std::size_t add(const std::string& service, const std::string& domain, const std::string& accelerator);
     /// @brief Simulates the death of the process: connections are reset and nothing listens.
