--- a/include/buckthornrail/settings/settings.hpp
+++ b/include/buckthornrail/settings/settings.hpp
@@ -24,6 +24,8 @@
     enum_name<process_role> { process_role::Registry, "registry" },
 };
 
+inline constexpr std::uint32_t maxToleratedLosses = 10; ///< as a setting; it bounds the number of voters
+
 /// Settings of all roles; each key's rule names the roles that use it.
 struct settings {
     std::string sourceFile; ///< file that they were read from; not a key
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -10,6 +10,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <optional>
 #include <tclap/CmdLine.h>
 
 namespace {
@@ -43,6 +44,7 @@
 {
     out << "buckthornrail " << version << ": routes language-model pipelines over mixed accelerators\n\n"
         << "  buckthornrail entry|sidecar|controller|gateway|registry --settings FILE [--check]\n"
+        << "  buckthornrail registry --settings FILE --tolerated-losses NUMBER\n"
         << "  buckthornrail ctl --help\n"
         << "  buckthornrail --version | --help\n";
 }
@@ -52,19 +54,31 @@
     const std::string name(nameIn(settings::processRoleNames, command.role));
     std::string file;
     bool isCheckOnly = false;
+    std::optional<std::uint32_t> toleratedLosses;
     try {
         TCLAP::CmdLine line("Runs the role '" + name + "' until SIGTERM.", ' ', version);
         TCLAP::ValueArg<std::string> settingsFile("s", "settings", "Settings file (INI)", true, "", "file", line);
         TCLAP::SwitchArg check("", "check", "Check the settings file and exit", line);
+        TCLAP::ValueArg<std::uint32_t> losses(
+            "", "tolerated-losses", "Replaces [registry] tolerated_losses", false, 0, "number");
+        if (command.role == settings::process_role::Registry)
+            line.add(losses);
         std::vector<std::string> remaining = arguments;
         line.parse(remaining);
         file = settingsFile.getValue();
         isCheckOnly = check.getValue();
+        if (losses.isSet())
+            toleratedLosses = losses.getValue();
     } catch (const TCLAP::ArgException& error) {
         std::cerr << "buckthornrail " << name << ": " << error.error() << " " << error.argId() << "\n";
         return app::exitBadSettings;
     }
-    const auto loaded = settings::loadSettings(file, command.role);
+    auto loaded = settings::loadSettings(file, command.role);
+    if (loaded && toleratedLosses > settings::maxToleratedLosses) {
+        std::cerr << "buckthornrail " << name << ": --tolerated-losses must not exceed " << settings::maxToleratedLosses
+                  << "\n";
+        return app::exitBadSettings;
+    }
     if (!loaded) {
         for (const auto& error : loaded.error())
             std::cerr << settings::toString(error) << "\n";
@@ -74,6 +88,8 @@
         std::cout << file << ": valid\n";
         return app::exitOk;
     }
+    if (toleratedLosses)
+        loaded->toleratedLosses = *toleratedLosses;
     telemetry::startLog(loaded->logLevel);
     return command.run(*loaded);
 }
--- a/src/buckthornrail/settings/settings.cpp
+++ b/src/buckthornrail/settings/settings.cpp
@@ -90,7 +90,8 @@
         "Whether requests to services whose routes differ in priority are ordered by it while capacity is short." },
     setting_rule { "registry", "bootstrap", registryRole, 0, type::Choice, &settings::bootstrap, 0, 0, "true|false",
         "Whether the system starts for the first time: the first of the addresses then creates the log." },
-    setting_rule { "registry", "tolerated_losses", registryRole, 0, type::Number, &settings::toleratedLosses, 0, 10, "",
+    setting_rule { "registry", "tolerated_losses", registryRole, 0, type::Number, &settings::toleratedLosses, 0,
+        maxToleratedLosses, "",
         "Registries that may be lost at once. The log keeps at least twice as many voters and one; a silent voter "
         "beyond "
         "that is removed. 0: (addresses - 1) / 2." },
--- a/tests/soak/registry_replacement.hpp
+++ b/tests/soak/registry_replacement.hpp
@@ -15,6 +15,9 @@
 /// @brief Chooses how registries are replaced, replaces them, and checks who votes at the end.
 class registry_replacement {
 public:
+    /// Time in which a registry that is new or back must be able to stand in for another one.
+    static constexpr std::chrono::milliseconds catchUpTime { 4000 };
+
     /// A replacement in progress.
     struct started {
         std::string description;
@@ -29,8 +32,6 @@
     {
     }
 
-    /// @return whether a replacement should begin now, if nothing forbids it
-    bool draw() { return m_random() % 8 == 0; }
     /// @return name of the registry to replace
     const std::string& choose() { return m_cluster.registries()[m_random() % m_cluster.registries().size()]; }
 
@@ -64,7 +65,6 @@
     }
 
 private:
-    static constexpr std::chrono::milliseconds catchUpTime { 4000 };
     static constexpr std::chrono::seconds exitTimeout { 9 };
 
     void terminate(const std::string& registry)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -73,11 +73,10 @@
         caller_pool callers(m_cluster, m_options.seed);
         const auto end = clock_type::now() + m_options.duration;
         while (clock_type::now() < end) {
-            injectFault();
+            if (!m_options.withReplacements || !prepareReplacement())
+                injectFault();
             if (m_options.withPushback)
                 pushBack();
-            if (m_options.withReplacements)
-                replaceRegistry();
             endDueFaults(clock_type::now());
             recordQuorumOutage();
             publishOrRead();
@@ -387,25 +386,36 @@
         });
     }
 
-    bool mayLoseDisk()
+    bool hasRegistryFault() const
     {
-        const bool noRegistryFault = std::none_of(m_activeFaults.begin(), m_activeFaults.end(),
+        return std::any_of(m_activeFaults.begin(), m_activeFaults.end(),
             [](const active_fault& fault) { return fault.description.find("registry") != std::string::npos; });
-        return noRegistryFault && clock_type::now() >= m_nextDiskLoss && allRegistriesReadable();
     }
 
-    /// Replaces a registry for good. Has its own random generator, like pushBack().
-    void replaceRegistry()
+    bool mayLoseDisk() { return !hasRegistryFault() && clock_type::now() >= m_nextDiskLoss && allRegistriesReadable(); }
+
+    /// When a replacement is due, lets the registries recover from earlier faults, then replaces one for good. Further
+    /// faults go on meanwhile.
+    /// @return whether no other fault may begin now
+    bool prepareReplacement()
     {
+        const auto now = clock_type::now();
+        if (now < m_nextReplacement)
+            return false;
+        if (hasRegistryFault())
+            m_calmSince = now;
+        if (now < m_calmSince + registry_replacement::catchUpTime || !mayLoseDisk())
+            return true;
+        m_nextReplacement = now + replacementInterval;
+        m_nextDiskLoss = now + replacementInterval;
         const std::string name = m_replacement.choose();
-        if (!m_replacement.draw() || !mayLoseDisk() || !reserve(name))
-            return;
-        m_nextDiskLoss = clock_type::now() + replacementInterval;
+        (void)reserve(name);
         const auto started = m_replacement.begin(name);
         beginFault(started.description, started.duration, [this, name, finish = started.finish] {
             finish();
             m_reserved.erase(name);
         });
+        return false;
     }
 
     void reloadSettings()
@@ -502,6 +512,8 @@
     std::vector<active_fault> m_activeFaults;
     std::set<std::string> m_reserved; ///< processes, targets, links and pushbacks with an active fault
     clock_type::time_point m_nextDiskLoss {};
+    clock_type::time_point m_nextReplacement {};
+    clock_type::time_point m_calmSince {}; ///< since then no registry has had a fault
     std::uint64_t m_version = 1;
     /// Periods without a quorum of registries, each extended by the recovery time.
     std::vector<std::pair<clock_type::time_point, clock_type::time_point>> m_quorumOutages;
