Members: a controller that the settings list is removed only with its disk; a leaving one says so until its end

Controllers admit only listed addresses, and a removed one with a log isn't let in again, so a listed one that is silent or restarted must keep its vote. The hello of a leaving process no longer says that it stays in the moment before its loop ends, and a release is taken only by a process that leaves.

--- a/include/buckthornrail/agreement/membership_plan.hpp
+++ b/include/buckthornrail/agreement/membership_plan.hpp
@@ -26,6 +26,7 @@
     bool isLeader = false; ///< it is the leader itself, which is never removed: it hands leadership over first
     bool isReachable = false; ///< heard within the longest election timeout, or the leader has led for less than that
     bool hasAnswered = false; ///< reachable, and it has answered this leader
+    bool isListed = false; ///< an operator names it as a member: only a replaced disk is a reason to remove it
     bool isLeaving = false; ///< it has announced that its process ends
     bool isCaughtUp = false; ///< it lacks so few entries that it may become a voter
     steady_time knownSince {}; ///< as in contact_table
--- a/src/app/shared/replicated_log.hpp
+++ b/src/app/shared/replicated_log.hpp
@@ -143,7 +143,8 @@
     };
     /// Handover of a member whose process ends.
     struct leave_state {
-        std::function<void()> done; ///< empty: the member stays
+        bool hasBegun = false; ///< false: the member stays
+        std::function<void()> done; ///< called at the end, then empty
         steady_time beganAt {};
         steady_time deadline {};
         steady_time nextTransferAt {}; ///< while it leads, leadership is offered again then
@@ -182,6 +183,8 @@
     [[nodiscard]] link::link_number leaderLink() const;
     /// @brief At the leader: proposes a membership change if one is due.
     void updateMembers();
+    /// @brief Whether the settings name an address as that of a member, and no others may join.
+    [[nodiscard]] bool isListed(const std::string& address) const;
     [[nodiscard]] std::vector<agreement::joining_replica> joiningReplicas() const;
     /// @brief Records a request to join, and forwards it to the leader.
     void recordJoinRequest(agreement::member_id id, const std::string& address);
--- a/src/app/shared/replicated_log_links.cpp
+++ b/src/app/shared/replicated_log_links.cpp
@@ -143,7 +143,7 @@
     hello.initialized = !m_replica->members().empty();
     hello.controlAddress = m_options.controlAddress;
     hello.failureDomain = m_options.failureDomain;
-    hello.isLeaving = m_leave.done != nullptr;
+    hello.isLeaving = m_leave.hasBegun;
     return hello;
 }
 
@@ -166,7 +166,7 @@
     redial(hello.address);
     m_contacts.record(hello.member, now);
     m_contacts.recordLeaving(hello.member, hello.isLeaving);
-    if (hello.releasedMember == m_replica->self())
+    if (m_leave.hasBegun && hello.releasedMember == m_replica->self())
         m_leave.isReleased = true;
     if (!isLeader())
         return;
--- a/src/app/shared/replicated_log_members.cpp
+++ b/src/app/shared/replicated_log_members.cpp
@@ -45,9 +45,10 @@
 std::vector<agreement::member_state> replicated_log::memberStates(steady_time now) const
 {
     auto states = agreement::observeMembers(*m_replica, m_contacts, now);
-    if (isLeader())
-        return states;
     for (auto& state : states) {
+        state.isListed = isListed(state.subject.address);
+        if (isLeader())
+            continue;
         state.isLeader = state.subject.id == m_replica->leader();
         state.isReachable = state.subject.id == m_replica->self() || now < state.heardAt + contactLifetime;
         state.hasAnswered = state.isReachable;
@@ -63,12 +64,17 @@
         m_pendingJoins[id] = { address, steadyNow() + joinRequestLifetime };
 }
 
-std::vector<agreement::joining_replica> replicated_log::joiningReplicas() const
+bool replicated_log::isListed(const std::string& address) const
 {
     const auto& seeds = m_options.seeds;
+    return !m_options.admitsUnlisted && std::find(seeds.begin(), seeds.end(), address) != seeds.end();
+}
+
+std::vector<agreement::joining_replica> replicated_log::joiningReplicas() const
+{
     std::vector<agreement::joining_replica> joining;
     for (const auto& [id, request] : m_pendingJoins) {
-        if (m_options.admitsUnlisted || std::find(seeds.begin(), seeds.end(), request.address) != seeds.end())
+        if (m_options.admitsUnlisted || isListed(request.address))
             joining.push_back({ id, request.address });
     }
     return joining;
@@ -81,7 +87,7 @@
     m_contacts.retain(m_replica->members(), now); // a member that was removed and added again begins anew
     if (!isLeader() || m_replica->hasPendingMembers())
         return;
-    const auto states = agreement::observeMembers(*m_replica, m_contacts, now);
+    const auto states = memberStates(now);
     auto change = agreement::planChange(states, joiningReplicas(), requiredVoters(), now);
     if (!change)
         return;
@@ -99,10 +105,12 @@
 
 void replicated_log::leave(std::function<void()> done)
 {
-    if (m_leave.done)
+    if (m_leave.hasBegun)
         return;
     const steady_time now = steadyNow();
-    const bool releasesVote = agreement::shouldReleaseVote(m_replica->members(), m_replica->self(), requiredVoters());
+    const bool releasesVote = !isListed(m_options.ownAddress)
+        && agreement::shouldReleaseVote(m_replica->members(), m_replica->self(), requiredVoters());
+    m_leave.hasBegun = true;
     m_leave.done = std::move(done);
     m_leave.beganAt = now;
     m_leave.deadline = now + (releasesVote ? releasePeriod : transferPeriod);
--- a/src/buckthornrail/agreement/membership_plan.cpp
+++ b/src/buckthornrail/agreement/membership_plan.cpp
@@ -57,6 +57,8 @@
         return std::nullopt;
     if (replacementOf(members, state) != nullptr)
         return change_reason::DiskReplaced;
+    if (state.isListed)
+        return std::nullopt;
     if (state.isLeaving)
         return state.isReachable ? change_reason::Leaving : change_reason::Left;
     if (!state.isReachable && now >= state.heardAt + silenceLimit)
@@ -105,6 +107,10 @@
     return change;
 }
 
+bool stillRuns(change_reason reason) { return reason == change_reason::Leaving; }
+
+bool isGone(change_reason reason) { return !stillRuns(reason); }
+
 /// @param isDue selects the reasons
 std::optional<membership_change> voterRemoval(
     member_states members, std::size_t requiredVoters, steady_time now, bool (*isDue)(change_reason))
@@ -192,7 +198,7 @@
         const auto lag = leader.lagOf(member.id);
         const bool isLeader = member.id == leader.self();
         const bool isReachable = leader.isReachable(member.id, now);
-        states.push_back({ member, isLeader, isReachable, isLeader || (isReachable && lag),
+        states.push_back({ member, isLeader, isReachable, isLeader || (isReachable && lag), false,
             contacts.isLeaving(member.id), lag && *lag <= maxPromotionLag, contacts.knownSince(member.id, now),
             contacts.heardAt(member.id, now) });
     }
@@ -218,13 +224,11 @@
 std::optional<membership_change> planChange(std::span<const member_state> members,
     std::span<const joining_replica> joining, std::size_t requiredVoters, steady_time now)
 {
-    const auto isDead = [](change_reason reason) { return reason != change_reason::Leaving; };
-    const auto isAny = [](change_reason /*reason*/) { return true; };
-    if (auto change = voterRemoval(members, requiredVoters, now, isDead))
+    if (auto change = voterRemoval(members, requiredVoters, now, isGone))
         return change;
     if (auto change = promotion(members, requiredVoters))
         return change;
-    if (auto change = voterRemoval(members, requiredVoters, now, isAny))
+    if (auto change = voterRemoval(members, requiredVoters, now, stillRuns))
         return change;
     if (auto change = learnerRemoval(members, now))
         return change;
--- a/src/buckthornrail/agreement/membership_plan_test.cpp
+++ b/src/buckthornrail/agreement/membership_plan_test.cpp
@@ -20,7 +20,8 @@
 /// @return a reachable voter; the first one leads
 member_state voter(member_id id)
 {
-    return { { id, "node" + std::to_string(id), true }, id == 1, true, true, false, true, steady_time {}, testNow };
+    return { { id, "node" + std::to_string(id), true }, id == 1, true, true, false, false, true, steady_time {},
+        testNow };
 }
 
 /// @return a learner that joined a while ago and has caught up
@@ -154,6 +155,17 @@
         std::vector<member> { { 1, "a", true }, { 2, "b", false }, { 3, "c", true }, { 4, "d", true } }, 2, 2));
 }
 
+TEST_CASE("membership plan: a listed voter is removed only with its disk", "[membership_plan]")
+{
+    auto dead = silent(voter(2), longSilence);
+    dead.isListed = true;
+    CHECK(planOf({ voter(1), dead, voter(3), voter(4) }, 3) == "none");
+    CHECK(planOf({ voter(1), leaving(dead), voter(3), voter(4) }, 3) == "none");
+    auto blank = learner(5);
+    blank.subject.address = dead.subject.address;
+    CHECK(planOf({ voter(1), dead, voter(3), blank }, 3) == "remove_voter 2 disk_replaced");
+}
+
 TEST_CASE("membership plan: a removal needs a reachable quorum of both sets", "[membership_plan]")
 {
     const auto dead = silent(voter(2), longSilence);
