Members: the leader decides every 20 ms; a leaving process looks again whether others take its vote

The simulation planned changes every 10 ms, the product every 200 ms. Cause: a promotion and the removal that belongs to it stood 200 ms apart.

The leader now decides at each tick (20 ms), which the simulation does too, and a leaving process asks at its deadline.

--- a/src/app/shared/replicated_log.cpp
+++ b/src/app/shared/replicated_log.cpp
@@ -146,6 +146,7 @@
 {
     const steady_time now = steadyNow();
     m_replica->tick(now);
+    updateMembers();
     continueLeaving(now);
     scheduleFlush();
 }
@@ -157,7 +158,6 @@
         m_contacts.restart(now);
     tryRecover();
     dialPeers();
-    updateMembers();
     reportMissingQuorum(now);
     reportTolerance(now);
     forwardCommands();
--- a/src/app/shared/replicated_log.hpp
+++ b/src/app/shared/replicated_log.hpp
@@ -146,7 +146,8 @@
         bool hasBegun = false; ///< false: the member stays
         std::function<void()> done; ///< called at the end, then empty
         steady_time beganAt {};
-        steady_time deadline {};
+        steady_time transferDeadline {}; ///< it ends then, unless others are there to take its vote
+        steady_time releaseDeadline {}; ///< it ends then in any case
         steady_time nextTransferAt {}; ///< while it leads, leadership is offered again then
         bool isReleased = false; ///< the leader has confirmed that its vote is removed
     };
--- a/src/app/shared/replicated_log_members.cpp
+++ b/src/app/shared/replicated_log_members.cpp
@@ -108,12 +108,11 @@
     if (m_leave.hasBegun)
         return;
     const steady_time now = steadyNow();
-    const bool releasesVote = !isListed(m_options.ownAddress)
-        && agreement::shouldReleaseVote(m_replica->members(), m_replica->self(), requiredVoters());
     m_leave.hasBegun = true;
     m_leave.done = std::move(done);
     m_leave.beganAt = now;
-    m_leave.deadline = now + (releasesVote ? releasePeriod : transferPeriod);
+    m_leave.transferDeadline = now + transferPeriod;
+    m_leave.releaseDeadline = now + releasePeriod;
     m_leave.nextTransferAt = now;
     continueLeaving(now);
     flush();
@@ -123,7 +122,9 @@
 {
     if (!m_leave.done)
         return;
-    if (now >= m_leave.deadline || m_leave.isReleased) {
+    const bool releasesVote = !isListed(m_options.ownAddress)
+        && agreement::shouldReleaseVote(m_replica->members(), m_replica->self(), requiredVoters());
+    if (m_leave.isReleased || now >= (releasesVote ? m_leave.releaseDeadline : m_leave.transferDeadline)) {
         finishLeaving(now);
         return;
     }
--- a/tests/support/simulated_cluster.cpp
+++ b/tests/support/simulated_cluster.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr milliseconds stepDuration { 10 };
-constexpr int helloInterval = 20; ///< in steps, for hellos and membership changes
+constexpr int helloInterval = 20; ///< in steps
+constexpr int planInterval = 2; ///< in steps, of membership changes
 constexpr milliseconds releasePeriod { 6000 }; ///< a process that hands its vote over ends within it
 constexpr milliseconds transferPeriod { 300 }; ///< a process that can only hand leadership over ends within it
 constexpr milliseconds transferRetryInterval { 200 };
@@ -75,7 +76,8 @@
             if (!isRunning(node))
                 continue;
             node.process->tick(m_now);
-            updateMembers(node);
+            if ((m_step + node.id) % planInterval == 0)
+                updateMembers(node);
             applyEffects(node, crash_point::None);
             if (node.isLeaving)
                 continueLeaving(node);
@@ -160,7 +162,8 @@
             && std::none_of(
                 members.begin(), members.end(), [&node](const member& member) { return member.id == node.id; });
     });
-    if (isReleased || m_now >= node.leaveDeadline) {
+    const bool releasesVote = shouldReleaseVote(node.process->members(), node.id, m_requiredVoters);
+    if (isReleased || m_now >= (releasesVote ? node.releaseDeadline : node.transferDeadline)) {
         node.process.reset();
         node.isLeaving = false;
         return;
@@ -204,9 +207,9 @@
     auto& node = m_nodes[index];
     if (!node.process || node.isLeaving)
         return;
-    const bool releasesVote = shouldReleaseVote(node.process->members(), node.id, m_requiredVoters);
     node.isLeaving = true;
-    node.leaveDeadline = m_now + (releasesVote ? releasePeriod : transferPeriod);
+    node.transferDeadline = m_now + transferPeriod;
+    node.releaseDeadline = m_now + releasePeriod;
     node.nextTransferAt = m_now;
 }
 
--- a/tests/support/simulated_cluster.hpp
+++ b/tests/support/simulated_cluster.hpp
@@ -32,7 +32,8 @@
     bool isLeaving = false; ///< told to end; it hands over leadership and its vote first
     bool isRemoved = false; ///< for good; it is never started again
     int side = 0; ///< of a split of the network: only nodes on the same side reach each other
-    steady_time leaveDeadline {}; ///< a leaving process ends then at the latest
+    steady_time transferDeadline {}; ///< a leaving process ends then, unless others are there to take its vote
+    steady_time releaseDeadline {}; ///< a leaving process ends then in any case
     steady_time nextTransferAt {}; ///< while a leaving process leads, it offers leadership again then
     std::vector<std::string> applied;
     /// By read id: the commands that were committed when the read was requested.
