--- a/src/buckthornrail/agreement/membership_plan_test.cpp
+++ b/src/buckthornrail/agreement/membership_plan_test.cpp
@@ -74,8 +74,8 @@
     life.crashAll(milliseconds(800), withoutDisk);
     CHECK(life.commit("after the final fault", milliseconds(15000)));
     CHECK(life.allCatchUp(milliseconds(15000)));
-    CHECK(life.failures() == std::vector<std::string> {});
-    CHECK(life.cluster().violations() == std::vector<std::string> {});
+    CHECK_THAT(life.failures(), Catch::Equals(std::vector<std::string> {}));
+    CHECK_THAT(life.cluster().violations(), Catch::Equals(std::vector<std::string> {}));
     CHECK(life.checkedSteps() > 0);
 }
 
