Members: a request to join ends with the disk that made it; contact goes to the replica that is at the address

A request and a hello now replace those of other replicas at the same address; contact over a link goes to the replica that said hello from there.

--- a/src/app/shared/replicated_log.hpp
+++ b/src/app/shared/replicated_log.hpp
@@ -198,6 +198,9 @@
     void finishLeaving(steady_time now);
     /// @brief At the leader: logs when fewer losses can be borne than should be, and when that has ended.
     void reportTolerance(steady_time now);
+    /// @return the member that runs at an address: the one that said hello from there, or else the one that was added
+    /// last; 0: none
+    [[nodiscard]] agreement::member_id memberAt(const std::string& address) const;
     /// @brief Records contact with the member at the other end of a link.
     void recordContact(agreement::member_id id, steady_time now);
     /// @brief At a voter that has known no leader for a while: logs which voters are silent.
--- a/src/app/shared/replicated_log_links.cpp
+++ b/src/app/shared/replicated_log_links.cpp
@@ -60,15 +60,24 @@
         recordContact(accepted->second, steadyNow());
         return;
     }
-    // Of several members at the address, the one that joined last has the disk that is there now.
+    for (const auto& [address, peer] : m_peers) {
+        if (peer.linkNumber == linkNumber)
+            recordContact(memberAt(address), steadyNow());
+    }
+}
+
+agreement::member_id replicated_log::memberAt(const std::string& address) const
+{
+    for (const auto& [id, hello] : m_hellos) {
+        if (hello.endpoint.address == address)
+            return id;
+    }
     agreement::member_id newest = 0;
     for (const auto& member : m_replica->members()) {
-        const auto peer = m_peers.find(member.address);
-        if (peer != m_peers.end() && peer->second.linkNumber == linkNumber)
+        if (member.address == address)
             newest = member.id;
     }
-    if (newest != 0)
-        recordContact(newest, steadyNow());
+    return newest;
 }
 
 void replicated_log::recordContact(agreement::member_id id, steady_time now)
@@ -161,6 +170,10 @@
 {
     const steady_time now = steadyNow();
     m_acceptedLinks[linkNumber] = hello.member;
+    // An earlier replica at the address is gone: its disk is lost.
+    std::erase_if(m_hellos, [&hello](const auto& item) {
+        return item.first != hello.member && item.second.endpoint.address == hello.address;
+    });
     m_hellos[hello.member] = { { hello.address, hello.controlAddress, hello.failureDomain }, now + helloLifetime };
     m_peers[hello.address].initialized = hello.initialized;
     redial(hello.address);
--- a/src/app/shared/replicated_log_members.cpp
+++ b/src/app/shared/replicated_log_members.cpp
@@ -60,6 +60,8 @@
 {
     if (!isLeader())
         sendToLeader(link::join_request { id, address });
+    // The disk of an earlier replica at the address is lost, so its request is void.
+    std::erase_if(m_pendingJoins, [&](const auto& item) { return item.first != id && item.second.address == address; });
     if (m_pendingJoins.contains(id) || m_pendingJoins.size() < maxPendingJoins)
         m_pendingJoins[id] = { address, steadyNow() + joinRequestLifetime };
 }
