--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -232,6 +232,7 @@
 private:
     /// Outcome of an attempt, the input of the retry decision.
     struct attempt_end {
+        attempt_outcome outcome = attempt_outcome::ConnectionLost;
         ran_state ran = ran_state::Unknown;
         bool targetEnded = false; ///< dead or disconnected: not counted against the route's limit
         std::string reason;
@@ -255,8 +256,8 @@
     bool moveAttempt(const attempt_end& last, selection_constraints constraints, steady_time now);
     /// @brief Logs that a stalled attempt is kept, once per cause.
     void logAttemptKept(const attempt_end& last, const std::string& why);
-    /// @brief Logs that an attempt has ended without a complete response.
-    void logAttemptLost(const attempt_end& last, steady_time now);
+    /// @brief Records and logs that an attempt has ended without a complete response.
+    void recordAttemptLost(const attempt_end& last, steady_time now);
     /// @return why the request can't be retried; empty: it can
     [[nodiscard]] std::string whyNotRetryable(const attempt_end& last, steady_time now);
     /// @brief Starts an attempt as soon as the quarantine permits it.
@@ -304,6 +305,8 @@
         return !m_selection.parts.empty() && !m_selection.parts.front().layers.isEmpty();
     }
     [[nodiscard]] std::string describe(const selection& selected) const;
+    /// @return for logs: the targets that may have executed the request, and what is known of each
+    [[nodiscard]] std::string describeHistory() const;
 
     exchange_request m_request;
     exchange_port& m_port;
@@ -314,6 +317,7 @@
     selection_constraints m_constraints;
     std::set<registry::target_incarnation>
         m_countedTargets; ///< targets counted against the route's limit: each received the request and is alive
+    attempt_history m_history;
     std::optional<std::uint64_t> m_lastEventId;
     std::optional<target_response> m_response; ///< response head of the open attempt
     bool m_attemptOpen = false;
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -2,6 +2,7 @@
 /// @brief Selects the targets of each attempt from the controllers' table and from this gateway's own observations.
 #pragma once
 
+#include "buckthornrail/gateway/attempt_history.hpp"
 #include "buckthornrail/gateway/layer_path.hpp"
 #include "buckthornrail/gateway/rate_limiter.hpp"
 #include "buckthornrail/gateway/route_index.hpp"
@@ -186,6 +187,9 @@
     void markEnded(const std::string& address);
     /// @brief The address doesn't respond: its machine is down or cut off, or the probe was lost twice.
     void markUnresponsive(const std::string& address);
+    /// @brief What is known now about a target that may have left the table.
+    /// @param address "IP:port" that the target had
+    [[nodiscard]] target_evidence evidenceOf(const registry::target_incarnation& id, const std::string& address) const;
     /// @brief Whether a target has certainly ended: its address refuses connections, or it doesn't respond here and its
     /// heartbeats have stopped too. A leaving target, or one that has signed off, may still serve for seconds and
     /// doesn't count.
@@ -268,6 +272,8 @@
         const selection_constraints& constraints, const path_weights& weights, steady_time now);
     /// @brief Whether a target takes new work according to the controllers.
     [[nodiscard]] static bool acceptsWork(const registry::target_record& record);
+    /// @return whether a target that started later is known at an address
+    [[nodiscard]] bool isAddressTaken(const registry::target_incarnation& from, const std::string& address) const;
     [[nodiscard]] std::vector<pool_target*> usableTargets(
         const std::string& service, const std::set<registry::target_incarnation>& excluded);
     /// @brief Ratio of the load of all gateways to the load of this one.
--- a/src/buckthornrail/core/event_code.cpp
+++ b/src/buckthornrail/core/event_code.cpp
@@ -21,13 +21,17 @@
         "The machine was suspended, or the process was stopped; fields: ms, version (of the document held)." },
     event_info { event_code::LoopHeld, "loop_held", "A task blocked the event loop; fields: work, ms." },
     event_info { event_code::RouteChosen, "route_chosen",
-        "A target was selected for an attempt; fields: request, attempt, candidates, chosen, reason." },
+        "A target was selected for an attempt; fields: request, attempt, candidates, chosen, reason, ran_on (targets "
+        "that may have executed the request, each with how its attempt ended, what is known of it now, and whether it "
+        "counts), counted (of the route's limit of targets)." },
     event_info { event_code::RouteRefused, "route_refused",
         "No target could be selected; fields: request, reason, room_in_ms (time until a target accepts a request "
         "again)." },
     event_info {
         event_code::AttemptRefused, "attempt_refused", "A sidecar refused an attempt; the target did not run it." },
-    event_info { event_code::AttemptLost, "attempt_lost", "An attempt ended without a complete response." },
+    event_info { event_code::AttemptLost, "attempt_lost",
+        "An attempt ended without a complete response; fields: request, attempt, reason, ran, outcome, ran_on (as of "
+        "route_chosen), events, first_event, open_ms, fingerprint, parts." },
     event_info { event_code::RequestFinished, "request_finished", "A request has ended; fields: request, code, ran." },
     event_info { event_code::ChainBuilt, "chain_built",
         "Targets were selected for the stages of a split request; fields: generation, stages." },
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -155,7 +155,7 @@
 
 void exchange::retry(const attempt_end& last, steady_time now)
 {
-    logAttemptLost(last, now);
+    recordAttemptLost(last, now);
     retryOrWait(last, now);
 }
 
@@ -188,7 +188,7 @@
         logAttemptKept(last, next.why);
         return false; // the open attempt may still recover: being slow is no reason to end it
     }
-    logAttemptLost(last, now);
+    recordAttemptLost(last, now);
     closeAttempt(now);
     m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
     scheduleAttempt(next, now);
@@ -204,13 +204,17 @@
             { "reason", why } });
 }
 
-void exchange::logAttemptLost(const attempt_end& last, steady_time now)
+void exchange::recordAttemptLost(const attempt_end& last, steady_time now)
 {
+    const auto& first = m_selection.parts.front();
+    m_history.record(first.target, first.address, last.outcome);
     m_port.logEvent(event_code::AttemptLost,
         { { "request", m_request.id }, { "attempt", std::to_string(m_attempts) }, { "reason", last.reason },
-            { "ran", std::string(nameOf(last.ran)) }, { "events", std::to_string(m_events) },
-            { "first_event", m_hasFirstEvent ? "seen" : "none" }, { "open_ms", inMs(between(m_attemptStart, now)) },
-            { "fingerprint", text(m_port.fingerprint()) }, { "parts", joined(m_request.sharedParts) } });
+            { "ran", std::string(nameOf(last.ran)) },
+            { "outcome", std::string(nameIn(attemptOutcomeNames, last.outcome)) }, { "ran_on", describeHistory() },
+            { "events", std::to_string(m_events) }, { "first_event", m_hasFirstEvent ? "seen" : "none" },
+            { "open_ms", inMs(between(m_attemptStart, now)) }, { "fingerprint", text(m_port.fingerprint()) },
+            { "parts", joined(m_request.sharedParts) } });
 }
 
 std::string exchange::whyNotRetryable(const attempt_end& last, steady_time now)
@@ -251,7 +255,9 @@
     m_port.logEvent(event_code::RouteChosen,
         { { "request", m_request.id }, { "route", m_request.route->name },
             { "version", std::to_string(m_request.documentVersion) }, { "attempt", std::to_string(m_attempts) },
-            { "chosen", describe(selected) }, { "candidates", selected.summary },
+            { "chosen", describe(selected) }, { "candidates", selected.summary }, { "ran_on", describeHistory() },
+            { "counted",
+                std::to_string(m_countedTargets.size()) + " of " + std::to_string(m_request.route->maxAttempts) },
             { "left_ms", inMs(between(now, m_request.deadline)) } });
     scheduleTimer(now);
     m_port.openAttempt(m_attempts, m_selection, m_lastEventId);
@@ -306,6 +312,12 @@
         { { "request", m_request.id }, { "target", text(target) }, { "reason", isUnreachable ? "dark" : "failed" } });
 }
 
+std::string exchange::describeHistory() const
+{
+    return m_history.describe(
+        [this](const auto& target, const auto& address) { return m_pool.evidenceOf(target, address); });
+}
+
 std::string exchange::describe(const selection& selected) const
 {
     std::string described;
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -361,6 +361,33 @@
     return target.hasEnded || (target.isUnresponsive && target.record.state == registry::target_state::Lost);
 }
 
+target_evidence target_pool::evidenceOf(const registry::target_incarnation& id, const std::string& address) const
+{
+    if (wasReplaced(id) || isAddressTaken(id, address))
+        return target_evidence::Replaced;
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end())
+        return target_evidence::Unknown;
+    const auto& target = found->second;
+    const bool isGoneOrLost = registry::isGoneOrLost(target.record);
+    if (target.hasEnded)
+        return isGoneOrLost ? target_evidence::Ended : target_evidence::Refusing;
+    if (target.record.state == registry::target_state::Gone)
+        return target_evidence::SignedOff;
+    if (target.isUnresponsive)
+        return isGoneOrLost ? target_evidence::CutOff : target_evidence::Unresponsive;
+    return isGoneOrLost ? target_evidence::Unheard : target_evidence::Alive;
+}
+
+bool target_pool::isAddressTaken(const registry::target_incarnation& from, const std::string& address) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& item) {
+        const auto& [id, target] = item;
+        return id != from && target.record.address == address && !registry::isGoneOrLost(target.record)
+            && id.startedMs > from.startedMs;
+    });
+}
+
 bool target_pool::isGone(const registry::target_incarnation& id) const
 {
     const auto found = m_targets.find(id);
