Limit of targets: one decision on who counts, from how attempts ended and what is known now

Cause, by the logs of: (1) for a target without layers a lost connection was taken for its end; (2) a begun stream that waited for its next attempt forgot the target it had just lost: route_chosen showed 1 counted while two living targets had run it; beside these, by tests: (3) a connect that failed forgot an earlier run there; (4) a wait for the quarantine's verdict dropped the limit; (5) marks (refuses, doesn't respond) outlived signs of life, and a target that the table no longer listed counted as ended.

Change: attempt_history keeps all targets that may have run a request; countsAgainstLimit decides anew each time. Left out is only what certainly runs no longer: replaced, or refusing connections with its heartbeats stopped or signed off. At its limit a plain request waits at most 1.5 s for a counted target or that proof; a pending attempt is checked again before it starts.

Two cases changed: a silent target whose heartbeats have stopped was taken for ended; it may run on behind a partition, so it counts now, and one that refuses connections as well is the one left out (both kept as sections).

--- a/include/buckthornrail/gateway/exchange.hpp
+++ b/include/buckthornrail/gateway/exchange.hpp
@@ -143,6 +143,9 @@
     /// These retries end when the caller disconnects, usually after 2 s without an event, or this long after the last
     /// event.
     milliseconds maxStreamPause { 5000 };
+    /// A request without a response that has reached its route's limit of targets waits at most this long for one of
+    /// them. Controllers confirm the end of a target within a second.
+    milliseconds maxLimitWait { 1500 };
 };
 
 /// How a request leaves the admission queue.
@@ -233,25 +236,26 @@
     /// Outcome of an attempt, the input of the retry decision.
     struct attempt_end {
         attempt_outcome outcome = attempt_outcome::ConnectionLost;
-        ran_state ran = ran_state::Unknown;
-        bool targetEnded = false; ///< dead or disconnected: not counted against the route's limit
         std::string reason;
+        [[nodiscard]] ran_state ran() const { return ranStateOf(outcome); }
     };
 
     /// Where to retry a request, if anywhere.
     struct next_attempt {
         std::optional<selection> selected; ///< empty: see `why`
         std::string why;
-        std::set<registry::target_incarnation> countedTargets;
         selection_constraints constraints;
+        bool isHeldByLimit = false; ///< only targets that may have run it may be used, and none of them can be now
     };
 
     /// @brief Selects a path for another attempt and takes it out of the retry budget.
     next_attempt planNextAttempt(const attempt_end& last, selection_constraints constraints, steady_time now);
-    /// @brief Logs that an attempt has ended, then calls retryOrWait().
+    /// @brief Records and logs that an attempt has ended, then calls retryOrWait().
     void retry(const attempt_end& last, steady_time now);
     /// @brief Retries after an attempt that has ended, waits if a stream has started, or gives up.
     void retryOrWait(const attempt_end& last, steady_time now);
+    /// @return whether a request without a next attempt may wait for one
+    bool mayWaitUntil(steady_time retryAt, const next_attempt& next, steady_time now);
     /// @brief Retries elsewhere if possible; otherwise keeps the open attempt. @return true when it moved
     bool moveAttempt(const attempt_end& last, selection_constraints constraints, steady_time now);
     /// @brief Logs that a stalled attempt is kept, once per cause.
@@ -264,7 +268,11 @@
     void scheduleAttempt(next_attempt next, steady_time now);
     /// @brief Requests the verdict on the pending attempt, and starts it, gives up or continues to wait.
     void tryStartAttempt(steady_time now);
-    /// @return verdict on the pending attempt, at another target if its own is taken
+    /// @return the targets that count against the route's limit now
+    [[nodiscard]] std::set<registry::target_incarnation> countedTargets(const attempt_history& history) const;
+    /// @return the targets at which the next attempt may start; empty: any, as the route's limit isn't reached
+    [[nodiscard]] std::set<registry::target_incarnation> allowedFirst(const attempt_history& history) const;
+    /// @return verdict on the pending attempt, at another target if its own is taken or may no longer be used
     dispatch_verdict requestDispatch(steady_time now);
     void startAttempt(const selection& selected, steady_time now);
     void closeAttempt(steady_time now);
@@ -290,9 +298,6 @@
     void requestReport(steady_time now);
     /// @brief Retries a safe request elsewhere when its response is late. @return true when it moved
     bool abandonSlowTarget(steady_time now);
-    /// @return whether the open attempt's first target is known to have ended, so that it doesn't count against the
-    /// route's limit. A silent one may only be unreachable from this gateway and still execute the request.
-    [[nodiscard]] bool firstHasEnded() const;
     [[nodiscard]] bool isMember(const registry::target_incarnation& target) const;
     /// @brief Ends an attempt whose first target has restarted, and retries it if the request allows that.
     void abandonRestartedTarget(steady_time now);
@@ -315,8 +320,6 @@
     exchange_options m_options;
     selection m_selection;
     selection_constraints m_constraints;
-    std::set<registry::target_incarnation>
-        m_countedTargets; ///< targets counted against the route's limit: each received the request and is alive
     attempt_history m_history;
     std::optional<std::uint64_t> m_lastEventId;
     std::optional<target_response> m_response; ///< response head of the open attempt
@@ -335,8 +338,8 @@
     std::optional<steady_time> m_returnAt;
     bool m_hasNoReturnTime = false;
     std::uint32_t m_attempts = 0;
-    std::optional<attempt_end>
-        m_pendingRetry; ///< outcome of the last attempt, while a started stream waits for a target
+    std::optional<attempt_end> m_pendingRetry; ///< outcome of the last attempt, while the request waits for a target
+    std::optional<steady_time> m_limitWaitDeadline; ///< set when the request begins to wait at its route's limit
     steady_time m_retryAt {};
     std::optional<next_attempt> m_pendingAttempt; ///< selected and taken from the budget, but waiting for a verdict
     steady_time m_dispatchDeadline {}; ///< of the pending attempt
--- a/include/buckthornrail/gateway/target_pool.hpp
+++ b/include/buckthornrail/gateway/target_pool.hpp
@@ -183,17 +183,15 @@
     std::vector<registry::target_incarnation> takeUnreachable() { return std::exchange(m_newlyUnreachable, {}); }
     /// @brief The target at an address; a default-constructed id when there is none.
     [[nodiscard]] registry::target_incarnation idAt(const std::string& address) const;
-    /// @brief The address refuses connections: the process that listened there has ended.
-    void markEnded(const std::string& address);
+    /// @brief The address refuses connections: nothing listens there, or a partition refuses on its behalf.
+    void markRefusing(const std::string& address);
     /// @brief The address doesn't respond: its machine is down or cut off, or the probe was lost twice.
     void markUnresponsive(const std::string& address);
+    /// @brief The address accepts connections: what was marked before no longer holds.
+    void markReachable(const std::string& address);
     /// @brief What is known now about a target that may have left the table.
     /// @param address "IP:port" that the target had
     [[nodiscard]] target_evidence evidenceOf(const registry::target_incarnation& id, const std::string& address) const;
-    /// @brief Whether a target has certainly ended: its address refuses connections, or it doesn't respond here and its
-    /// heartbeats have stopped too. A leaving target, or one that has signed off, may still serve for seconds and
-    /// doesn't count.
-    [[nodiscard]] bool hasEnded(const registry::target_incarnation& id) const;
     /// @brief Whether a target has signed off with the controllers, or is unknown.
     [[nodiscard]] bool isGone(const registry::target_incarnation& id) const;
     /// @brief Whether a target has announced that it leaves, or has signed off.
@@ -247,8 +245,8 @@
         double stepFactor = 1;
         double memoryTokenLayers = 0; ///< memory for requests beside the weights of the layers held now
         double prefillMsPerTokenLayer = 0;
-        bool hasEnded = false; ///< its address refused a connection
-        bool isUnresponsive = false; ///< its address didn't respond, and its heartbeats haven't resumed since
+        bool refusesConnections = false; ///< as of the last contact; resumed heartbeats end it
+        bool isUnresponsive = false; ///< as of the last contact; resumed heartbeats end it
     };
 
     /// Time of one engine pass for a stream.
--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -324,7 +324,7 @@
 {
     const auto target = m_context.pool.idAt(address);
     if (state == net::reachability::Refused) {
-        m_context.pool.markEnded(address);
+        m_context.pool.markRefusing(address);
         recordCrashes(address, {});
     } else {
         m_context.pool.markUnresponsive(address);
@@ -341,6 +341,7 @@
 
 void gateway_role::onReachable(const std::string& address)
 {
+    m_context.pool.markReachable(address);
     m_context.crashes.onTargetAlive(address);
     notifyQuarantineChanged();
 }
--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -272,10 +272,12 @@
     const auto self = shared_from_this();
     const bool isOrderly = end == net::connection_end::Closed;
     m_response->connectionEnded(isOrderly ? http1::transport_end::Closed : http1::transport_end::Reset);
-    if (m_isConnected)
+    if (m_isConnected) {
         advance();
-    else
-        failAttempt(gateway::attempt_failure::ConnectFailed);
+        return;
+    }
+    m_context.pool.markRefusing(m_selection.parts.front().address);
+    failAttempt(gateway::attempt_failure::ConnectFailed);
 }
 
 void gateway_call::failAttempt(gateway::attempt_failure how)
--- a/src/buckthornrail/gateway/exchange.cpp
+++ b/src/buckthornrail/gateway/exchange.cpp
@@ -48,7 +48,7 @@
         finish(result_code::Busy, ran_state::No, "no path with free capacity: " + selected->summary, now);
         return;
     }
-    scheduleAttempt({ *selected, {}, {}, m_constraints }, now);
+    scheduleAttempt({ *selected, {}, m_constraints }, now);
 }
 
 void exchange::scheduleAttempt(next_attempt next, steady_time now)
@@ -60,16 +60,21 @@
 
 dispatch_verdict exchange::requestDispatch(steady_time now)
 {
-    const bool isThrottled = !m_pool.maySend(m_pendingAttempt->selected->parts.front().target, now);
-    const auto verdict
-        = isThrottled ? dispatch_verdict::Elsewhere : m_port.requestDispatch(*m_pendingAttempt->selected);
+    const auto first = m_pendingAttempt->selected->parts.front().target;
+    // What is known of the targets may have changed while the attempt was pending.
+    const auto allowed = allowedFirst(m_history);
+    const bool isAllowed = allowed.empty() || allowed.contains(first);
+    const bool mayAsk = isAllowed && m_pool.maySend(first, now);
+    const auto verdict = mayAsk ? m_port.requestDispatch(*m_pendingAttempt->selected) : dispatch_verdict::Elsewhere;
     if (verdict != dispatch_verdict::Elsewhere)
         return verdict;
     auto constraints = m_pendingAttempt->constraints;
-    constraints.excluded.insert(m_pendingAttempt->selected->parts.front().target);
+    constraints.allowedFirst = allowed;
+    constraints.excluded.insert(first);
     const auto other = m_pool.select(m_request.service, constraints, now);
     if (!other) {
-        m_pendingAttempt->constraints = m_constraints; // all are taken: use whichever is free first
+        // All are taken: use whichever is free first.
+        m_pendingAttempt->constraints = m_constraints;
         return dispatch_verdict::Wait;
     }
     m_pendingAttempt->selected = other;
@@ -82,7 +87,6 @@
     const auto verdict = requestDispatch(now);
     if (verdict == dispatch_verdict::Go) {
         const auto next = *std::exchange(m_pendingAttempt, std::nullopt);
-        m_countedTargets = next.countedTargets;
         m_constraints = next.constraints;
         startAttempt(*next.selected, now);
         return;
@@ -110,6 +114,7 @@
 void exchange::onSent(steady_time now)
 {
     m_sent = true;
+    m_pool.markReachable(m_selection.parts.front().address);
     m_moveAt = now + m_options.firstEventMoveAfter;
     m_reportAt = now + m_options.reportAfter;
     m_probeAt = now + m_options.firstEventProbeAfter;
@@ -123,29 +128,28 @@
     next.why = whyNotRetryable(last, now);
     if (!next.why.empty())
         return next;
-    next.countedTargets = m_countedTargets;
-    // Targets that have ended don't count against the route's limit; draining ones do.
-    std::erase_if(next.countedTargets, [this](const auto& id) { return m_pool.hasEnded(id); });
-    if (last.ran != ran_state::No && !last.targetEnded)
-        next.countedTargets.insert(m_selection.parts.front().target);
-    // The route limits the number of targets, not of attempts: a target that ran the request may run it again.
-    constraints.allowedFirst.clear();
-    if (next.countedTargets.size() >= m_request.route->maxAttempts)
-        constraints.allowedFirst = next.countedTargets;
+    auto history = m_history; // the attempt may still be open
+    history.record(m_selection.parts.front().target, m_selection.parts.front().address, last.outcome);
+    constraints.allowedFirst = allowedFirst(history);
     next.selected = m_pool.select(m_request.service, constraints, now);
-    // A started stream waits instead, as targets that have just refused it would refuse it again.
-    if (!next.selected && !constraints.excluded.empty() && !m_streamStarted) {
+    const bool isLimited = !constraints.allowedFirst.empty();
+    // A started stream waits instead, as targets that have just refused it would refuse it again. So does a request
+    // that only targets without a connection may run.
+    const bool wouldBeUnsentAgain = isLimited && last.outcome == attempt_outcome::Unsent;
+    if (!next.selected && !constraints.excluded.empty() && !m_streamStarted && !wouldBeUnsentAgain) {
         // Fall back to targets that failed before: the failure may have been transient.
         constraints.excluded.clear();
         next.selected = m_pool.select(m_request.service, constraints, now);
     }
     next.constraints = std::move(constraints);
     if (!next.selected) {
-        next.why = "no other target or path";
+        next.isHeldByLimit = isLimited;
+        next.why = isLimited ? "targets limited to those that may have run it: " + describeHistory()
+                             : "no other target or path";
         return next;
     }
-    const bool mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
-    const bool hasReachedTarget = last.ran != ran_state::No || !last.targetEnded;
+    const bool mayHaveRun = m_mayHaveRun || last.ran() != ran_state::No;
+    const bool hasReachedTarget = last.outcome != attempt_outcome::Unsent;
     if (hasReachedTarget && !m_budget.tryTake(!mayHaveRun, now)) {
         next.why = "retry budget exhausted: " + m_budget.describe(now);
         next.selected.reset();
@@ -162,25 +166,36 @@
 void exchange::retryOrWait(const attempt_end& last, steady_time now)
 {
     const auto next = planNextAttempt(last, m_constraints, now);
-    m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
+    m_mayHaveRun = m_mayHaveRun || last.ran() != ran_state::No;
     if (next.selected) {
         scheduleAttempt(next, now);
         return;
     }
     const steady_time retryAt = now + m_options.streamRetryInterval;
-    const bool mayWait = m_streamStarted && m_lastEventId && m_request.isRetryable() && retryAt < m_request.deadline
-        && retryAt < m_lastEventAt + m_options.maxStreamPause;
-    if (!mayWait) {
+    if (!mayWaitUntil(retryAt, next, now)) {
         giveUp(last.reason + "; " + next.why, now);
         return;
     }
     m_pendingRetry = last;
-    m_pendingRetry->ran = ran_state::No; // m_mayHaveRun already covers earlier attempts
     m_constraints.excluded.clear();
     m_retryAt = retryAt;
     scheduleTimer(now);
 }
 
+bool exchange::mayWaitUntil(steady_time retryAt, const next_attempt& next, steady_time now)
+{
+    if (!m_request.isRetryable() || retryAt >= m_request.deadline)
+        return false;
+    if (m_streamStarted)
+        return m_lastEventId && retryAt < m_lastEventAt + m_options.maxStreamPause;
+    // Only the limit stands in the way: a target that may have run it comes back, or is found to have ended.
+    if (!next.isHeldByLimit)
+        return false;
+    if (!m_limitWaitDeadline)
+        m_limitWaitDeadline = now + m_options.maxLimitWait;
+    return retryAt < *m_limitWaitDeadline;
+}
+
 bool exchange::moveAttempt(const attempt_end& last, selection_constraints constraints, steady_time now)
 {
     const auto next = planNextAttempt(last, std::move(constraints), now);
@@ -190,7 +205,7 @@
     }
     recordAttemptLost(last, now);
     closeAttempt(now);
-    m_mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
+    m_mayHaveRun = m_mayHaveRun || last.ran() != ran_state::No;
     scheduleAttempt(next, now);
     return true;
 }
@@ -210,7 +225,7 @@
     m_history.record(first.target, first.address, last.outcome);
     m_port.logEvent(event_code::AttemptLost,
         { { "request", m_request.id }, { "attempt", std::to_string(m_attempts) }, { "reason", last.reason },
-            { "ran", std::string(nameOf(last.ran)) },
+            { "ran", std::string(nameOf(last.ran())) },
             { "outcome", std::string(nameIn(attemptOutcomeNames, last.outcome)) }, { "ran_on", describeHistory() },
             { "events", std::to_string(m_events) }, { "first_event", m_hasFirstEvent ? "seen" : "none" },
             { "open_ms", inMs(between(m_attemptStart, now)) }, { "fingerprint", text(m_port.fingerprint()) },
@@ -219,7 +234,7 @@
 
 std::string exchange::whyNotRetryable(const attempt_end& last, steady_time now)
 {
-    const bool mayHaveRun = m_mayHaveRun || last.ran != ran_state::No;
+    const bool mayHaveRun = m_mayHaveRun || last.ran() != ran_state::No;
     if (mayHaveRun && !m_request.isRetryable())
         return "the request may have been executed and is not safe to retry";
     if (m_streamStarted && !m_lastEventId)
@@ -257,7 +272,8 @@
             { "version", std::to_string(m_request.documentVersion) }, { "attempt", std::to_string(m_attempts) },
             { "chosen", describe(selected) }, { "candidates", selected.summary }, { "ran_on", describeHistory() },
             { "counted",
-                std::to_string(m_countedTargets.size()) + " of " + std::to_string(m_request.route->maxAttempts) },
+                std::to_string(countedTargets(m_history).size()) + " of "
+                    + std::to_string(m_request.route->maxAttempts) },
             { "left_ms", inMs(between(now, m_request.deadline)) } });
     scheduleTimer(now);
     m_port.openAttempt(m_attempts, m_selection, m_lastEventId);
@@ -312,6 +328,21 @@
         { { "request", m_request.id }, { "target", text(target) }, { "reason", isUnreachable ? "dark" : "failed" } });
 }
 
+std::set<registry::target_incarnation> exchange::countedTargets(const attempt_history& history) const
+{
+    return history.countedTargets(
+        [this](const auto& target, const auto& address) { return m_pool.evidenceOf(target, address); });
+}
+
+std::set<registry::target_incarnation> exchange::allowedFirst(const attempt_history& history) const
+{
+    // The route limits the number of targets, not of attempts: a target that ran the request may run it again.
+    auto counted = countedTargets(history);
+    if (counted.size() < m_request.route->maxAttempts)
+        counted.clear();
+    return counted;
+}
+
 std::string exchange::describeHistory() const
 {
     return m_history.describe(
--- a/src/buckthornrail/gateway/exchange_admission.cpp
+++ b/src/buckthornrail/gateway/exchange_admission.cpp
@@ -48,7 +48,7 @@
     switch (decision.verdict) {
     case admission_verdict::Start:
         leaveQueue(queue_exit::Started, now);
-        scheduleAttempt({ selected, {}, {}, m_constraints }, now);
+        scheduleAttempt({ selected, {}, m_constraints }, now);
         return;
     case admission_verdict::Wait:
         if (!std::exchange(m_isQueued, true))
--- a/src/buckthornrail/gateway/exchange_response.cpp
+++ b/src/buckthornrail/gateway/exchange_response.cpp
@@ -42,7 +42,7 @@
             m_pool.refused(faulty, now);
         m_constraints.excluded.insert(faulty);
         closeAttempt(now);
-        retry({ attempt_outcome::Refused, ran_state::No, false,
+        retry({ attempt_outcome::Refused,
                   "refused with status " + std::to_string(response.status) + " by " + text(faulty) },
             now);
         return;
@@ -50,7 +50,7 @@
     if (!response.isAuthentic) {
         avoid(first, false, now);
         closeAttempt(now);
-        retry({ attempt_outcome::InvalidResponse, ran_state::Unknown, false,
+        retry({ attempt_outcome::InvalidResponse,
                   "response of status " + std::to_string(response.status) + " does not belong to this request" },
             now);
         return;
@@ -59,15 +59,14 @@
     if (m_streamStarted && (!response.isEventStream || response.status >= firstNonSuccessStatus)) {
         avoid(first, false, now);
         closeAttempt(now);
-        retry({ attempt_outcome::Failed, ran_state::Yes, false,
+        retry({ attempt_outcome::Failed,
                   "response of status " + std::to_string(response.status) + " doesn't continue the stream" },
             now);
         return;
     }
     if (response.status < firstNonSuccessStatus)
         return;
-    const attempt_end end { attempt_outcome::Failed, ran_state::Yes, false,
-        "failed with status " + std::to_string(response.status) };
+    const attempt_end end { attempt_outcome::Failed, "failed with status " + std::to_string(response.status) };
     const bool isServerError = response.status >= firstServerErrorStatus;
     if (isServerError)
         avoid(first, false, now);
@@ -112,7 +111,7 @@
     if (id && m_lastEventId && *id != *m_lastEventId + 1) {
         avoidFirst(now);
         closeAttempt(now);
-        retry({ attempt_outcome::Failed, ran_state::Yes, false,
+        retry({ attempt_outcome::Failed,
                   "event gap: received " + std::to_string(*id) + " after " + std::to_string(*m_lastEventId) },
             now);
         return;
@@ -193,13 +192,11 @@
         avoid(first, isUnsent, now);
     closeAttempt(now);
     if (isUnsent) {
-        m_countedTargets.erase(first); // ended or unreachable: no longer counted
-        retry({ attempt_outcome::Unsent, ran_state::No, true, "no connection to " + text(first) }, now);
+        retry({ attempt_outcome::Unsent, "no connection to " + text(first) }, now);
         return;
     }
     const bool isInvalid = how == attempt_failure::InvalidResponse;
-    retry({ isInvalid ? attempt_outcome::InvalidResponse : attempt_outcome::ConnectionLost, ran_state::Unknown,
-              !isInvalid && !mayBeMember,
+    retry({ isInvalid ? attempt_outcome::InvalidResponse : attempt_outcome::ConnectionLost,
               (isInvalid ? "invalid response from " : "connection lost to ") + text(first) + ": "
                   + std::string(nameIn(http1::messageEndNames, end)) },
         now);
--- a/src/buckthornrail/gateway/exchange_stream_test.cpp
+++ b/src/buckthornrail/gateway/exchange_stream_test.cpp
@@ -190,7 +190,7 @@
         call.onSent(zero);
         for (const auto& id : ranOn) {
             bench.setState(id, registry::target_state::Gone);
-            bench.pool.markEnded(id + ":1");
+            bench.pool.markRefusing(id + ":1");
         }
         call.onHead(refusal(), zero);
         CHECK(bench.port.target == third);
@@ -223,11 +223,20 @@
     REQUIRE(ranOn.size() == 2);
     for (const auto& target : bench.port.targets)
         CHECK(ranOn.contains(target));
-    SECTION("its heartbeats have stopped too: it has ended")
+    SECTION("its heartbeats have stopped too: it may run on behind a partition")
     {
         for (const auto& id : ranOn)
             bench.setState(id, registry::target_state::Lost);
         call.onAttemptFailed(attempt_failure::ConnectionLost, http1::message_end::Reset, now);
+        CHECK(ranOn.contains(bench.port.target));
+    }
+    SECTION("its heartbeats have stopped and it refuses connections: it has ended")
+    {
+        for (const auto& id : ranOn) {
+            bench.setState(id, registry::target_state::Lost);
+            bench.pool.markRefusing(id + ":1");
+        }
+        call.onAttemptFailed(attempt_failure::ConnectionLost, http1::message_end::Reset, now);
         CHECK_FALSE(ranOn.contains(bench.port.target));
     }
     SECTION("its heartbeats continue: it is alive")
@@ -435,5 +444,8 @@
     const auto attempts = bench.port.attempts;
     call.onStreamEnd(http1::message_end::Close, zero);
     CHECK(bench.port.outcome != "ended");
+    // A resumed one has reached its route's limit: it waits for one of its two targets.
+    call.onTimer(zero + milliseconds(150));
     CHECK(bench.port.attempts > attempts);
+    CHECK(std::set<std::string>(bench.port.targets.begin(), bench.port.targets.end()).size() == 2);
 }
--- a/src/buckthornrail/gateway/exchange_watch.cpp
+++ b/src/buckthornrail/gateway/exchange_watch.cpp
@@ -30,8 +30,7 @@
         return;
     }
     avoid(faulty, true, now);
-    moveAttempt({ attempt_outcome::Stalled, ran_state::Unknown, firstHasEnded(), "stalled by " + text(faulty) },
-        m_constraints, now);
+    moveAttempt({ attempt_outcome::Stalled, "stalled by " + text(faulty) }, m_constraints, now);
 }
 
 void exchange::onUnreachable(const registry::target_incarnation& target, steady_time now)
@@ -42,9 +41,8 @@
     if (!isMember(target) || now < silentSince + m_options.minSilence)
         return; // it may be unreachable from this gateway only
     avoid(target, true, now);
-    moveAttempt({ attempt_outcome::Stalled, ran_state::Unknown, firstHasEnded(),
-                    "stalled by " + text(target) + ", which refuses connections" },
-        m_constraints, now);
+    moveAttempt(
+        { attempt_outcome::Stalled, "stalled by " + text(target) + ", which refuses connections" }, m_constraints, now);
 }
 
 void exchange::onTargetsChanged(steady_time now)
@@ -60,9 +58,7 @@
         if (!wasReplaced && !m_pool.hasReleased(part.target, part.layers))
             continue;
         const std::string change = wasReplaced ? " has restarted" : " released its layers";
-        moveAttempt({ attempt_outcome::Interrupted, ran_state::Unknown, firstHasEnded(),
-                        "interrupted: " + text(part.target) + change },
-            m_constraints, now);
+        moveAttempt({ attempt_outcome::Interrupted, "interrupted: " + text(part.target) + change }, m_constraints, now);
         return;
     }
 }
@@ -87,7 +83,7 @@
     // If the machine was disconnected meanwhile, the connection may never be closed; no response will arrive on it.
     const std::string reason = "interrupted: " + text(m_selection.parts.front().target) + " has restarted";
     closeAttempt(now);
-    retry({ attempt_outcome::Interrupted, ran_state::Unknown, true, reason }, now);
+    retry({ attempt_outcome::Interrupted, reason }, now);
 }
 
 void exchange::onQuarantineChanged(steady_time now)
@@ -102,13 +98,9 @@
     if (!mayCancel || !m_port.mustCancel())
         return;
     closeAttempt(now);
-    retry({ attempt_outcome::Cancelled, ran_state::Unknown, false,
-              "cancelled: targets crashed when they executed the same request" },
-        now);
+    retry({ attempt_outcome::Cancelled, "cancelled: targets crashed when they executed the same request" }, now);
 }
 
-bool exchange::firstHasEnded() const { return m_pool.hasEnded(m_selection.parts.front().target); }
-
 bool exchange::isMember(const registry::target_incarnation& target) const
 {
     return std::any_of(m_selection.parts.begin(), m_selection.parts.end(),
@@ -176,8 +168,7 @@
         auto constraints = m_constraints;
         for (const auto& part : m_selection.parts)
             constraints.excluded.insert(part.target);
-        if (moveAttempt(
-                { attempt_outcome::Stalled, ran_state::Unknown, false, silenceReason }, std::move(constraints), now))
+        if (moveAttempt({ attempt_outcome::Stalled, silenceReason }, std::move(constraints), now))
             return true;
         m_moveAt = now + m_options.moveAfter;
     }
@@ -208,8 +199,7 @@
     m_pool.succeeded(first, took.count());
     auto constraints = m_constraints;
     constraints.excluded.insert(first);
-    return moveAttempt(
-        { attempt_outcome::Stalled, ran_state::Unknown, false, silenceReason }, std::move(constraints), now);
+    return moveAttempt({ attempt_outcome::Stalled, silenceReason }, std::move(constraints), now);
 }
 
 void exchange::scheduleTimer(steady_time now)
--- a/src/buckthornrail/gateway/target_incarnation_test.cpp
+++ b/src/buckthornrail/gateway/target_incarnation_test.cpp
@@ -105,18 +105,19 @@
     for (int i = 0; i < 5; ++i)
         bench.pool.attemptStarted(*selected, size);
     bench.pool.markUnreachable(target, zero);
-    bench.pool.markEnded(target.id + ":1");
+    const std::string address = target.id + ":1";
+    bench.pool.markRefusing(address);
     for (int i = 0; i < 20; ++i)
         bench.pool.failed(target);
     CHECK(bench.pool.select("s", {}, zero)->parts.front().target != target);
-    CHECK(bench.pool.hasEnded(target));
+    CHECK(bench.pool.evidenceOf(target, address) == target_evidence::Refusing);
 
     bench.restart(target.id, secondStartMs);
     const registry::target_incarnation later(target.id, secondStartMs);
     CHECK(bench.pool.wasReplaced(target));
     CHECK_FALSE(bench.pool.wasReplaced(later));
-    CHECK(bench.pool.hasEnded(target));
-    CHECK_FALSE(bench.pool.hasEnded(later));
+    CHECK(bench.pool.evidenceOf(target, address) == target_evidence::Replaced);
+    CHECK(bench.pool.evidenceOf(later, address) == target_evidence::Alive);
     CHECK(bench.pool.select("s", {}, zero)->parts.front().target == later); // in the own domain again
     // Attempts at the previous incarnation that end now must not reduce the new one's load.
     const auto again = bench.pool.select("s", {}, zero);
--- a/src/buckthornrail/gateway/target_pool.cpp
+++ b/src/buckthornrail/gateway/target_pool.cpp
@@ -78,6 +78,7 @@
         if (cameBack) {
             target.avoidUntil = {};
             target.isUnresponsive = false;
+            target.refusesConnections = false;
         }
         applyEngineModel(target);
     }
@@ -340,10 +341,10 @@
     return {};
 }
 
-void target_pool::markEnded(const std::string& address)
+void target_pool::markRefusing(const std::string& address)
 {
     for (auto& [id, target] : m_targets)
-        target.hasEnded = target.hasEnded || target.record.address == address;
+        target.refusesConnections = target.refusesConnections || target.record.address == address;
 }
 
 void target_pool::markUnresponsive(const std::string& address)
@@ -352,13 +353,14 @@
         target.isUnresponsive = target.isUnresponsive || target.record.address == address;
 }
 
-bool target_pool::hasEnded(const registry::target_incarnation& id) const
+void target_pool::markReachable(const std::string& address)
 {
-    const auto found = m_targets.find(id);
-    if (found == m_targets.end())
-        return true;
-    const auto& target = found->second;
-    return target.hasEnded || (target.isUnresponsive && target.record.state == registry::target_state::Lost);
+    for (auto& [id, target] : m_targets) {
+        if (target.record.address != address)
+            continue;
+        target.refusesConnections = false;
+        target.isUnresponsive = false;
+    }
 }
 
 target_evidence target_pool::evidenceOf(const registry::target_incarnation& id, const std::string& address) const
@@ -370,7 +372,7 @@
         return target_evidence::Unknown;
     const auto& target = found->second;
     const bool isGoneOrLost = registry::isGoneOrLost(target.record);
-    if (target.hasEnded)
+    if (target.refusesConnections)
         return isGoneOrLost ? target_evidence::Ended : target_evidence::Refusing;
     if (target.record.state == registry::target_state::Gone)
         return target_evidence::SignedOff;
