Unreachable targets are reported at once: requests at their limit wait for the proof that a target ended

With a refused connection alone no proof of an end, requests wait for the controllers' word, which came with the next heartbeat (300 ms).

--- a/src/app/gateway/gateway.cpp
+++ b/src/app/gateway/gateway.cpp
@@ -362,6 +362,7 @@
         { { "target", text(target) }, { "address", address },
             { "how", state == net::reachability::Refused ? "refused" : "silent" } });
     m_context.pool.markUnreachable(target, steadyNow());
+    m_session.sendHeartbeatSoon(); // the controllers find out whether it has ended
     for (const auto& call : openCalls())
         call->targetUnreachable(target);
 }
--- a/src/app/gateway/gateway_call.cpp
+++ b/src/app/gateway/gateway_call.cpp
@@ -330,6 +330,7 @@
         return;
     }
     m_context.pool.markRefusing(m_selection.parts.front().address);
+    m_context.requestHeartbeat(); // the controllers find out whether it has ended
     failAttempt(gateway::attempt_failure::ConnectFailed);
 }
 
--- a/src/app/gateway/gateway_call.hpp
+++ b/src/app/gateway/gateway_call.hpp
@@ -42,7 +42,8 @@
     std::map<gateway::call_number, class gateway_call*> queuedCalls; ///< in the admission's queue
     std::function<void()> capacityFreed; ///< capacity may have become free: an attempt ended, or new loads arrived
     std::function<void()> callQueued; ///< a call was added to the admission queue, or stays there
-    std::function<void()> requestHeartbeat; ///< sends one within milliseconds, to report changes of the quarantine
+    std::function<void()>
+        requestHeartbeat; ///< sends one within milliseconds, to report changes of the quarantine or unreachable targets
     gateway::call_number lastCallNumber = 0;
     http1::parser_limits responseLimits; ///< of targets' responses
     milliseconds maxPause { 30000 }; ///< without content in a target's response that has begun
