--- a/src/buckthornrail/core/memory_budget_test.cpp
+++ b/src/buckthornrail/core/memory_budget_test.cpp
@@ -2,6 +2,7 @@
 /// @brief The bound on the memory of all open messages.
 #include "buckthornrail/core/memory_budget.hpp"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <rapidcheck/catch.h>
@@ -44,9 +45,9 @@
     rc::prop("any sizes", [] {
         constexpr std::size_t limit = 50;
         memory_budget budget(limit);
-        std::vector<std::unique_ptr<memory_lease>> leases;
-        for (int i = 0; i < 4; ++i)
-            leases.push_back(std::make_unique<memory_lease>(budget, [] {}));
+        std::array<std::unique_ptr<memory_lease>, 4> leases;
+        for (auto& lease : leases)
+            lease = std::make_unique<memory_lease>(budget, [] {});
         const auto steps = *rc::gen::container<std::vector<std::pair<std::size_t, std::size_t>>>(
             rc::gen::pair(rc::gen::inRange<std::size_t>(0, 4), rc::gen::inRange<std::size_t>(0, 70)));
         for (const auto& [index, bytes] : steps) {
