--- a/tests/endless_responses_test.cpp
+++ b/tests/endless_responses_test.cpp
@@ -3,6 +3,7 @@
 /// them, and that sound requests beside them are served.
 #include "support/endless_kinds.hpp"
 #include "support/gateway_cluster.hpp"
+#include "support/raw_peer.hpp"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -167,3 +168,32 @@
         CHECK(sound.served() == sound.calls());
     }
 }
+
+TEST_CASE("endless requests: callers that never end their bodies don't fill the gateway's memory", "[endless]")
+{
+    gateway_cluster cluster(1);
+    REQUIRE(cluster.start());
+    const auto gateway = cluster.gateways().front();
+    const int pid = cluster.pidOf(gateway);
+    constexpr std::size_t sentBytes = 3U << 20U; // below the document's bound for a body
+    constexpr int callers = 40;
+    resetPeak(pid);
+    sound_caller sound(cluster, gateway);
+    std::vector<std::future<std::string>> received;
+    for (int i = 0; i < callers; ++i) {
+        received.push_back(std::async(std::launch::async, [&cluster, gateway, i] {
+            auto connection = raw_connection::to(cluster.addressOf(gateway));
+            std::string request = "POST /safe/body HTTP/1.1\r\nTransfer-Encoding: chunked\r\n";
+            for (const auto& [name, value] : gateway_cluster::callerFields("body-" + std::to_string(i), seconds(6)))
+                request += name + ": " + value + "\r\n";
+            connection.send(request + "\r\n300000\r\n" + std::string(sentBytes, 'x'));
+            return connection.receiveUntil("\r\n\r\n");
+        }));
+    }
+    for (auto& response : received)
+        CHECK_FALSE(response.get().starts_with("HTTP/1.1 200"));
+    sound.stop();
+    CHECK(peakKilobytes(pid) < machineKilobytes);
+    CHECK(sound.served() == sound.calls());
+    CHECK(hasCounted(cluster, gateway, "open_bytes"));
+}
